Set down the folders, the contracts and the machines

Cause: an empty repository. Change: packages that mirror the world, frozen data classes for contracts and records, plain functions over the two books (jobs, capacity).

--- /dev/null
+++ b/daisygw/contracts/_codes.py
@@ -0,0 +1,106 @@
+"""Numbered result codes: the one vocabulary of every answer and error.
+
+The hundreds tell the class: 1xx done, 2xx bad input (not run), 3xx refused
+or ended before a start (not run), 4xx failed while running, 5xx unknown,
+6xx an operator's request, 7xx a process.  docs/RESULT_CODES.md is the table.
+"""
+
+import enum
+
+_CLASS_WIDTH = 100
+
+
+@enum.unique
+class ResultCode(enum.IntEnum):
+    """One numbered outcome; the number is stable once published."""
+
+    ANSWERED = 100
+    ACCEPTED = 101
+    STOPPED = 102
+    IN_FORCE = 103
+    MALFORMED = 201
+    UNKNOWN_FIELD = 202
+    BAD_SIZE = 203
+    BAD_ID = 204
+    BODY_TOO_LARGE = 205
+    UNKNOWN_TEAM = 206
+    UNKNOWN_KIND = 207
+    ID_REUSED = 208
+    BAD_VALUE = 209
+    NEVER_FITS = 301
+    QUOTA_EXCEEDED = 302
+    OVERLOADED = 303
+    DEADLINE_PASSED = 304
+    CANCELLED = 305
+    STOPPING = 306
+    NO_LEADER = 307
+    RETRIES_EXHAUSTED = 308
+    TASK_FAILED = 401
+    WORKER_LOST = 402
+    CANCELLED_RUNNING = 403
+    FAILED_EVERYWHERE = 404
+    PREEMPTED = 405
+    HOME_UNREACHABLE = 501
+    OUTCOME_UNKNOWN = 502
+    ANSWER_GONE = 503
+    CONFIG_INVALID = 601
+    VERSION_CONFLICT = 602
+    UNKNOWN_TARGET = 603
+    UNKNOWN_JOB = 604
+    SETTINGS_INVALID = 701
+    PORT_TAKEN = 702
+    JOURNAL_CORRUPT = 703
+    ENTRY_UNREACHABLE = 704
+    DISK_FAILED = 705
+
+
+@enum.unique
+class CodeClass(enum.IntEnum):
+    """What the hundreds of a result code promise."""
+
+    DONE = 1
+    BAD_INPUT = 2
+    NOT_RUN = 3
+    FAILED = 4
+    UNKNOWN = 5
+    OPERATOR = 6
+    PROCESS = 7
+
+
+_HTTP_BY_CLASS = {
+    CodeClass.DONE: 200,
+    CodeClass.BAD_INPUT: 400,
+    CodeClass.NOT_RUN: 503,
+    CodeClass.FAILED: 502,
+    CodeClass.UNKNOWN: 504,
+    CodeClass.OPERATOR: 409,
+    CodeClass.PROCESS: 500,
+}
+
+_HTTP_BY_CODE = {
+    ResultCode.ACCEPTED: 202,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.NEVER_FITS: 422,
+    ResultCode.QUOTA_EXCEEDED: 429,
+    ResultCode.OVERLOADED: 429,
+    ResultCode.ID_REUSED: 409,
+    ResultCode.UNKNOWN_JOB: 404,
+    ResultCode.UNKNOWN_TARGET: 404,
+    ResultCode.CONFIG_INVALID: 400,
+}
+
+
+def code_class(code: int) -> CodeClass:
+    """Return the class that the hundreds of ``code`` stand for."""
+    return CodeClass(code // _CLASS_WIDTH)
+
+
+def is_not_run(code: int) -> bool:
+    """Tell whether ``code`` promises that nothing was started."""
+    return code_class(code) in {CodeClass.BAD_INPUT, CodeClass.NOT_RUN}
+
+
+def http_status(code: int) -> int:
+    """Map a result code to the HTTP status that carries it."""
+    by_code = _HTTP_BY_CODE.get(ResultCode(code))
+    return by_code or _HTTP_BY_CLASS[code_class(code)]
--- /dev/null
+++ b/daisygw/contracts/_register.py
@@ -0,0 +1,151 @@
+"""The register of jobs: every accepted request and the state of its tasks.
+
+Changed only by records of the log, the same way on every replica.
+"""
+
+from collections import Counter, defaultdict
+from dataclasses import replace
+
+from daisygw.contracts._codes import ResultCode
+from daisygw.contracts._records import (
+    JobAccepted,
+    JobForgotten,
+    TaskEnded,
+    TaskPlaced,
+    TaskRequeued,
+)
+from daisygw.contracts._request import Contract
+from daisygw.contracts._size import NOTHING, Size, minus, plus, times
+from daisygw.contracts._task import Task, TaskState
+
+
+class Job:
+    """One accepted request with its tasks."""
+
+    def __init__(self, contract: Contract, at: int) -> None:
+        """Begin with every task queued at ``at`` (ms since the epoch)."""
+        self.contract = contract
+        self.accepted = at
+        self.ended = 0
+        self.open = contract.count
+        self.tasks = [Task(index, at) for index in range(contract.count)]
+
+
+class Register:
+    """All jobs by id, what each team holds, and learned run times."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.jobs: dict[str, Job] = {}
+        self.claimed: dict[str, Size] = defaultdict(lambda: NOTHING)
+        self.held: dict[str, Size] = defaultdict(lambda: NOTHING)
+        self.learned: dict[str, float] = {}
+        self.retried = 0
+        self.started = 0
+        self.ended: Counter[int] = Counter()
+
+
+_LEARNING_RATE = 0.25
+_MS = 1000
+
+
+def work_key(contract: Contract) -> str:
+    """Return the key under which run times of this sort are learned."""
+    return f'{contract.team}/{contract.work}'
+
+
+def expected_run(register: Register, contract: Contract) -> float:
+    """Return the expected run time in seconds, learned before declared."""
+    learned = register.learned.get(work_key(contract))
+    if learned is None:
+        return contract.run or 1
+    return learned
+
+
+def accept(register: Register, record: JobAccepted) -> None:
+    """Enter a new job; a record of a known job changes nothing."""
+    contract = record.contract
+    if contract.id in register.jobs:
+        return
+    register.jobs[contract.id] = Job(contract, record.at)
+    claim = times(contract.size, contract.count)
+    team = contract.team
+    register.claimed[team] = plus(register.claimed[team], claim)
+
+
+def place(register: Register, record: TaskPlaced) -> Size:
+    """Note a lease; return the size that the target must hold."""
+    job = register.jobs[record.job]
+    job.tasks[record.index] = replace(
+        job.tasks[record.index],
+        state=TaskState.LEASED,
+        attempt=record.attempt,
+        target=record.target,
+        incarnation=record.incarnation,
+        since=record.at,
+    )
+    team = job.contract.team
+    register.held[team] = plus(register.held[team], job.contract.size)
+    register.started += 1
+    return job.contract.size
+
+
+def _release(register: Register, job: Job, task: Task) -> None:
+    if task.state is TaskState.LEASED:
+        team = job.contract.team
+        register.held[team] = minus(register.held[team], job.contract.size)
+
+
+def _learn(register: Register, contract: Contract, run: int) -> None:
+    key = work_key(contract)
+    seen = run / _MS
+    known = register.learned.get(key, seen)
+    register.learned[key] = known + (seen - known) * _LEARNING_RATE
+
+
+def end(register: Register, record: TaskEnded) -> Task:
+    """Close a task; return it as it stood before."""
+    job = register.jobs[record.job]
+    task = job.tasks[record.index]
+    _release(register, job, task)
+    job.tasks[record.index] = replace(
+        task,
+        state=TaskState.ENDED,
+        since=record.at,
+        code=record.code,
+    )
+    contract = job.contract
+    register.ended[record.code] += 1
+    if record.code == ResultCode.ANSWERED:
+        _learn(register, contract, record.run)
+    job.open -= 1
+    if job.open == 0:
+        job.ended = record.at
+    team = contract.team
+    register.claimed[team] = minus(register.claimed[team], contract.size)
+    return task
+
+
+def requeue(register: Register, record: TaskRequeued) -> Task:
+    """Put a task back in the queue; return it as it stood before."""
+    job = register.jobs[record.job]
+    task = job.tasks[record.index]
+    _release(register, job, task)
+    failed_on = task.failed_on
+    if record.fault:
+        failed_on = (*failed_on, task.target)
+        register.retried += 1
+    job.tasks[record.index] = replace(
+        task,
+        state=TaskState.QUEUED,
+        target='',
+        incarnation='',
+        since=record.at,
+        failed_on=failed_on,
+    )
+    return task
+
+
+def forget(register: Register, record: JobForgotten) -> None:
+    """Drop an ended job."""
+    register.jobs.pop(record.job, None)
--- /dev/null
+++ b/daisygw/contracts/_size.py
@@ -0,0 +1,71 @@
+"""Sizes: what a task needs and what a worker has."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """An amount of each resource.
+
+    Units: ``cpus`` in thousandths of a core, ``memory`` in MiB,
+    ``accelerators`` whole, ``slots`` whole (tasks at a time).
+    """
+
+    cpus: int = 0
+    memory: int = 0
+    accelerators: int = 0
+    slots: int = 1
+
+
+NOTHING = Size(slots=0)
+
+
+def fits(need: Size, free: Size) -> bool:
+    """Tell whether ``need`` fits into ``free`` in every resource."""
+    return (
+        need.slots <= free.slots
+        and need.cpus <= free.cpus
+        and need.memory <= free.memory
+        and need.accelerators <= free.accelerators
+    )
+
+
+def plus(left: Size, right: Size) -> Size:
+    """Add two sizes, resource by resource."""
+    return Size(
+        left.cpus + right.cpus,
+        left.memory + right.memory,
+        left.accelerators + right.accelerators,
+        left.slots + right.slots,
+    )
+
+
+def minus(left: Size, right: Size) -> Size:
+    """Subtract ``right`` from ``left``, resource by resource."""
+    return Size(
+        left.cpus - right.cpus,
+        left.memory - right.memory,
+        left.accelerators - right.accelerators,
+        left.slots - right.slots,
+    )
+
+
+def times(size: Size, count: int) -> Size:
+    """Multiply a size by a whole ``count``."""
+    return Size(
+        size.cpus * count,
+        size.memory * count,
+        size.accelerators * count,
+        size.slots * count,
+    )
+
+
+def share_of(used: Size, whole: Size) -> float:
+    """Return the largest share (0 to 1) that ``used`` takes of ``whole``."""
+    pairs = (
+        (used.cpus, whole.cpus),
+        (used.memory, whole.memory),
+        (used.accelerators, whole.accelerators),
+        (used.slots, whole.slots),
+    )
+    return max((part / total for part, total in pairs if total), default=0)
--- /dev/null
+++ b/daisygw/machines/_index.py
@@ -0,0 +1,91 @@
+"""An index of open workers by speed and free capacity.
+
+A decision looks at a bounded number of candidates, whatever the number of
+workers: buckets are ordered by speed, then by free accelerators and free
+processors, so that the first worker that fits is a fast one and a tight fit.
+"""
+
+from collections.abc import Iterator
+
+from typing import TypeAlias
+
+from sortedcontainers import SortedDict
+
+from daisygw.contracts import Size, fits
+from daisygw.machines._workers import Worker, Workers
+
+Level: TypeAlias = tuple[int, int, int]
+
+_CORE = 1000
+_SPEED_STEPS = 4
+
+
+class FreeIndex:
+    """Open workers with a free slot, in buckets by level."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.buckets: SortedDict = SortedDict()
+        self.level_of: dict[str, Level] = {}
+        self.slowness: dict[str, int] = {}
+        self.looked_at = 0
+
+
+def _cpu_level(cpus: int) -> int:
+    return (cpus // _CORE).bit_length()
+
+
+def _level(index: FreeIndex, worker: Worker) -> Level:
+    slow = index.slowness.get(worker.spec.name, 0)
+    return (slow, worker.free.accelerators, _cpu_level(worker.free.cpus))
+
+
+def set_speed(index: FreeIndex, name: str, relative: float) -> None:
+    """Note how slow a worker is: 1 is the fastest, 2 takes twice as long."""
+    steps = round((max(relative, 1) - 1) * _SPEED_STEPS)
+    index.slowness[name] = min(steps, _SPEED_STEPS * _SPEED_STEPS)
+
+
+def _remove(index: FreeIndex, name: str) -> None:
+    level = index.level_of.pop(name, None)
+    if level is None:
+        return
+    bucket = index.buckets[level]
+    bucket.pop(name, None)
+    if not bucket:
+        index.buckets.pop(level)
+
+
+def refresh(index: FreeIndex, workers: Workers) -> None:
+    """Bring the index up to date with the workers touched since."""
+    for name in workers.touched:
+        worker = workers.by_name.get(name)
+        if worker is None or not worker.open or worker.free.slots <= 0:
+            _remove(index, name)
+            continue
+        level = _level(index, worker)
+        if index.level_of.get(name) != level:
+            _remove(index, name)
+            index.level_of[name] = level
+            index.buckets.setdefault(level, {})[name] = worker
+    workers.touched.clear()
+
+
+def candidates(
+    index: FreeIndex,
+    need: Size,
+    most: int,
+) -> Iterator[Worker]:
+    """Yield up to ``most`` workers that can hold ``need``, best level first."""
+    need_cpu = _cpu_level(need.cpus)
+    found = 0
+    for level, bucket in index.buckets.items():
+        if level[1] < need.accelerators or level[2] < need_cpu:
+            continue
+        for worker in bucket.values():
+            index.looked_at += 1
+            if fits(need, worker.free):
+                found += 1
+                yield worker
+                if found >= most:
+                    return
--- /dev/null
+++ b/daisygw/machines/_scoring.py
@@ -0,0 +1,34 @@
+"""Ways to choose among the workers that can hold a task."""
+
+from collections.abc import Callable, Mapping
+from typing import TypeAlias
+
+from daisygw.contracts import Size, share_of
+from daisygw.machines._workers import Worker
+
+Score: TypeAlias = Callable[[Worker, Size], float]
+
+
+def by_finish(slowness: Mapping[str, int]) -> Score:
+    """Prefer the earliest expected finish, then the tightest fit."""
+
+    def score(worker: Worker, need: Size) -> float:
+        slow = slowness.get(worker.spec.name, 0)
+        return slow + share_of(worker.free, worker.spec.capacity)
+
+    return score
+
+
+def by_first(slowness: Mapping[str, int]) -> Score:
+    """Take the first that fits: the baseline to measure against."""
+
+    def score(worker: Worker, need: Size) -> float:
+        return 0
+
+    return score
+
+
+SCORINGS: Mapping[str, Callable[[Mapping[str, int]], Score]] = {
+    'finish': by_finish,
+    'first': by_first,
+}
--- /dev/null
+++ b/daisygw/machines/_workers.py
@@ -0,0 +1,101 @@
+"""The books of capacity: what each worker has and what it holds.
+
+Changed only by records of the log, the same way on every replica.
+"""
+
+from daisygw.contracts import Size, TaskKey, minus, plus
+from daisygw.machines._target import (
+    TargetDrained,
+    TargetDropped,
+    TargetListed,
+    TargetSetAside,
+    TargetSpec,
+)
+
+
+class Worker:
+    """One target, its free capacity and the attempts that hold the rest."""
+
+    def __init__(self, spec: TargetSpec) -> None:
+        """Begin with all of the announced capacity free."""
+        self.spec = spec
+        self.free = spec.capacity
+        self.held: dict[TaskKey, Size] = {}
+        self.drained = False
+        self.aside = False
+
+    @property
+    def open(self) -> bool:
+        """Tell whether new work may be placed here."""
+        return not (self.spec.leaving or self.drained or self.aside)
+
+
+class Workers:
+    """All workers of a failure domain by name.
+
+    ``touched`` collects the names whose free capacity or state changed, for
+    whoever keeps an index.
+    """
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self.by_name: dict[str, Worker] = {}
+        self.touched: set[str] = set()
+
+
+def list_target(workers: Workers, record: TargetListed) -> None:
+    """Enter a target, or what is new about a known one."""
+    spec = record.spec
+    known = workers.by_name.get(spec.name)
+    workers.touched.add(spec.name)
+    if known is None:
+        workers.by_name[spec.name] = Worker(spec)
+        return
+    if known.spec.incarnation != spec.incarnation:
+        known.aside = False
+    freed = minus(spec.capacity, known.spec.capacity)
+    known.spec = spec
+    known.free = plus(known.free, freed)
+
+
+def drop_target(workers: Workers, record: TargetDropped) -> None:
+    """Remove a target that is gone."""
+    known = workers.by_name.get(record.name)
+    if known and known.spec.incarnation == record.incarnation:
+        workers.by_name.pop(record.name)
+        workers.touched.add(record.name)
+
+
+def drain_target(workers: Workers, record: TargetDrained) -> None:
+    """Close or open a target to new work."""
+    known = workers.by_name.get(record.name)
+    if known:
+        known.drained = record.drained
+        workers.touched.add(record.name)
+
+
+def set_aside(workers: Workers, record: TargetSetAside) -> None:
+    """Set a failing target aside, or take it back."""
+    known = workers.by_name.get(record.name)
+    if known:
+        known.aside = record.aside
+        workers.touched.add(record.name)
+
+
+def hold(workers: Workers, name: str, key: TaskKey, size: Size) -> None:
+    """Take ``size`` out of a worker's free capacity for one task."""
+    worker = workers.by_name[name]
+    worker.held[key] = size
+    worker.free = minus(worker.free, size)
+    workers.touched.add(name)
+
+
+def release(workers: Workers, name: str, key: TaskKey) -> None:
+    """Give back what a task held, if it held anything."""
+    worker = workers.by_name.get(name)
+    if worker is None:
+        return
+    size = worker.held.pop(key, None)
+    if size is not None:
+        worker.free = plus(worker.free, size)
+        workers.touched.add(name)
--- /dev/null
+++ b/daisygw/status.py
@@ -0,0 +1,17 @@
+"""Exit codes of the command line."""
+
+import enum
+
+
+@enum.unique
+class ExitStatus(enum.IntEnum):
+    """What a command's exit code means to the shell."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    REFUSED = 3
+    FAILED = 4
+    UNKNOWN = 5
+    SETTINGS = 6
+    UNREACHABLE = 7
