--- /dev/null
+++ b/daisygw/cli/_app.py
@@ -0,0 +1,65 @@
+"""The cleo application, made of command definitions."""
+
+import sys
+from collections.abc import Sequence
+from functools import partial
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+from daisygw import __version__
+from daisygw.cli._definitions import COMMANDS, Definition
+from daisygw.cli._execution import execute
+from daisygw.context import Context
+from daisygw.status import ExitStatus
+
+
+class _DefinedCommand(Command):
+    """A cleo command made of a definition."""
+
+    def __init__(self, definition: Definition, ctx: Context) -> None:
+        self.name = definition.name
+        self.description = definition.text
+        self.arguments = [
+            argument(one.name, one.text, optional=one.optional, multiple=one.many)
+            for one in definition.arguments
+        ]
+        self.options = [
+            option(one.name, None, one.text, flag=one.flag, multiple=one.many)
+            for one in definition.options
+        ]
+        self._defined = definition
+        self._invocation = ctx
+        super().__init__()
+
+    def handle(self) -> int:
+        """Execute the command; return its exit status."""
+        given = {
+            **{one.name: self.argument(one.name) for one in self.arguments},
+            **{one.name: self.option(one.name) for one in self.options},
+        }
+        return int(execute(self._defined, given, self._invocation))
+
+
+def make_application(ctx: Context) -> Application:
+    """Return the application with all commands, loaded when used."""
+    app = Application('daisygw', __version__)
+    app.auto_exits(auto_exits=False)
+    factories = {
+        definition.name: partial(_DefinedCommand, definition, ctx)
+        for definition in COMMANDS
+    }
+    app.set_command_loader(FactoryCommandLoader(factories))
+    return app
+
+
+def run_application(
+    app: Application,
+    args: Sequence[str] | None,
+) -> ExitStatus:
+    """Run one command line, that of the process where ``args`` is None."""
+    argv = sys.argv if args is None else ['daisygw', *args]
+    return ExitStatus(app.run(ArgvInput(list(argv))))
--- /dev/null
+++ b/daisygw/cli/_processes.py
@@ -0,0 +1,58 @@
+"""The two commands that run until they are stopped."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+
+from daisygw.cli._execution import Given
+from daisygw.context import Context
+from daisygw.contracts import DaisygwError, ResultCode, SettingsError
+from daisygw.links import log, log_error, set_up_logs
+from daisygw.settings import Settings, load
+from daisygw.status import ExitStatus
+
+Run = Callable[[Settings, str], Awaitable[None]]
+
+
+def load_settings(given: Given) -> Settings:
+    """Load the settings that the options name."""
+    if not given['config']:
+        raise SettingsError(ResultCode.SETTINGS_INVALID, '--config: missing')
+    overlay = given['overlay']
+    return load(Path(given['config']), Path(overlay) if overlay else None)
+
+
+def _run(given: Given, process: str, run: Run) -> ExitStatus:
+    settings = load_settings(given)
+    host = given['host'] or ''
+    if host not in settings.hosts:
+        reason = f'--host: {host!r} is not one of the hosts'
+        raise SettingsError(ResultCode.SETTINGS_INVALID, reason)
+    set_up_logs(settings.process.log_level, f'{process}/{host}')
+    try:
+        asyncio.run(run(settings, host))
+    except DaisygwError as exc:
+        log('failed', code=exc.code, reason=exc.reason)
+        raise
+    except Exception as exc:
+        log_error('crashed', exc)
+        return ExitStatus.ERROR
+    return ExitStatus.SUCCESS
+
+
+def _load(module: str, name: str) -> Any:
+    return getattr(import_module(module), name)
+
+
+def entry(given: Given, ctx: Context) -> ExitStatus:
+    """Run an entry."""
+    run = _load('daisygw.links._entry_process', 'run_entry')
+    return _run(given, 'entry', run)
+
+
+def scheduler(given: Given, ctx: Context) -> ExitStatus:
+    """Run a scheduler."""
+    run = _load('daisygw.links._scheduler', 'run_scheduler')
+    return _run(given, 'scheduler', run)
--- /dev/null
+++ b/daisygw/contracts/_lanes.py
@@ -0,0 +1,146 @@
+"""Lanes: where accepted tasks wait, so that short work never queues long.
+
+Each lane keeps one queue a team; the next task comes from the team that
+holds the least for its weight.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping
+from typing import TypeAlias
+
+from daisygw.contracts._configuration import Policy
+from daisygw.contracts._request import Contract, Kind, Priority
+from daisygw.contracts._size import Size
+
+LaneOf: TypeAlias = Callable[[Contract, float], str]
+
+URGENT = 'urgent'
+SHORT = 'short'
+GANG = 'gang'
+LONG = 'long'
+LANES = (URGENT, SHORT, GANG, LONG)
+
+
+class Waiting:
+    """The waiting tasks of one job; ``run`` is the expected run time (s)."""
+
+    def __init__(self, contract: Contract, run: float, since: float) -> None:
+        """Begin without tasks; ``since`` is on the leader's clock."""
+        self.contract = contract
+        self.run = run
+        self.since = since
+        self.indexes: deque[int] = deque()
+
+    @property
+    def size(self) -> Size:
+        """Return what one task needs."""
+        return self.contract.size
+
+
+class Lane:
+    """One lane: a queue of jobs for each team."""
+
+    def __init__(self) -> None:
+        """Begin empty; ``backlog`` is in seconds of expected run time."""
+        self.teams: dict[str, deque[Waiting]] = {}
+        self.backlog = 0.0
+        self.tasks = 0
+
+
+class Lanes:
+    """All lanes, and which job waits in which."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.by_name = {name: Lane() for name in LANES}
+        self.where: dict[str, tuple[str, Waiting]] = {}
+
+
+def by_lanes(policy: Policy) -> LaneOf:
+    """Separate urgent, short, gang and long work."""
+
+    def lane_of(contract: Contract, run: float) -> str:
+        if contract.priority is Priority.URGENT:
+            return URGENT
+        if contract.kind is Kind.GANG:
+            return GANG
+        return SHORT if run <= policy.short_run else LONG
+
+    return lane_of
+
+
+def by_arrival(policy: Policy) -> LaneOf:
+    """Put all work in one lane, gangs apart: the baseline."""
+
+    def lane_of(contract: Contract, run: float) -> str:
+        return GANG if contract.kind is Kind.GANG else LONG
+
+    return lane_of
+
+
+ORDERINGS: Mapping[str, Callable[[Policy], LaneOf]] = {
+    'lanes': by_lanes,
+    'fifo': by_arrival,
+}
+
+
+def enqueue(
+    lanes: Lanes,
+    name: str,
+    waiting: Waiting,
+    indexes: Iterator[int] | range,
+) -> None:
+    """Let tasks of a job wait in the lane ``name``."""
+    contract = waiting.contract
+    known = lanes.where.get(contract.id)
+    if known:
+        name, waiting = known
+    lane = lanes.by_name[name]
+    before = len(waiting.indexes)
+    waiting.indexes.extend(indexes)
+    added = len(waiting.indexes) - before
+    lane.tasks += added
+    lane.backlog += added * waiting.run
+    if known is None:
+        lanes.where[contract.id] = (name, waiting)
+        lane.teams.setdefault(contract.team, deque()).append(waiting)
+
+
+def taken(lanes: Lanes, waiting: Waiting, count: int) -> None:
+    """Note that ``count`` tasks of a job do not wait any more."""
+    name, _ = lanes.where[waiting.contract.id]
+    lane = lanes.by_name[name]
+    lane.tasks -= count
+    lane.backlog -= count * waiting.run
+    if not waiting.indexes:
+        _remove(lanes, lane, waiting)
+
+
+def _remove(lanes: Lanes, lane: Lane, waiting: Waiting) -> None:
+    contract = waiting.contract
+    lanes.where.pop(contract.id)
+    queue = lane.teams[contract.team]
+    if queue[0] is waiting:
+        queue.popleft()
+    else:
+        queue.remove(waiting)
+    if not queue:
+        lane.teams.pop(contract.team)
+
+
+def withdraw(lanes: Lanes, job: str) -> tuple[int, ...]:
+    """Take all waiting tasks of a job out; return their indexes."""
+    found = lanes.where.get(job)
+    if found is None:
+        return ()
+    _, waiting = found
+    indexes = tuple(waiting.indexes)
+    waiting.indexes.clear()
+    taken(lanes, waiting, len(indexes))
+    return indexes
+
+
+def ahead(lanes: Lanes, name: str) -> float:
+    """Return the expected run time (s) waiting in this and earlier lanes."""
+    upto = LANES.index(name) + 1
+    return sum(lanes.by_name[lane].backlog for lane in LANES[:upto])
--- a/daisygw/contracts/_task.py
+++ b/daisygw/contracts/_task.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from daisygw.contracts._codes import ResultCode
+from daisygw.contracts._size import Size
 
 
 class TaskState(enum.IntEnum):
@@ -68,6 +69,7 @@
     address: str
     fence: Fence
     lease: float
+    size: Size
     spec: str = ''
 
 
--- /dev/null
+++ b/daisygw/core.py
@@ -0,0 +1,16 @@
+"""The program: from arguments to an exit status."""
+
+from collections.abc import Sequence
+
+from daisygw.cli import make_application, run_application
+from daisygw.context import Context
+from daisygw.status import ExitStatus
+
+
+def main(
+    args: Sequence[str] | None = None,
+    ctx: Context | None = None,
+) -> ExitStatus:
+    """Run one command; ``args`` are without the program's name."""
+    ctx = ctx or Context()
+    return run_application(make_application(ctx), args)
--- /dev/null
+++ b/daisygw/links/__init__.py
@@ -0,0 +1,9 @@
+"""Links: the two processes, and how they talk to each other and outside."""
+
+from daisygw.links._logs import log, log_error, set_up_logs
+
+__all__ = (
+    'log',
+    'log_error',
+    'set_up_logs',
+)
--- /dev/null
+++ b/daisygw/links/_books_file.py
@@ -0,0 +1,150 @@
+"""Books to bytes and back, for snapshots."""
+
+from collections import Counter
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from daisygw.contracts import Contract, Job, Register, Size, Task, TaskKey
+from daisygw.machines import TargetSpec, Worker, Workers
+from daisygw.report import Packing, Tally
+from daisygw.zones import Books
+
+_JobRow = tuple[Contract, int, int, int, list[Task]]
+_WorkerRow = tuple[
+    TargetSpec,
+    Size,
+    list[tuple[TaskKey, Size]],
+    bool,
+    bool,
+]
+_RegisterRow = tuple[
+    list[_JobRow],
+    dict[str, Size],
+    dict[str, Size],
+    dict[str, float],
+    int,
+    int,
+    dict[int, int],
+]
+_PackingRow = tuple[int, Size, Size, Size, Size]
+_TallyRow = tuple[
+    list[tuple[str, str, str]],
+    list[tuple[str, int, int]],
+    list[tuple[str, int, int]],
+    _PackingRow,
+]
+_BooksRow = tuple[_RegisterRow, list[_WorkerRow], _TallyRow, Size, Size]
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(_BooksRow).decode
+
+
+def dump_books(books: Books) -> bytes:
+    """Return the books as bytes."""
+    return _encode((
+        _dump_register(books.register),
+        [_dump_worker(one) for one in books.workers.by_name.values()],
+        _dump_tally(books.tally),
+        books.capacity,
+        books.held,
+    ))
+
+
+def _dump_register(register: Register) -> tuple[Any, ...]:
+    jobs = [
+        (job.contract, job.accepted, job.ended, job.open, job.tasks)
+        for job in register.jobs.values()
+    ]
+    return (
+        jobs,
+        register.claimed,
+        register.held,
+        register.learned,
+        register.retried,
+        register.started,
+        register.ended,
+    )
+
+
+def _dump_worker(worker: Worker) -> tuple[Any, ...]:
+    held = list(worker.held.items())
+    return (worker.spec, worker.free, held, worker.drained, worker.aside)
+
+
+def _dump_tally(tally: Tally) -> tuple[Any, ...]:
+    waits = [
+        (team, kind, one.encode().decode('ascii'))
+        for (team, kind), one in tally.waits.items()
+    ]
+    packed = tally.packed
+    return (
+        waits,
+        [(*key, count) for key, count in tally.refusals.items()],
+        [(*key, count) for key, count in tally.outcomes.items()],
+        (
+            packed.at,
+            packed.held,
+            packed.capacity,
+            packed.held_sum,
+            packed.capacity_sum,
+        ),
+    )
+
+
+def load_books(state: bytes) -> Books:
+    """Return the books that ``dump_books`` made ``state`` of."""
+    books = Books()
+    if not state:
+        return books
+    register, workers, tally, books.capacity, books.held = _decode(state)
+    _load_register(books.register, register)
+    for row in workers:
+        _load_worker(books.workers, row)
+    _load_tally(books.tally, tally)
+    return books
+
+
+def _load_register(register: Register, row: _RegisterRow) -> None:
+    jobs, claimed, held, learned, retried, started, ended = row
+    for contract, accepted, job_ended, open_tasks, tasks in jobs:
+        job = Job(contract, accepted)
+        job.ended = job_ended
+        job.open = open_tasks
+        job.tasks = tasks
+        register.jobs[contract.id] = job
+    register.claimed.update(claimed)
+    register.held.update(held)
+    register.learned = learned
+    register.retried = retried
+    register.started = started
+    register.ended = Counter(ended)
+
+
+def _load_worker(workers: Workers, row: _WorkerRow) -> None:
+    spec, free, held, drained, aside = row
+    worker = Worker(spec)
+    worker.free = free
+    worker.held = dict(held)
+    worker.drained = drained
+    worker.aside = aside
+    workers.by_name[spec.name] = worker
+    workers.touched.add(spec.name)
+
+
+def _load_tally(tally: Tally, row: _TallyRow) -> None:
+    waits, refusals, outcomes, packed = row
+    for team, kind, encoded in waits:
+        tally.waits[team, kind] = HdrHistogram.decode(encoded)
+    for team, code, count in refusals:
+        tally.refusals[team, code] = count
+    for team, code, count in outcomes:
+        tally.outcomes[team, code] = count
+    tally.packed = Packing()
+    (
+        tally.packed.at,
+        tally.packed.held,
+        tally.packed.capacity,
+        tally.packed.held_sum,
+        tally.packed.capacity_sum,
+    ) = packed
--- /dev/null
+++ b/daisygw/links/_entry.py
@@ -0,0 +1,171 @@
+"""The state of an entry process, and its questions to the leaders."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from typing import Any
+
+import aiohttp
+import xxhash
+
+from daisygw.contracts import (
+    About,
+    Answer,
+    Configuration,
+    Contract,
+    LeaderIs,
+    Order,
+    ResultCode,
+    TaskKey,
+    home_of,
+)
+from daisygw.links._stream import Link, post
+from daisygw.settings import Settings, configuration_of
+
+_ASK_AGAIN = 1.0
+_LOOK_AGAIN = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerAt:
+    """Where a target keeps the answer of an attempt."""
+
+    key: TaskKey
+    attempt: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How one task ended: a code, and its answer or where to get it."""
+
+    index: int
+    attempt: int
+    code: int
+    body: bytes | None = None
+    at: AnswerAt | None = None
+
+
+class Driven:
+    """A job that this entry carries out for its callers."""
+
+    def __init__(self, contract: Contract, body: bytes) -> None:
+        """Begin with no outcome; ``body`` goes to each task's target."""
+        self.contract = contract
+        self.body = body
+        self.outcomes: dict[int, Outcome] = {}
+        self.runs: dict[int, tuple[Order, asyncio.Task]] = {}
+        self.changed = asyncio.Event()
+        self.callers = 0
+        self.submitted: asyncio.Future[Answer] | None = None
+
+
+class Entry:
+    """The state of one entry process."""
+
+    def __init__(self, settings: Settings, host: str) -> None:
+        """Begin unconnected, as the host called ``host``."""
+        self.boot = settings
+        self.host = host
+        self.domain = settings.hosts[host].domain
+        self.domains = tuple(sorted(settings.domains))
+        self.cfg: Configuration = configuration_of(settings, 0)
+        self.links: dict[str, Link] = {}
+        self.leaders: dict[str, LeaderIs] = {}
+        self.driven: dict[str, Driven] = {}
+        self.asked: dict[int, asyncio.Future[Answer]] = {}
+        self.announced: dict[tuple[str, str, int], asyncio.Future] = {}
+        self.numbers = count(1)
+        self.http: aiohttp.ClientSession | None = None
+        self.stopping = False
+        self.stopped = asyncio.Event()
+        self.in_progress = 0
+        self.answered = 0
+        self.refused = 0
+        self.errands: set[asyncio.Task] = set()
+
+
+def _digest(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode('utf-8'))
+
+
+def home(entry: Entry, request_id: str) -> str:
+    """Return the home failure domain of a request id."""
+    return home_of(request_id, entry.domains, _digest)
+
+
+def leader_link(entry: Entry, group: str) -> Link | None:
+    """Return the link to a group's leader, if one is known and up."""
+    news = entry.leaders.get(group)
+    link = entry.links.get(news.host) if news else None
+    return link if link and link.up else None
+
+
+def post_about(link: Link, group: str, message: Any) -> None:
+    """Send a message that concerns one group."""
+    if link.about != group:
+        post(link, About(group))
+        link.about = group
+    post(link, message)
+
+
+def tell_leader(entry: Entry, group: str, message: Any) -> bool:
+    """Send a message to a group's leader, if there is one in reach."""
+    link = leader_link(entry, group)
+    if link is None:
+        return False
+    post_about(link, group, message)
+    return True
+
+
+async def ask_leader(
+    entry: Entry,
+    group: str,
+    make: Callable[[int], Any],
+    patience: float,
+) -> tuple[Answer | None, bool]:
+    """Ask a group's leader until it answers or ``patience`` (s) is over.
+
+    Returns the answer, and whether the question was ever passed on.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + patience
+    passed_on = False
+    while loop.time() < until:
+        seq = next(entry.numbers)
+        fut = loop.create_future()
+        entry.asked[seq] = fut
+        sent = tell_leader(entry, group, make(seq))
+        passed_on = passed_on or sent
+        wait = _ASK_AGAIN if sent else _LOOK_AGAIN
+        try:
+            return await asyncio.wait_for(fut, wait), True
+        except TimeoutError:
+            continue
+        finally:
+            entry.asked.pop(seq, None)
+    return None, passed_on
+
+
+def on_errand(entry: Entry, work: Any) -> asyncio.Task:
+    """Run a coroutine that nobody waits for; keep hold of it meanwhile."""
+    task = asyncio.ensure_future(work)
+    entry.errands.add(task)
+    task.add_done_callback(entry.errands.discard)
+    return task
+
+
+def unanswered(*, passed_on: bool, minted: bool) -> tuple[ResultCode, str]:
+    """Return the honest code for a submission that got no answer."""
+    if passed_on:
+        reason = 'it was passed on, and no answer came; ask again by its id'
+        return ResultCode.OUTCOME_UNKNOWN, reason
+    if minted:
+        reason = 'no leader could be reached; it was not passed on'
+        return ResultCode.NO_LEADER, reason
+    reason = (
+        'its home could not be reached: this submission was not passed on, '
+        'an earlier one of the same id may have been'
+    )
+    return ResultCode.HOME_UNREACHABLE, reason
--- /dev/null
+++ b/daisygw/links/_entry_http.py
@@ -0,0 +1,303 @@
+"""The HTTP face of an entry: requests of callers, as a falcon application."""
+
+import base64
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from secrets import token_hex
+from typing import Any
+
+import falcon
+import falcon.asgi
+import xxhash
+
+from daisygw.contracts import (
+    Answer,
+    Contract,
+    ContractError,
+    DaisygwError,
+    Kind,
+    ResultCode,
+    check_contract,
+    http_status,
+    mint,
+)
+from daisygw.links._driving import leave, submit
+from daisygw.links._entry import Driven, Entry, Outcome
+from daisygw.links._logs import log, log_error
+from daisygw.links._target_client import CODE_HEADER, read_answer
+
+CONTRACT_HEADER = 'Daisygw-Contract'
+ID_HEADER = 'Daisygw-Id'
+_NDJSON = 'application/x-ndjson'
+_TOKEN_BYTES = 8
+_MOST_JSON = 1_048_576
+
+
+def put_refusal(
+    resp: falcon.asgi.Response,
+    code: int,
+    reason: str,
+    **more: Any,
+) -> None:
+    """Write a numbered answer that is not a whole result."""
+    named = ResultCode(code)
+    resp.status = http_status(code)
+    resp.set_header(CODE_HEADER, str(named.value))
+    retry_after = more.get('retry_after')
+    if retry_after:
+        resp.set_header('Retry-After', str(max(round(retry_after), 1)))
+    resp.media = {
+        'code': named.value,
+        'name': named.name,
+        'reason': reason,
+        **more,
+    }
+
+
+async def on_error(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    exc: DaisygwError,
+    params: dict[str, Any],
+) -> None:
+    """Write a numbered error."""
+    put_refusal(resp, exc.code, exc.reason)
+
+
+async def read_json(req: falcon.asgi.Request) -> Any:
+    """Read a JSON document, or raise with MALFORMED."""
+    raw = await read_body(req, _MOST_JSON)
+    return parse_json(raw)
+
+
+def parse_json(raw: bytes | str) -> Any:
+    """Parse a JSON document, or raise with MALFORMED."""
+    try:
+        return json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise ContractError(ResultCode.MALFORMED, f'JSON: {exc}') from exc
+
+
+async def read_body(req: falcon.asgi.Request, most: int) -> bytes:
+    """Read a whole body, or raise with BODY_TOO_LARGE."""
+    chunks = []
+    total = 0
+    async for chunk in req.stream:
+        total += len(chunk)
+        if total > most:
+            reason = f'body: more than {most} bytes'
+            raise ContractError(ResultCode.BODY_TOO_LARGE, reason)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+@asynccontextmanager
+async def in_progress(entry: Entry) -> AsyncIterator[None]:
+    """Count a request in progress; a graceful stop waits for it."""
+    entry.in_progress += 1
+    try:
+        yield
+    finally:
+        entry.in_progress -= 1
+
+
+class Requests:
+    """``/v1/requests``: submissions."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Take a submission, and answer it whole."""
+        entry = self.entry
+        if entry.stopping:
+            resp.set_header('Connection', 'close')
+            reason = 'this entry is stopping'
+            put_refusal(resp, ResultCode.STOPPING, reason, retry_after=1)
+            return
+        async with in_progress(entry):
+            contract, body, minted = await _read_submission(entry, req)
+            answer, driven = await submit(
+                entry,
+                contract,
+                body,
+                minted=minted,
+            )
+            if driven is None:
+                _put_refused(entry, resp, contract, answer)
+                return
+            await _put_outcomes(entry, resp, driven)
+
+
+async def _read_submission(
+    entry: Entry,
+    req: falcon.asgi.Request,
+) -> tuple[Contract, bytes, bool]:
+    raw = parse_json(req.get_header(CONTRACT_HEADER) or '{}')
+    minted_id = mint(entry.domain, token_hex(_TOKEN_BYTES))
+    contract = check_contract(raw, entry.cfg, minted_id)
+    limits = entry.cfg.limits
+    service = contract.kind is Kind.SERVICE
+    most = limits.spec_bytes if service else limits.body_bytes
+    body = await read_body(req, most)
+    digest = xxhash.xxh64_hexdigest(body)
+    spec = _spec(body) if service else ''
+    contract = replace(contract, digest=digest, spec=spec)
+    return contract, body, contract.id == minted_id
+
+
+def _spec(body: bytes) -> str:
+    try:
+        return body.decode('utf-8') or '{}'
+    except UnicodeDecodeError as exc:
+        reason = 'body: that of a service must be UTF-8'
+        raise ContractError(ResultCode.MALFORMED, reason) from exc
+
+
+def _put_refused(
+    entry: Entry,
+    resp: falcon.asgi.Response,
+    contract: Contract,
+    answer: Answer,
+) -> None:
+    entry.refused += 1
+    log('refused', id=contract.id, code=answer.code, reason=answer.reason)
+    put_refusal(
+        resp,
+        answer.code,
+        answer.reason,
+        id=contract.id,
+        retry_after=answer.retry_after,
+    )
+    resp.set_header(ID_HEADER, contract.id)
+
+
+async def _put_outcomes(
+    entry: Entry,
+    resp: falcon.asgi.Response,
+    driven: Driven,
+) -> None:
+    contract = driven.contract
+    resp.set_header(ID_HEADER, contract.id)
+    if contract.kind is Kind.SERVICE:
+        leave(entry, driven)
+        put_refusal(resp, ResultCode.ACCEPTED, '', id=contract.id)
+        return
+    if contract.count > 1:
+        resp.content_type = _NDJSON
+        resp.stream = _lines(entry, driven)
+        return
+    try:
+        outcome = await _next_outcome(driven, 0)
+    finally:
+        leave(entry, driven)
+    entry.answered += 1
+    await _put_single(entry, resp, contract, outcome)
+
+
+async def _next_outcome(driven: Driven, index: int) -> Outcome:
+    while index not in driven.outcomes:
+        await driven.changed.wait()
+    return driven.outcomes[index]
+
+
+async def _put_single(
+    entry: Entry,
+    resp: falcon.asgi.Response,
+    contract: Contract,
+    outcome: Outcome,
+) -> None:
+    log('answered', id=contract.id, code=outcome.code)
+    if outcome.code != ResultCode.ANSWERED:
+        put_refusal(resp, outcome.code, '', id=contract.id)
+        return
+    resp.set_header(CODE_HEADER, str(int(outcome.code)))
+    if outcome.body is not None:
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.data = outcome.body
+        return
+    chunks = read_answer(entry, outcome.at)
+    try:
+        first = await anext(chunks, b'')
+    except DaisygwError as exc:
+        put_refusal(resp, exc.code, exc.reason, id=contract.id)
+        return
+    resp.content_type = falcon.MEDIA_TEXT
+    resp.stream = _counted(entry, first, chunks)
+
+
+async def _counted(
+    entry: Entry,
+    first: bytes,
+    chunks: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    async with in_progress(entry):
+        yield first
+        async for chunk in chunks:
+            yield chunk
+
+
+async def _lines(entry: Entry, driven: Driven) -> AsyncIterator[bytes]:
+    """Yield one JSON line a task as tasks end."""
+    try:
+        async with in_progress(entry):
+            sent: set[int] = set()
+            while len(sent) < driven.contract.count:
+                changed = driven.changed
+                for index in list(driven.outcomes):
+                    if index not in sent:
+                        sent.add(index)
+                        yield await _line(entry, driven.outcomes[index])
+                if len(driven.outcomes) == len(sent) < driven.contract.count:
+                    await changed.wait()
+            entry.answered += 1
+            log('answered', id=driven.contract.id, tasks=len(sent))
+    finally:
+        leave(entry, driven)
+
+
+async def _line(entry: Entry, outcome: Outcome) -> bytes:
+    code = outcome.code
+    body = outcome.body
+    if code == ResultCode.ANSWERED and body is None:
+        try:
+            body = b''.join([
+                chunk async for chunk in read_answer(entry, outcome.at)
+            ])
+        except DaisygwError as exc:
+            code = exc.code
+    line = {
+        'index': outcome.index,
+        'attempt': outcome.attempt,
+        'code': int(code),
+        'name': ResultCode(code).name,
+        **_readable(body if code == ResultCode.ANSWERED else None),
+    }
+    return json.dumps(line).encode('utf-8') + b'\n'
+
+
+def _readable(body: bytes | None) -> dict[str, str]:
+    if body is None:
+        return {}
+    try:
+        return {'answer': body.decode('utf-8')}
+    except UnicodeDecodeError:
+        return {'answer_base64': base64.b64encode(body).decode('ascii')}
+
+
+async def on_crash(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    exc: Exception,
+    params: dict[str, Any],
+) -> None:
+    """Log an error that was not expected, and answer 'unknown'."""
+    log_error('crash', exc, path=req.path)
+    put_refusal(resp, ResultCode.OUTCOME_UNKNOWN, type(exc).__name__)
--- /dev/null
+++ b/daisygw/links/_entry_process.py
@@ -0,0 +1,273 @@
+"""The entry process: HTTP for callers, operators and targets."""
+
+import asyncio
+import signal
+import socket
+from collections.abc import AsyncIterator, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from functools import partial
+from typing import Any
+
+import falcon.asgi
+import uvicorn
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+from daisygw.contracts import (
+    Answer,
+    ConfigChanged,
+    DaisygwError,
+    LeaderIs,
+    LinkError,
+    Order,
+    ResultCode,
+    StopOrder,
+    TaskSettled,
+)
+from daisygw.links._config_machine import settings_in_force
+from daisygw.links._driving import on_order, on_settled, on_stop, resubmit
+from daisygw.links._entry import Entry
+from daisygw.links._entry_http import Requests, on_crash, on_error
+from daisygw.links._logs import log
+from daisygw.links._operator_http import (
+    Announcements,
+    Cancellations,
+    Configurations,
+    Drains,
+    Dump,
+    Health,
+    OneRequest,
+    Views,
+    ask_own_scheduler,
+    describe_entry,
+)
+from daisygw.links._stream import Link, keep_connected, running
+from daisygw.links._target_client import open_session
+from daisygw.links._views import to_json
+from daisygw.machines import AnnouncementTaken
+from daisygw.settings import Settings, configuration_of
+
+_BACKLOG = 2048
+_DRAIN_LOOK = 0.05
+
+
+class Metrics:
+    """``/metrics``: of this host's two processes."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Show the metrics in the text format."""
+        answer = await ask_own_scheduler(self.entry, 'metrics')
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.text = _metrics(self.entry) + (answer.view if answer else '')
+
+
+def _metrics(entry: Entry) -> str:
+    registry = CollectorRegistry()
+    for name, text, reading in (
+        ('in_progress', 'Requests in progress', entry.in_progress),
+        ('answered', 'Requests answered', entry.answered),
+        ('refused', 'Requests refused', entry.refused),
+        ('driven', 'Jobs carried out here now', len(entry.driven)),
+        ('config_version', 'Configuration in force', entry.cfg.version),
+    ):
+        gauge = Gauge(f'daisygw_entry_{name}', text, registry=registry)
+        gauge.set(reading)
+    return generate_latest(registry).decode('utf-8')
+
+
+def _on_answer(entry: Entry, link: Link, answer: Answer) -> None:
+    fut = entry.asked.get(answer.seq)
+    if fut and not fut.done():
+        fut.set_result(answer)
+
+
+def _on_taken(entry: Entry, link: Link, taken: AnnouncementTaken) -> None:
+    key = (taken.name, taken.incarnation, taken.number)
+    fut = entry.announced.get(key)
+    if fut and not fut.done():
+        fut.set_result(taken)
+
+
+def _on_leader(entry: Entry, link: Link, news: LeaderIs) -> None:
+    known = entry.leaders.get(news.group)
+    if not news.leads:
+        if known and known.host == news.host:
+            entry.leaders.pop(news.group)
+        return
+    if known and known.term > news.term:
+        return
+    entry.leaders[news.group] = news
+    resubmit(entry, news.group)
+
+
+def _on_config(entry: Entry, link: Link, change: ConfigChanged) -> None:
+    if change.version <= entry.cfg.version:
+        return
+    settings = settings_in_force(entry.boot, change, entry.domain)
+    entry.cfg = configuration_of(settings, change.version)
+
+
+_BY_TYPE = {
+    Answer: _on_answer,
+    AnnouncementTaken: _on_taken,
+    ConfigChanged: _on_config,
+    LeaderIs: _on_leader,
+    Order: lambda entry, link, order: on_order(entry, order),
+    StopOrder: lambda entry, link, order: on_stop(entry, order),
+    TaskSettled: lambda entry, link, settled: on_settled(entry, settled),
+}
+
+
+def _on_message(entry: Entry, link: Link, message: Any) -> None:
+    _BY_TYPE[type(message)](entry, link, message)
+
+
+def _on_link(entry: Entry, link: Link) -> None:
+    if link.up:
+        return
+    for group, news in list(entry.leaders.items()):
+        if news.host == link.peer:
+            entry.leaders.pop(group)
+
+
+def make_app(entry: Entry) -> falcon.asgi.App:
+    """Return the application that serves for ``entry``."""
+    app = falcon.asgi.App()
+    app.add_error_handler(Exception, on_crash)
+    app.add_error_handler(falcon.HTTPError, on_http_error)
+    app.add_error_handler(DaisygwError, on_error)
+    for path, resource in (
+        ('/v1/requests', Requests(entry)),
+        ('/v1/requests/{name}', OneRequest(entry)),
+        ('/v1/cancellations', Cancellations(entry)),
+        ('/v1/views/{view}', Views(entry)),
+        ('/v1/targets/{name}/drain', Drains(entry)),
+        ('/v1/targets/{name}/announcements', Announcements(entry)),
+        ('/v1/configuration', Configurations(entry)),
+        ('/v1/dump', Dump(entry)),
+        ('/v1/health', Health(entry)),
+        ('/metrics', Metrics(entry)),
+    ):
+        app.add_route(path, resource)
+    return app
+
+
+async def on_http_error(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    exc: falcon.HTTPError,
+    params: dict[str, Any],
+) -> None:
+    """Write falcon's own refusals (no such path) with their status."""
+    resp.status = exc.status
+    resp.media = {
+        'code': ResultCode.MALFORMED.value,
+        'name': ResultCode.MALFORMED.name,
+        'reason': exc.title,
+    }
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the process."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+
+def listen(address: str) -> socket.socket:
+    """Listen at an address, or raise with PORT_TAKEN."""
+    host, _, port = address.rpartition(':')
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, int(port)))
+    except OSError as exc:
+        sock.close()
+        raise LinkError(
+            ResultCode.PORT_TAKEN,
+            f'{address}: {exc.strerror}',
+        ) from exc
+    sock.setblocking(False)
+    return sock
+
+
+@asynccontextmanager
+async def _serving(entry: Entry, sock: socket.socket) -> AsyncIterator[None]:
+    config = uvicorn.Config(
+        make_app(entry),
+        loop='asyncio',
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        backlog=_BACKLOG,
+        timeout_graceful_shutdown=int(entry.boot.process.grace),
+    )
+    server = _Server(config)
+    task = asyncio.ensure_future(server.serve(sockets=[sock]))
+    try:
+        yield
+    finally:
+        server.should_exit = True
+        await task
+
+
+@asynccontextmanager
+async def _linked(entry: Entry) -> AsyncIterator[None]:
+    async with AsyncExitStack() as stack:
+        entry.http = await stack.enter_async_context(open_session())
+        for name, host in entry.boot.hosts.items():
+            link = Link(name)
+            entry.links[name] = link
+            connecting = keep_connected(
+                link,
+                f'entry/{entry.host}',
+                host.scheduler,
+                partial(_on_message, entry),
+                partial(_on_link, entry),
+            )
+            await stack.enter_async_context(running(connecting))
+        yield
+
+
+def _on_signals(entry: Entry) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, entry.stopped.set)
+    loop.add_signal_handler(signal.SIGINT, entry.stopped.set)
+    loop.add_signal_handler(signal.SIGUSR1, _log_dump, entry)
+
+
+def _log_dump(entry: Entry) -> None:
+    log('dump', dump=to_json(describe_entry(entry)))
+
+
+async def _drain(entry: Entry) -> None:
+    """Refuse what is new, and wait for what is in progress."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + entry.boot.process.grace
+    entry.stopping = True
+    while loop.time() < until and (entry.in_progress or entry.driven):
+        await asyncio.sleep(_DRAIN_LOOK)
+
+
+async def run_entry(settings: Settings, host: str) -> None:
+    """Run an entry until it is told to stop."""
+    entry = Entry(settings, host)
+    address = settings.hosts[host].entry
+    sock = listen(address)
+    _on_signals(entry)
+    async with _linked(entry), _serving(entry, sock):
+        log('entry up', host=host, address=address)
+        await entry.stopped.wait()
+        await _drain(entry)
+    log('entry stopped', host=host, in_progress=entry.in_progress)
--- /dev/null
+++ b/daisygw/links/_group.py
@@ -0,0 +1,209 @@
+"""One replica of a group in a process: its log, files and state.
+
+An eager leader applies its records when it appends them, and lets their
+effects out once they are committed; when it is deposed it builds the state
+again from the committed log.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from daisygw.links._codec import decode_batch, encode_batch
+from daisygw.links._journal import Journal, save
+from daisygw.zones import (
+    Commit,
+    Deposed,
+    Elected,
+    LogEntry,
+    Persist,
+    Replica,
+    Restore,
+    Role,
+    Send,
+    Tell,
+    compact,
+    drain,
+    entries_from,
+    flush,
+    has_authority,
+    last_index,
+    propose,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """What a group replicates, as closures over its state.
+
+    An ``eager`` leader applies its records when it appends them; any other
+    state changes only by what is committed.
+    """
+
+    apply: Callable[[Any], None]
+    dump: Callable[[], bytes]
+    restore: Callable[[bytes], None]
+    elected: Callable[[int], None]
+    deposed: Callable[[], None]
+    take: Callable[[], tuple[list[Any], list[Tell]]]
+    eager: bool = True
+
+
+class Group:
+    """A replica with its journal (none without a disk) and its state."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        journal: Journal | None,
+        machine: Machine,
+    ) -> None:
+        """Begin with the state of the replica's snapshot."""
+        self.replica = replica
+        self.journal = journal
+        self.machine = machine
+        self.applied = replica.base.index
+        self.held: deque[tuple[int, Tell]] = deque()
+        self.snapshot: tuple[int, bytes] | None = None
+        self.dropped = 0
+        machine.restore(replica.base.state)
+
+
+@dataclass(frozen=True, slots=True)
+class Outlet:
+    """Where the effects of a group go."""
+
+    send: Callable[[Any], None]
+    tell: Callable[[Tell], None]
+
+
+def leads(group: Group) -> bool:
+    """Tell whether this replica leads its group, as far as it knows."""
+    return group.replica.role is Role.LEADER
+
+
+def _apply(group: Group, entries: tuple[LogEntry, ...]) -> None:
+    for entry in entries:
+        if entry.index <= group.applied:
+            continue
+        group.applied = entry.index
+        if entry.body:
+            for record in decode_batch(entry.body):
+                group.machine.apply(record)
+
+
+def _rebuild(group: Group) -> None:
+    replica = group.replica
+    group.machine.restore(replica.base.state)
+    group.applied = replica.base.index
+    committed = replica.commit - replica.base.index
+    _apply(group, tuple(replica.log[:committed]))
+
+
+def _on_deposed(group: Group) -> None:
+    group.held.clear()
+    group.snapshot = None
+    group.machine.deposed()
+    if group.applied > group.replica.commit:
+        _rebuild(group)
+
+
+def _on_elected(group: Group, term: int) -> None:
+    replica = group.replica
+    if group.machine.eager:
+        _apply(group, entries_from(replica, replica.base.index + 1))
+    group.machine.elected(term)
+
+
+def _on_restore(group: Group, effect: Restore) -> None:
+    group.machine.restore(effect.snapshot.state)
+    group.applied = effect.snapshot.index
+
+
+def _release(group: Group, now: float, outlet: Outlet) -> None:
+    commit = group.replica.commit
+    while group.held and group.held[0][0] <= commit:
+        _, tell = group.held.popleft()
+        if has_authority(group.replica, now):
+            outlet.tell(tell)
+        else:
+            group.dropped += 1
+
+
+def _carry_out(group: Group, effect: Any, outlet: Outlet) -> None:
+    match effect:
+        case Persist():
+            if group.journal:
+                save(group.journal, effect)
+        case Send():
+            outlet.send(effect.message)
+        case Commit():
+            _apply(group, effect.entries)
+        case Restore():
+            _on_restore(group, effect)
+        case Elected():
+            _on_elected(group, effect.term)
+        case Deposed():
+            _on_deposed(group)
+
+
+def _append(group: Group) -> None:
+    """Put this turn's records into the log, and hold back their effects."""
+    records, tells = group.machine.take()
+    if not leads(group):
+        return
+    if records:
+        propose(group.replica, encode_batch(records))
+        if group.machine.eager:
+            group.applied = last_index(group.replica)
+    index = last_index(group.replica)
+    group.held.extend((index, tell) for tell in tells)
+
+
+def carry_out(group: Group, now: float, outlet: Outlet) -> None:
+    """Append what was decided, and carry out all effects in order."""
+    _append(group)
+    flush(group.replica, now)
+    effects = drain(group.replica)
+    while effects:
+        for effect in effects:
+            _carry_out(group, effect, outlet)
+        flush(group.replica, now)
+        effects = drain(group.replica)
+    _release(group, now, outlet)
+
+
+def keep_short(group: Group, most: int) -> None:
+    """Take a snapshot when the log has more than ``most`` entries.
+
+    The state may run ahead of the commit; the snapshot then waits for it.
+    """
+    replica = group.replica
+    if group.snapshot is None and len(replica.log) > most:
+        group.snapshot = (group.applied, group.machine.dump())
+    if group.snapshot and group.snapshot[0] <= replica.commit:
+        index, state = group.snapshot
+        group.snapshot = None
+        if index > replica.base.index:
+            compact(replica, index, state)
+
+
+def describe_group(group: Group) -> dict[str, Any]:
+    """Return what a dump shows of a group."""
+    replica = group.replica
+    return {
+        'group': replica.group,
+        'replica': replica.name,
+        'role': replica.role,
+        'term': replica.term,
+        'leader': replica.leader,
+        'voters': replica.members.voters,
+        'learners': replica.members.learners,
+        'commit': replica.commit,
+        'applied': group.applied,
+        'log_entries': len(replica.log),
+        'snapshot_index': replica.base.index,
+        'held_effects': len(group.held),
+        'dropped_effects': group.dropped,
+    }
--- /dev/null
+++ b/daisygw/links/_scheduler.py
@@ -0,0 +1,338 @@
+"""The scheduler process: this host's replicas, and the links to all others.
+
+One loop on one thread: messages change state as they arrive, and one turn
+then appends, makes durable, sends and lets effects out, in a batch.
+"""
+
+import asyncio
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import xxhash
+from absl import logging
+
+from daisygw.contracts import (
+    About,
+    Change,
+    ConfigChanged,
+    JournalError,
+    LeaderIs,
+    Query,
+)
+from daisygw.links import _journal
+from daisygw.links._config_machine import (
+    CONFIGURATION,
+    ConfigState,
+    ask_change,
+    config_machine,
+    decide_changes,
+    settings_in_force,
+)
+from daisygw.links._domain_machine import (
+    DomainState,
+    decide,
+    machine_of,
+    see_entry,
+    set_clock,
+    use_configuration,
+)
+from daisygw.links._dump import scheduler_dump, scheduler_metrics
+from daisygw.links._group import (
+    Group,
+    Machine,
+    Outlet,
+    carry_out,
+    keep_short,
+)
+from daisygw.links._logs import log
+from daisygw.links._stream import Link, keep_connected, post, running, serving
+from daisygw.settings import (
+    Settings,
+    configuration_of,
+    seats_of,
+    share_of_domain,
+)
+from daisygw.zones import Replica, Tell, host_of, receive, reload, tick
+
+_TICK = 0.05
+_MS = 1000
+_ENTRY_PREFIX = 'entry/'
+
+
+class Scheduler:
+    """The state of one scheduler process."""
+
+    def __init__(self, settings: Settings, host: str) -> None:
+        """Begin without groups or links, as the host called ``host``."""
+        self.boot = settings
+        self.settings = settings
+        self.host = host
+        self.domain = settings.hosts[host].domain
+        self.groups: dict[str, Group] = {}
+        self.domains: dict[str, DomainState] = {}
+        self.config = ConfigState(settings)
+        self.links: dict[str, Link] = {}
+        self.sessions: dict[str, Link] = {}
+        self.leading: dict[str, int] = {}
+        self.wake = asyncio.Event()
+        self.stopped = asyncio.Event()
+        self.outlet = Outlet(partial(_send, self), partial(_tell, self))
+
+
+def _send(scheduler: Scheduler, message: Any) -> None:
+    link = scheduler.links.get(host_of(message.to))
+    if link:
+        post(link, message)
+
+
+def _tell(scheduler: Scheduler, tell: Tell) -> None:
+    session = scheduler.sessions.get(tell.entry)
+    if session:
+        post(session, tell.message)
+
+
+def _on_leading(
+    scheduler: Scheduler,
+    group: str,
+    term: int,
+    leading: bool,
+) -> None:
+    if leading:
+        scheduler.leading[group] = term
+    else:
+        scheduler.leading.pop(group, None)
+    log('leader', group=group, term=term, leads=leading)
+    news = LeaderIs(group, scheduler.host, term, leading)
+    for session in scheduler.sessions.values():
+        post(session, news)
+
+
+def _on_config(scheduler: Scheduler, change: ConfigChanged) -> None:
+    settings = settings_in_force(scheduler.boot, change, scheduler.domain)
+    scheduler.settings = settings
+    cfg = configuration_of(settings, change.version)
+    for state in scheduler.domains.values():
+        use_configuration(state, cfg)
+    log('configuration', version=change.version, change=change.change)
+    for session in scheduler.sessions.values():
+        post(session, change)
+
+
+def _on_message(scheduler: Scheduler, link: Link, message: Any) -> None:
+    if link.peer.startswith(_ENTRY_PREFIX):
+        _on_entry(scheduler, link, message)
+    else:
+        group = scheduler.groups.get(message.group)
+        if group:
+            receive(group.replica, message, time.monotonic())
+    scheduler.wake.set()
+
+
+def _on_entry(scheduler: Scheduler, link: Link, message: Any) -> None:
+    if isinstance(message, About):
+        link.about = message.group
+        return
+    if isinstance(message, Query) and message.view in _LOCAL_VIEWS:
+        post(link, _LOCAL_VIEWS[message.view](scheduler, message))
+        return
+    if isinstance(message, Change):
+        if CONFIGURATION in scheduler.leading:
+            now = time.monotonic()
+            ask_change(scheduler.config, message, link.peer, now)
+        return
+    state = scheduler.domains.get(link.about)
+    if state:
+        decide(state, message, link.peer)
+
+
+_LOCAL_VIEWS = {'dump': scheduler_dump, 'metrics': scheduler_metrics}
+
+
+def _on_session(scheduler: Scheduler, link: Link) -> None:
+    if not link.peer.startswith(_ENTRY_PREFIX):
+        return
+    for state in scheduler.domains.values():
+        see_entry(state, link.peer, up=link.up)
+    if not link.up:
+        if scheduler.sessions.get(link.peer) is link:
+            scheduler.sessions.pop(link.peer)
+        return
+    scheduler.sessions[link.peer] = link
+    for group, term in scheduler.leading.items():
+        post(link, LeaderIs(group, scheduler.host, term))
+    if scheduler.config.history.current:
+        post(link, scheduler.config.history.current)
+
+
+def take_turn(scheduler: Scheduler, now: float, wall: int) -> None:
+    """Let time pass for every group, and carry out what follows."""
+    for state in scheduler.domains.values():
+        set_clock(state, now, wall)
+    for name, group in scheduler.groups.items():
+        tick(group.replica, now)
+        if name == CONFIGURATION:
+            decide_changes(scheduler.config, group, now)
+        carry_out(group, now, scheduler.outlet)
+        keep_short(group, scheduler.boot.process.snapshot_every)
+
+
+async def _turns(scheduler: Scheduler) -> None:
+    while True:
+        await scheduler.wake.wait()
+        await asyncio.sleep(0)
+        scheduler.wake.clear()
+        take_turn(scheduler, time.monotonic(), _wall())
+
+
+def _wall() -> int:
+    return int(time.time() * _MS)
+
+
+async def _ticks(scheduler: Scheduler) -> None:
+    while True:
+        scheduler.wake.set()
+        await asyncio.sleep(_TICK)
+
+
+def _birth(host: str) -> str:
+    return f'{host}#{time.time_ns():x}'
+
+
+def _open_replica(
+    scheduler: Scheduler,
+    group: str,
+    seats: tuple[str, ...],
+    *,
+    away: bool,
+) -> tuple[Replica, _journal.Journal | None]:
+    folder = Path(scheduler.boot.process.data) / scheduler.host / group
+    journal = None
+    saved = None
+    name = _birth(scheduler.host)
+    if scheduler.boot.hosts[scheduler.host].disk:
+        journal, saved = _open_journal(folder, name)
+        name = journal.name
+    replica = Replica(
+        group,
+        name,
+        seats,
+        scheduler.boot.timing,
+        xxhash.xxh32_intdigest(name.encode('ascii')),
+        away=away,
+    )
+    if saved:
+        reload(replica, saved, time.monotonic())
+    return replica, journal
+
+
+def _open_journal(folder: Path, name: str) -> tuple[_journal.Journal, Any]:
+    try:
+        loaded = _journal.load(folder)
+    except JournalError as exc:
+        log('journal', code=exc.code, reason=exc.reason)
+        loaded = None
+    return loaded or (_journal.create(folder, name), None)
+
+
+def _add_group(
+    scheduler: Scheduler,
+    name: str,
+    seats: tuple[str, ...],
+    machine: Machine,
+) -> None:
+    away = name in scheduler.boot.domains and name != scheduler.domain
+    replica, journal = _open_replica(scheduler, name, seats, away=away)
+    scheduler.groups[name] = Group(replica, journal, machine)
+
+
+def _open_groups(scheduler: Scheduler) -> None:
+    settings = scheduler.boot
+    for domain in settings.domains:
+        seats = seats_of(settings, domain)
+        if scheduler.host in seats:
+            share = share_of_domain(settings, domain)
+            cfg = configuration_of(settings, 0)
+            state = DomainState(domain, share, cfg)
+            scheduler.domains[domain] = state
+            on_leading = partial(_on_leading, scheduler, domain)
+            machine = machine_of(state, on_leading)
+            _add_group(scheduler, domain, seats, machine)
+    machine = config_machine(
+        scheduler.config,
+        partial(_on_config, scheduler),
+        partial(_on_leading, scheduler, CONFIGURATION),
+    )
+    seats = settings.configuration.seats
+    _add_group(scheduler, CONFIGURATION, seats, machine)
+
+
+@asynccontextmanager
+async def _linked(scheduler: Scheduler) -> AsyncIterator[None]:
+    on_message = partial(_on_message, scheduler)
+    async with AsyncExitStack() as stack:
+        for name, host in scheduler.boot.hosts.items():
+            if name == scheduler.host:
+                continue
+            link = Link(name)
+            scheduler.links[name] = link
+            connecting = keep_connected(
+                link,
+                scheduler.host,
+                host.scheduler,
+                on_message,
+                lambda changed: scheduler.wake.set(),
+            )
+            await stack.enter_async_context(running(connecting))
+        yield
+
+
+async def _until_stopped(scheduler: Scheduler) -> None:
+    turning = asyncio.ensure_future(_turns(scheduler))
+    ticking = asyncio.ensure_future(_ticks(scheduler))
+    stopping = asyncio.ensure_future(scheduler.stopped.wait())
+    work = (turning, ticking, stopping)
+    done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
+    for task in work:
+        if task not in done:
+            task.cancel()
+    for task in done:
+        task.result()
+
+
+def _on_signals(scheduler: Scheduler) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, scheduler.stopped.set)
+    loop.add_signal_handler(signal.SIGINT, scheduler.stopped.set)
+    loop.add_signal_handler(signal.SIGUSR1, _log_dump, scheduler)
+
+
+def _log_dump(scheduler: Scheduler) -> None:
+    dump = scheduler_dump(scheduler, Query(0, 'dump'))
+    log('dump', dump=dump.view)
+
+
+async def run_scheduler(settings: Settings, host: str) -> None:
+    """Run a scheduler until it is told to stop."""
+    scheduler = Scheduler(settings, host)
+    _open_groups(scheduler)
+    _on_signals(scheduler)
+    address = settings.hosts[host].scheduler
+    accepting = serving(
+        address,
+        partial(_on_message, scheduler),
+        partial(_on_session, scheduler),
+    )
+    async with accepting, _linked(scheduler):
+        log('scheduler up', host=host, address=address)
+        await _until_stopped(scheduler)
+    for group in scheduler.groups.values():
+        if group.journal:
+            _journal.close(group.journal)
+    log('scheduler stopped', host=host)
+    logging.flush()
+
--- /dev/null
+++ b/daisygw/links/_stream.py
@@ -0,0 +1,201 @@
+"""Links between our own processes: one long-lived stream, carrying batches.
+
+A link sends everything that became ready in one turn of the loop as one
+batch.  What could not be sent when a link breaks is dropped: every message
+between our processes is safe to lose and to repeat.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from typing import Any, TypeAlias
+
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from daisygw.links._codec import BatchCodec, encode_batch
+
+_EXCHANGE = '/daisygw.Links/Exchange'
+_PEER = 'daisygw-peer'
+_RETRY = 0.2
+_MOST_WAITING = 100_000
+_BROKEN = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    asyncio.TimeoutError,
+)
+
+OnMessage: TypeAlias = Callable[['Link', Any], None]
+OnChange: TypeAlias = Callable[['Link'], None]
+
+
+class Link:
+    """One end of a link to the process called ``peer``."""
+
+    def __init__(self, peer: str) -> None:
+        """Begin with nothing to send and not connected."""
+        self.peer = peer
+        self.about = ''
+        self.up = False
+        self.waiting: list[Any] = []
+        self.ready = asyncio.Event()
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.dropped = 0
+
+
+def post(link: Link, message: Any) -> None:
+    """Leave a message to be sent with the next batch."""
+    if not link.up or len(link.waiting) >= _MOST_WAITING:
+        link.dropped += 1
+        return
+    link.waiting.append(message)
+    link.ready.set()
+
+
+async def _send_batches(link: Link, stream: Any) -> None:
+    while True:
+        await link.ready.wait()
+        link.ready.clear()
+        batch = link.waiting
+        link.waiting = []
+        link.sent += len(batch)
+        encoded = encode_batch(batch)
+        link.sent_bytes += len(encoded)
+        await stream.send_message(encoded)
+
+
+async def _receive_batches(
+    link: Link,
+    stream: Any,
+    on_message: OnMessage,
+) -> None:
+    async for batch in stream:
+        link.received += len(batch)
+        for message in batch:
+            on_message(link, message)
+
+
+@asynccontextmanager
+async def _connected(link: Link, on_change: OnChange) -> AsyncIterator[None]:
+    link.waiting.clear()
+    link.about = ''
+    link.up = True
+    on_change(link)
+    try:
+        yield
+    finally:
+        link.up = False
+        link.waiting.clear()
+        on_change(link)
+
+
+@asynccontextmanager
+async def running(work: Any) -> AsyncIterator[asyncio.Task]:
+    """Run a coroutine beside the body, and cancel it at the end."""
+    task = asyncio.ensure_future(work)
+    try:
+        yield task
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError, *_BROKEN):
+            await task
+
+
+async def _exchange(
+    link: Link,
+    stream: Any,
+    on_message: OnMessage,
+) -> None:
+    sending = _send_batches(link, stream)
+    async with running(sending) as sender:
+        receiving = _receive_batches(link, stream, on_message)
+        async with running(receiving) as receiver:
+            await asyncio.wait(
+                (sender, receiver),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+
+async def keep_connected(
+    link: Link,
+    me: str,
+    address: str,
+    on_message: OnMessage,
+    on_change: OnChange,
+) -> None:
+    """Hold a link to ``address`` open, again and again until cancelled."""
+    host, _, port = address.rpartition(':')
+    while True:
+        channel = Channel(host, int(port), codec=BatchCodec())
+        method = StreamStreamMethod(channel, _EXCHANGE, list, list)
+        try:
+            await _connect(link, me, method, on_message, on_change)
+        except _BROKEN:
+            link.up = False
+        finally:
+            channel.close()
+        await asyncio.sleep(_RETRY)
+
+
+async def _connect(
+    link: Link,
+    me: str,
+    method: StreamStreamMethod,
+    on_message: OnMessage,
+    on_change: OnChange,
+) -> None:
+    async with method.open(metadata={_PEER: me}) as stream:
+        await stream.send_request()
+        await stream.recv_initial_metadata()
+        async with _connected(link, on_change):
+            await _exchange(link, stream, on_message)
+            await stream.cancel()
+
+
+class _Acceptor:
+    """Serves the links that other processes open."""
+
+    def __init__(self, on_message: OnMessage, on_change: OnChange) -> None:
+        self.on_message = on_message
+        self.on_change = on_change
+
+    async def accept(self, stream: Stream) -> None:
+        """Serve one link until it ends."""
+        link = Link(str(stream.metadata.get(_PEER, '')))
+        await stream.send_initial_metadata()
+        async with _connected(link, self.on_change):
+            with suppress(*_BROKEN):
+                await _exchange(link, stream, self.on_message)
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Name the one method that is served, for grpclib."""
+        handler = Handler(
+            self.accept,
+            Cardinality.STREAM_STREAM,
+            list,
+            list,
+        )
+        return {_EXCHANGE: handler}
+
+
+@asynccontextmanager
+async def serving(
+    address: str,
+    on_message: OnMessage,
+    on_change: OnChange,
+) -> AsyncIterator[None]:
+    """Accept links at ``address`` while the body runs."""
+    host, _, port = address.rpartition(':')
+    server = Server([_Acceptor(on_message, on_change)], codec=BatchCodec())
+    await server.start(host, int(port))
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
--- /dev/null
+++ b/daisygw/links/_views.py
@@ -0,0 +1,135 @@
+"""Views of the books that operators and callers may ask for, as JSON."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from daisygw.contracts import Answer, Job, Query, ResultCode, Size
+from daisygw.report import wait_figures
+from daisygw.zones import Leadership, Tell
+
+_PERCENT = 100
+_encode = msgspec.json.Encoder().encode
+
+
+def to_json(view: Any) -> str:
+    """Return a view as JSON text."""
+    return _encode(view).decode('utf-8')
+
+
+def on_query(lead: Leadership, query: Query, entry: str) -> None:
+    """Answer a question about the books."""
+    view = _VIEWS.get(query.view, _no_view)(lead, query.name)
+    code = ResultCode.ACCEPTED if view is not None else ResultCode.UNKNOWN_JOB
+    text = to_json(view) if view is not None else ''
+    reason = '' if text else f'{query.view} {query.name!r} is not known'
+    answer = Answer(query.seq, code, reason, view=text)
+    lead.effects.append(Tell(entry, answer))
+
+
+def _no_view(lead: Leadership, name: str) -> Any:
+    return None
+
+
+def _job(lead: Leadership, name: str) -> Any:
+    job = lead.books.register.jobs.get(name)
+    return None if job is None else describe_job(job)
+
+
+def describe_job(job: Job) -> dict[str, Any]:
+    """Return what a status shows of a job."""
+    states = Counter(task.state.name.lower() for task in job.tasks)
+    codes = Counter(
+        ResultCode(task.code).name for task in job.tasks if task.code
+    )
+    return {
+        'id': job.contract.id,
+        'team': job.contract.team,
+        'kind': job.contract.kind,
+        'accepted_ms': job.accepted,
+        'ended_ms': job.ended,
+        'tasks': dict(states),
+        'codes': dict(codes),
+    }
+
+
+def _targets(lead: Leadership, name: str) -> Any:
+    return [
+        {
+            'name': worker.spec.name,
+            'rack': worker.spec.rack,
+            'address': worker.spec.address,
+            'capacity': worker.spec.capacity,
+            'free': worker.free,
+            'tasks': len(worker.held),
+            'leaving': worker.spec.leaving,
+            'drained': worker.drained,
+            'aside': worker.aside,
+        }
+        for worker in lead.books.workers.by_name.values()
+    ]
+
+
+def _share(held: Size, capacity: Size, resource: str) -> float | None:
+    whole = getattr(capacity, resource)
+    if not whole:
+        return None
+    return round(getattr(held, resource) / whole * _PERCENT, 1)
+
+
+def _report(lead: Leadership, name: str) -> Any:
+    tally = lead.books.tally
+    packed = tally.packed
+    return {
+        'domain': lead.domain,
+        'waits_ms': wait_figures(tally),
+        'held_percent': {
+            resource: _share(packed.held_sum, packed.capacity_sum, resource)
+            for resource in ('cpus', 'memory', 'accelerators', 'slots')
+        },
+        'refusals': _by_code(tally.refusals),
+        'outcomes': _by_code(tally.outcomes),
+    }
+
+
+def _by_code(counts: Mapping[tuple[str, int], int]) -> list[dict[str, Any]]:
+    return [
+        {
+            'team': team,
+            'code': code,
+            'name': ResultCode(code).name,
+            'count': count,
+        }
+        for (team, code), count in sorted(counts.items())
+    ]
+
+
+def _summary(lead: Leadership, name: str) -> Any:
+    books = lead.books
+    return {
+        'domain': lead.domain,
+        'term': lead.term,
+        'jobs': len(books.register.jobs),
+        'started': books.register.started,
+        'retried': books.register.retried,
+        'capacity': books.capacity,
+        'held': books.held,
+        'workers': len(books.workers.by_name),
+        'entries': list(lead.entries),
+        'decisions': lead.decisions,
+        'looked_at': lead.index.looked_at,
+        'waiting': {
+            lane: one.tasks for lane, one in lead.lanes.by_name.items()
+        },
+        'parked': len(lead.parked),
+    }
+
+
+_VIEWS: Mapping[str, Callable[[Leadership, str], Any]] = {
+    'job': _job,
+    'report': _report,
+    'summary': _summary,
+    'targets': _targets,
+}
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -8,7 +8,9 @@
 )
 from daisygw.machines._scoring import SCORINGS, Score
 from daisygw.machines._target import (
+    Announced,
     Announcement,
+    AnnouncementTaken,
     EndedAttempt,
     RunningAttempt,
     TargetDrained,
@@ -29,9 +31,28 @@
 )
 
 __all__ = (
-    'SCORINGS', 'Announcement', 'EndedAttempt', 'FreeIndex',
-    'RunningAttempt', 'Score', 'TargetDrained', 'TargetDropped',
-    'TargetListed', 'TargetSetAside', 'TargetSpec', 'Worker', 'Workers',
-    'candidates', 'drain_target', 'drop_target', 'hold', 'list_target',
-    'refresh', 'release', 'set_aside', 'set_speed',
+    'SCORINGS',
+    'Announced',
+    'Announcement',
+    'AnnouncementTaken',
+    'EndedAttempt',
+    'FreeIndex',
+    'RunningAttempt',
+    'Score',
+    'TargetDrained',
+    'TargetDropped',
+    'TargetListed',
+    'TargetSetAside',
+    'TargetSpec',
+    'Worker',
+    'Workers',
+    'candidates',
+    'drain_target',
+    'drop_target',
+    'hold',
+    'list_target',
+    'refresh',
+    'release',
+    'set_aside',
+    'set_speed',
 )
--- a/daisygw/machines/_index.py
+++ b/daisygw/machines/_index.py
@@ -5,7 +5,7 @@
 processors, so that the first worker that fits is a fast one and a tight fit.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from typing import TypeAlias
 
@@ -56,11 +56,15 @@
         index.buckets.pop(level)
 
 
-def refresh(index: FreeIndex, workers: Workers) -> None:
+def refresh(
+    index: FreeIndex,
+    workers: Workers,
+    is_open: Callable[[Worker], bool],
+) -> None:
     """Bring the index up to date with the workers touched since."""
     for name in workers.touched:
         worker = workers.by_name.get(name)
-        if worker is None or not worker.open or worker.free.slots <= 0:
+        if worker is None or worker.free.slots <= 0 or not is_open(worker):
             _remove(index, name)
             continue
         level = _level(index, worker)
--- a/daisygw/machines/_target.py
+++ b/daisygw/machines/_target.py
@@ -89,3 +89,26 @@
 
     name: str
     aside: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """Passes a target's announcement on to its domain's leader."""
+
+    announcement: Announcement
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementTaken:
+    """Acknowledges an announcement, and renews the target's lease.
+
+    ``lease`` is in seconds from when the target sent that announcement;
+    ``order_age`` (seconds) is how old an announcement an order may name.
+    """
+
+    name: str
+    incarnation: str
+    number: int
+    lease: float
+    order_age: float
+    every: float
--- a/daisygw/machines/_workers.py
+++ b/daisygw/machines/_workers.py
@@ -3,7 +3,7 @@
 Changed only by records of the log, the same way on every replica.
 """
 
-from daisygw.contracts import Size, TaskKey, minus, plus
+from daisygw.contracts import NOTHING, Size, TaskKey, minus, plus
 from daisygw.machines._target import (
     TargetDrained,
     TargetDropped,
@@ -43,27 +43,30 @@
         self.touched: set[str] = set()
 
 
-def list_target(workers: Workers, record: TargetListed) -> None:
-    """Enter a target, or what is new about a known one."""
+def list_target(workers: Workers, record: TargetListed) -> Size:
+    """Enter a target, or what is new about it; return the capacity added."""
     spec = record.spec
     known = workers.by_name.get(spec.name)
     workers.touched.add(spec.name)
     if known is None:
         workers.by_name[spec.name] = Worker(spec)
-        return
+        return spec.capacity
     if known.spec.incarnation != spec.incarnation:
         known.aside = False
     freed = minus(spec.capacity, known.spec.capacity)
     known.spec = spec
     known.free = plus(known.free, freed)
+    return freed
 
 
-def drop_target(workers: Workers, record: TargetDropped) -> None:
-    """Remove a target that is gone."""
+def drop_target(workers: Workers, record: TargetDropped) -> Size:
+    """Remove a target that is gone; return the capacity lost."""
     known = workers.by_name.get(record.name)
-    if known and known.spec.incarnation == record.incarnation:
-        workers.by_name.pop(record.name)
-        workers.touched.add(record.name)
+    if known is None or known.spec.incarnation != record.incarnation:
+        return NOTHING
+    workers.by_name.pop(record.name)
+    workers.touched.add(record.name)
+    return known.spec.capacity
 
 
 def drain_target(workers: Workers, record: TargetDrained) -> None:
--- /dev/null
+++ b/daisygw/report/_tally.py
@@ -0,0 +1,103 @@
+"""The tally behind the monthly report: waits, packing, refusals.
+
+It is changed only by records of the log, so it survives a lost host.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from daisygw.contracts import NOTHING, Size
+
+_LOWEST_MS = 1
+_HIGHEST_MS = 86_400_000
+_DIGITS = 2
+_PERCENTILES = (50, 90, 99)
+
+
+@dataclass(frozen=True, slots=True)
+class WaitFigures:
+    """Waiting times (ms) of one team's tasks of one kind."""
+
+    team: str
+    kind: str
+    tasks: int
+    p50: int
+    p90: int
+    p99: int
+    longest: int
+
+
+class Tally:
+    """Figures gathered since the books began."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.waits: dict[tuple[str, str], HdrHistogram] = {}
+        self.refusals: Counter[tuple[str, int]] = Counter()
+        self.outcomes: Counter[tuple[str, int]] = Counter()
+        self.packed = Packing()
+
+
+class Packing:
+    """How full the hosts ran: integrals over time, by resource.
+
+    Sums are in unit-milliseconds: (thousandths of a core, MiB,
+    accelerators, slots) times milliseconds.
+    """
+
+    def __init__(self) -> None:
+        """Begin with no capacity and nothing held."""
+        self.at = 0
+        self.held = NOTHING
+        self.capacity = NOTHING
+        self.held_sum = NOTHING
+        self.capacity_sum = NOTHING
+
+
+def _add(total: Size, size: Size, span: int) -> Size:
+    return Size(
+        total.cpus + size.cpus * span,
+        total.memory + size.memory * span,
+        total.accelerators + size.accelerators * span,
+        total.slots + size.slots * span,
+    )
+
+
+def pack(packing: Packing, at: int, held: Size, capacity: Size) -> None:
+    """Let time pass to ``at`` (ms), then note what is held from there."""
+    span = max(at - packing.at, 0) if packing.at else 0
+    packing.held_sum = _add(packing.held_sum, packing.held, span)
+    packing.capacity_sum = _add(packing.capacity_sum, packing.capacity, span)
+    packing.at = max(at, packing.at)
+    packing.held = held
+    packing.capacity = capacity
+
+
+def new_waits() -> HdrHistogram:
+    """Return an empty histogram of waiting times in milliseconds."""
+    return HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
+
+
+def waited(tally: Tally, team: str, kind: str, wait: int) -> None:
+    """Count one task's wait (ms) from acceptance to its first lease."""
+    known = tally.waits.get((team, kind))
+    if known is None:
+        known = new_waits()
+        tally.waits[team, kind] = known
+    known.record_value(min(max(wait, _LOWEST_MS), _HIGHEST_MS))
+
+
+def wait_figures(tally: Tally) -> list[WaitFigures]:
+    """Return the waiting times by team and kind."""
+    return [
+        WaitFigures(
+            team,
+            kind,
+            waits.get_total_count(),
+            *(int(waits.get_value_at_percentile(p)) for p in _PERCENTILES),
+            int(waits.get_max_value()),
+        )
+        for (team, kind), waits in sorted(tally.waits.items())
+    ]
--- /dev/null
+++ b/daisygw/settings/_schema.py
@@ -0,0 +1,109 @@
+"""The shape of a settings file."""
+
+from dataclasses import dataclass, field
+
+from daisygw.contracts import Configuration, Limits, Policy, Team
+from daisygw.zones import Timing
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """What the whole cell is called."""
+
+    name: str = 'cell'
+
+
+@dataclass(frozen=True, slots=True)
+class Domain:
+    """A failure domain: its region, and the host that breaks ties.
+
+    ``tie_breaker`` is a host of a neighbouring failure domain, empty where
+    the domain's own hosts are an odd number; ``share`` is the part of every
+    quota that it holds, 0 for an equal part.
+    """
+
+    region: str
+    tie_breaker: str = ''
+    share: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An entry host: its failure domain and its two processes' addresses."""
+
+    domain: str
+    entry: str
+    scheduler: str
+    disk: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Seats:
+    """The hosts whose replicas vote on the configuration."""
+
+    seats: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    """What a process needs of its host; times in seconds.
+
+    A graceful stop waits ``grace`` at most for requests in progress;
+    ``patience`` is how long an entry seeks a leader; a snapshot is taken
+    every ``snapshot_every`` entries of the log.
+    """
+
+    data: str = 'run/data'
+    metrics: bool = True
+    grace: float = 60
+    patience: float = 5
+    snapshot_every: int = 5000
+    log_level: str = 'info'
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """One whole settings file, with a site's overlay laid over it."""
+
+    cell: Cell = Cell()
+    domains: dict[str, Domain] = field(default_factory=dict)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    configuration: Seats = Seats()
+    process: Process = Process()
+    timing: Timing = Timing()
+    teams: dict[str, Team] = field(default_factory=dict)
+    policy: Policy = Policy()
+    limits: Limits = Limits()
+
+
+def hosts_of(settings: Settings, domain: str) -> tuple[str, ...]:
+    """Return the names of a failure domain's own hosts, in order."""
+    return tuple(
+        sorted(
+            name
+            for name, host in settings.hosts.items()
+            if host.domain == domain
+        ),
+    )
+
+
+def seats_of(settings: Settings, domain: str) -> tuple[str, ...]:
+    """Return the hosts that vote in a failure domain's group."""
+    tie_breaker = settings.domains[domain].tie_breaker
+    own = hosts_of(settings, domain)
+    return (*own, tie_breaker) if tie_breaker else own
+
+
+def share_of_domain(settings: Settings, domain: str) -> float:
+    """Return the part of every quota that a failure domain holds."""
+    return settings.domains[domain].share or 1 / len(settings.domains)
+
+
+def configuration_of(settings: Settings, version: int) -> Configuration:
+    """Return the part of the settings that may change while running."""
+    return Configuration(
+        version,
+        settings.teams,
+        settings.policy,
+        settings.limits,
+    )
--- /dev/null
+++ b/daisygw/zones/__init__.py
@@ -0,0 +1,107 @@
+"""Zones: failure domains, their replicated log, books and leader."""
+
+from daisygw.zones._admit import ADMISSIONS, expected_wait, on_submit
+from daisygw.zones._books import Books, apply
+from daisygw.zones._election import has_authority, lease_end
+from daisygw.zones._leader import Leadership, Tell, take
+from daisygw.zones._messages import (
+    Append,
+    AppendReply,
+    Commit,
+    Deposed,
+    Elected,
+    Form,
+    Hello,
+    HelloReply,
+    LogEntry,
+    Members,
+    Persist,
+    Restore,
+    Send,
+    SnapshotPart,
+    SnapshotReply,
+    SnapshotTaken,
+    TakeOver,
+    Timing,
+    VoteReply,
+    VoteRequest,
+    host_of,
+)
+from daisygw.zones._placing import place_waiting
+from daisygw.zones._replica import (
+    Replica,
+    Role,
+    compact,
+    drain,
+    entries_from,
+    last_index,
+    reload,
+)
+from daisygw.zones._replication import flush, propose
+from daisygw.zones._settle import on_report
+from daisygw.zones._step import receive, tick
+from daisygw.zones._turns import (
+    begin,
+    entry_down,
+    entry_up,
+    finish_turn,
+    on_cancel,
+    on_drain,
+    pass_time,
+)
+from daisygw.zones._watch import on_announcement
+
+__all__ = (
+    'ADMISSIONS',
+    'Append',
+    'AppendReply',
+    'Books',
+    'Commit',
+    'Deposed',
+    'Elected',
+    'Form',
+    'Hello',
+    'HelloReply',
+    'Leadership',
+    'LogEntry',
+    'Members',
+    'Persist',
+    'Replica',
+    'Restore',
+    'Role',
+    'Send',
+    'SnapshotPart',
+    'SnapshotReply',
+    'SnapshotTaken',
+    'TakeOver',
+    'Tell',
+    'Timing',
+    'VoteReply',
+    'VoteRequest',
+    'apply',
+    'begin',
+    'compact',
+    'drain',
+    'entries_from',
+    'entry_down',
+    'entry_up',
+    'expected_wait',
+    'finish_turn',
+    'flush',
+    'has_authority',
+    'host_of',
+    'last_index',
+    'lease_end',
+    'on_announcement',
+    'on_cancel',
+    'on_drain',
+    'on_report',
+    'on_submit',
+    'pass_time',
+    'place_waiting',
+    'propose',
+    'receive',
+    'reload',
+    'take',
+    'tick',
+)
--- /dev/null
+++ b/daisygw/zones/_admit.py
@@ -0,0 +1,173 @@
+"""Admission: accept or refuse a submission, or attach it to a known job."""
+
+import heapq
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from daisygw.contracts import (
+    Answer,
+    Contract,
+    Job,
+    JobAccepted,
+    Kind,
+    ResultCode,
+    Size,
+    Submit,
+    TaskKey,
+    TaskSettled,
+    TaskState,
+    ahead,
+    expected_run,
+    fits,
+    share_of,
+    times,
+)
+from daisygw.zones._leader import Leadership, record, tell
+from daisygw.zones._orders import reorder
+from daisygw.zones._queue import address_of, unpark, wait
+
+_RETRY_SOON = 1.0
+
+Refusal = tuple[ResultCode, str, float]
+
+
+def on_submit(lead: Leadership, submit: Submit, entry: str) -> None:
+    """Decide a submission; the answer goes to ``entry``."""
+    contract = submit.contract
+    job = lead.books.register.jobs.get(contract.id)
+    if job is not None:
+        _attach(lead, job, submit, entry)
+        return
+    refusal = _refusal(lead, contract)
+    if refusal is None:
+        _accept(lead, submit, entry)
+        return
+    code, reason, retry_after = refusal
+    lead.refusals[contract.team, code] += 1
+    tell(lead, entry, Answer(submit.seq, code, reason, retry_after))
+
+
+def _accept(lead: Leadership, submit: Submit, entry: str) -> None:
+    contract = submit.contract
+    record(lead, JobAccepted(contract, lead.wall))
+    lead.holders[contract.id] = {entry}
+    wait(lead, lead.books.register.jobs[contract.id], range(contract.count))
+    if contract.deadline:
+        due = (lead.now + contract.deadline, contract.id)
+        heapq.heappush(lead.deadlines, due)
+    tell(lead, entry, Answer(submit.seq, ResultCode.ACCEPTED))
+
+
+def _attach(
+    lead: Leadership,
+    job: Job,
+    submit: Submit,
+    entry: str,
+) -> None:
+    contract = job.contract
+    if replace(submit.contract, spec=contract.spec) != contract:
+        reason = 'this id was used for another request'
+        answer = Answer(submit.seq, ResultCode.ID_REUSED, reason)
+        tell(lead, entry, answer)
+        return
+    lead.holders.setdefault(contract.id, set()).add(entry)
+    tell(lead, entry, Answer(submit.seq, ResultCode.ACCEPTED))
+    unpark(lead, job)
+    for task in job.tasks:
+        key = TaskKey(contract.id, task.index)
+        if task.state is TaskState.LEASED:
+            reorder(lead, job, key, entry)
+        elif task.state is TaskState.ENDED:
+            address = address_of(lead, task.target)
+            settled = TaskSettled(key, task.attempt, task.code, address)
+            tell(lead, entry, settled)
+
+
+def _refusal(lead: Leadership, contract: Contract) -> Refusal | None:
+    if contract.team not in lead.cfg.teams:
+        reason = f'team {contract.team!r} is not configured'
+        return ResultCode.UNKNOWN_TEAM, reason, 0
+    return (
+        _never_fits(lead, contract)
+        or _over_quota(lead, contract)
+        or ADMISSIONS[lead.policy.admission](lead, contract)
+    )
+
+
+def _never_fits(lead: Leadership, contract: Contract) -> Refusal | None:
+    capacities = [
+        worker.spec.capacity
+        for worker in lead.books.workers.by_name.values()
+    ]
+    if not capacities:
+        reason = 'no worker has announced itself'
+        return ResultCode.NO_WORKERS, reason, _RETRY_SOON
+    if not any(fits(contract.size, capacity) for capacity in capacities):
+        return ResultCode.NEVER_FITS, 'no worker could ever hold a task', 0
+    if contract.kind is not Kind.GANG:
+        return None
+    room = sum(_room(contract.size, capacity) for capacity in capacities)
+    if room < contract.count:
+        reason = f'the cell could hold {room} tasks of it at most'
+        return ResultCode.NEVER_FITS, reason, 0
+    return None
+
+
+def _room(size: Size, capacity: Size) -> int:
+    share = share_of(size, capacity)
+    if not fits(size, capacity) or share == 0:
+        return 0
+    return int(1 / share)
+
+
+def quota_of(lead: Leadership, team: str) -> Size:
+    """Return this failure domain's share of a team's quota."""
+    quota = lead.cfg.teams[team].quota
+    share = lead.share
+    return Size(
+        int(quota.cpus * share),
+        int(quota.memory * share),
+        int(quota.accelerators * share),
+        max(int(quota.slots * share), 1),
+    )
+
+
+def _over_quota(lead: Leadership, contract: Contract) -> Refusal | None:
+    together = contract.kind is not Kind.BATCH
+    need = times(contract.size, contract.count if together else 1)
+    if fits(need, quota_of(lead, contract.team)):
+        return None
+    reason = 'it is more than the quota of the team'
+    return ResultCode.QUOTA_EXCEEDED, reason, 0
+
+
+def expected_wait(lead: Leadership, contract: Contract) -> float:
+    """Return the expected wait in seconds of a submission made now."""
+    run = expected_run(lead.books.register, contract)
+    lane = lead.lane_of(contract, run)
+    slots = max(lead.books.capacity.slots, 1)
+    return ahead(lead.lanes, lane) / slots
+
+
+def _by_wait(lead: Leadership, contract: Contract) -> Refusal | None:
+    expected = expected_wait(lead, contract)
+    bound = getattr(lead.policy.max_wait, contract.priority)
+    if contract.deadline:
+        bound = min(bound, contract.deadline)
+    if expected <= bound:
+        return None
+    reason = f'the expected wait is {expected:.1f} s, the bound {bound:.1f} s'
+    return ResultCode.OVERLOADED, reason, expected - bound + _RETRY_SOON
+
+
+def _open(lead: Leadership, contract: Contract) -> Refusal | None:
+    return None
+
+
+ADMISSIONS: Mapping[
+    str,
+    Callable[[Leadership, Contract], Refusal | None],
+] = {
+    'wait': _by_wait,
+    'open': _open,
+}
--- /dev/null
+++ b/daisygw/zones/_leader.py
@@ -0,0 +1,156 @@
+"""What a failure domain's leader keeps besides the books.
+
+All of it is rebuilt when a leader is elected; nothing here is replicated.
+A decision is a plain function over ``Leadership``: it appends records for
+the log and effects to be carried out once those records are committed.
+"""
+
+import heapq
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from daisygw.contracts import (
+    ORDERINGS,
+    Configuration,
+    Job,
+    LaneOf,
+    Lanes,
+    TaskKey,
+    TaskState,
+)
+from daisygw.machines import SCORINGS, FreeIndex, Score, Worker
+from daisygw.zones._books import Books, apply
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Effect: send a message to an entry once the log is committed."""
+
+    entry: str
+    message: Any
+
+
+class Sighting:
+    """What a leader has seen of one target, on its own clock (s)."""
+
+    def __init__(self, incarnation: str, lease_end: float) -> None:
+        """Begin unseen: no announcement in this term yet."""
+        self.incarnation = incarnation
+        self.number = 0
+        self.seen = float('-inf')
+        self.lease_end = lease_end
+        self.shunned = float('-inf')
+        self.past: set[str] = set()
+        self.failures: set[str] = set()
+        self.probe_due = float('inf')
+
+
+class Ordered:
+    """An order given in this term, until its attempt is over."""
+
+    def __init__(self, attempt: int, at: float) -> None:
+        """Begin at ``at`` on the leader's clock (s)."""
+        self.attempt = attempt
+        self.at = at
+        self.entries: set[str] = set()
+        self.inherited = False
+        self.running = False
+        self.stopping = 0
+        self.proof = 0
+        self.resent = 0
+
+
+class Leadership:
+    """The leader's working state over the books of its failure domain."""
+
+    def __init__(
+        self,
+        domain: str,
+        share: float,
+        books: Books,
+        cfg: Configuration,
+        term: int,
+    ) -> None:
+        """Begin without queues; ``share`` is the domain's of every quota."""
+        self.domain = domain
+        self.share = share
+        self.books = books
+        self.term = term
+        self.now = 0.0
+        self.wall = 0
+        self.records: list[Any] = []
+        self.effects: list[Tell] = []
+        self.lanes = Lanes()
+        self.index = FreeIndex()
+        self.sightings: dict[str, Sighting] = {}
+        self.holders: dict[str, set[str]] = {}
+        self.entries: dict[str, None] = {}
+        self.orders: dict[TaskKey, Ordered] = {}
+        self.parked: dict[str, float] = {}
+        self.long_slots = 0
+        self.long_tasks: set[TaskKey] = set()
+        self.refusals: Counter[tuple[str, int]] = Counter()
+        self.deadlines: list[tuple[float, str]] = []
+        self.ended: list[tuple[float, str]] = []
+        self.sweep_due = 0.0
+        self.decisions = 0
+        self.configure(cfg)
+
+    def configure(self, cfg: Configuration) -> None:
+        """Use another configuration from now on."""
+        self.cfg = cfg
+        self.policy = cfg.policy
+        self.lane_of: LaneOf = ORDERINGS[cfg.policy.ordering](cfg.policy)
+        scoring = SCORINGS[cfg.policy.scoring]
+        self.score: Score = scoring(self.index.slowness)
+
+
+def record(lead: Leadership, change: Any) -> None:
+    """Change the books now; the change counts once committed."""
+    apply(lead.books, change)
+    lead.records.append(change)
+
+
+def tell(lead: Leadership, entry: str, message: Any) -> None:
+    """Leave a message to an entry."""
+    lead.effects.append(Tell(entry, message))
+
+
+def tell_holders(lead: Leadership, job: str, message: Any) -> None:
+    """Leave a message to every entry that holds the job's callers."""
+    for entry in lead.holders.get(job, ()):
+        tell(lead, entry, message)
+
+
+def is_open(lead: Leadership, worker: Worker) -> bool:
+    """Tell whether new work may go to a worker at this moment."""
+    sighting = lead.sightings.get(worker.spec.name)
+    return (
+        worker.open
+        and sighting is not None
+        and sighting.number > 0
+        and lead.now >= sighting.shunned
+    )
+
+
+def keep_until(lead: Leadership, job: Job) -> None:
+    """Let an ended job stay known for as long as outcomes are kept."""
+    due = lead.now + lead.policy.keep_outcomes
+    heapq.heappush(lead.ended, (due, job.contract.id))
+
+
+def leased_tasks(job: Job) -> list[int]:
+    """Return the indexes of a job's tasks that hold a lease."""
+    return [
+        task.index for task in job.tasks if task.state is TaskState.LEASED
+    ]
+
+
+def take(lead: Leadership) -> tuple[list[Any], list[Tell]]:
+    """Return the records and effects of this turn, and begin the next."""
+    records = lead.records
+    effects = lead.effects
+    lead.records = []
+    lead.effects = []
+    return records, effects
--- /dev/null
+++ b/daisygw/zones/_membership.py
@@ -0,0 +1,138 @@
+"""Membership: forming a group, and replacing a replica that lost its state.
+
+A new replica first learns, votes only when it has caught up, and only then
+is the replica that it replaces removed: one change at a time.
+"""
+
+from daisygw.zones._messages import (
+    Form,
+    Hello,
+    HelloReply,
+    Members,
+    SnapshotTaken,
+    host_of,
+)
+from daisygw.zones._replica import (
+    Peer,
+    Replica,
+    Role,
+    is_formed,
+    last_index,
+    reset_election,
+    send,
+    take_members,
+)
+from daisygw.zones._replication import propose
+
+
+def say_hello(replica: Replica, now: float) -> None:
+    """As a new replica, ask every seat whether the group is formed."""
+    replica.hello_due = now + replica.timing.hello
+    for host in replica.seats:
+        if host != host_of(replica.name):
+            hello = Hello(replica.group, replica.name, host)
+            send(replica, hello)
+
+
+def on_hello(replica: Replica, hello: Hello, now: float) -> None:
+    """Answer a newcomer, and remember it."""
+    replica.newcomers[host_of(hello.sender)] = hello.sender
+    reply = HelloReply(
+        replica.group,
+        replica.name,
+        hello.sender,
+        is_formed(replica),
+    )
+    send(replica, reply)
+
+
+def on_hello_reply(replica: Replica, reply: HelloReply, now: float) -> None:
+    """Form the group once every seat is known to be new."""
+    if is_formed(replica) or reply.formed:
+        return
+    replica.newcomers[host_of(reply.sender)] = reply.sender
+    names = {**replica.newcomers, host_of(replica.name): replica.name}
+    if replica.seats[0] != host_of(replica.name):
+        return
+    if all(host in names for host in replica.seats):
+        voters = tuple(names[host] for host in replica.seats)
+        members = Members(voters)
+        _take_form(replica, members, now)
+        for name in voters:
+            if name != replica.name:
+                form = Form(replica.group, replica.name, name, members)
+                send(replica, form)
+
+
+def on_form(replica: Replica, form: Form, now: float) -> None:
+    """Take the group's first members."""
+    if not replica.members.voters:
+        _take_form(replica, form.members, now)
+
+
+def _take_form(replica: Replica, members: Members, now: float) -> None:
+    replica.base = SnapshotTaken(0, 0, members, b'')
+    take_members(replica)
+    replica.role = Role.FOLLOWER
+    replica.newcomers.clear()
+    reset_election(replica, now)
+
+
+def _settled(replica: Replica) -> bool:
+    pending = replica.log[replica.commit - replica.base.index :]
+    return not any(entry.members for entry in pending)
+
+
+def _welcome(replica: Replica) -> Members | None:
+    members = replica.members
+    known = {*members.voters, *members.learners}
+    for name in replica.newcomers.values():
+        if name not in known:
+            stale = host_of(name)
+            learners = tuple(
+                other for other in members.learners if host_of(other) != stale
+            )
+            return Members(members.voters, (*learners, name))
+    return None
+
+
+def _remove_stale(replica: Replica) -> Members | None:
+    voters = replica.members.voters
+    newest: dict[str, str] = {}
+    for name in voters:
+        newest[host_of(name)] = name
+    kept = tuple(name for name in voters if newest[host_of(name)] == name)
+    return None if kept == voters else Members(kept, replica.members.learners)
+
+
+def _promote(replica: Replica) -> Members | None:
+    members = replica.members
+    for name in members.learners:
+        peer = replica.peers.get(name)
+        ready = peer is not None and peer.match >= replica.commit
+        if ready and host_of(name) in replica.seats:
+            learners = tuple(one for one in members.learners if one != name)
+            return Members((*members.voters, name), learners)
+    return None
+
+
+def review(replica: Replica, now: float) -> None:
+    """As the leader, take the next step of a replacement, if any."""
+    if not _settled(replica):
+        return
+    change = _remove_stale(replica) or _promote(replica) or _welcome(replica)
+    if change is None:
+        return
+    propose(replica, b'', change)
+    everyone = {*change.voters, *change.learners}
+    for name in everyone - {replica.name} - set(replica.peers):
+        peer = Peer(last_index(replica))
+        peer.heard = now
+        replica.peers[name] = peer
+    for gone in set(replica.peers) - everyone:
+        replica.peers.pop(gone)
+    replica.newcomers = {
+        host: name
+        for host, name in replica.newcomers.items()
+        if name not in everyone
+    }
--- /dev/null
+++ b/daisygw/zones/_placing.py
@@ -0,0 +1,178 @@
+"""Placing: the leader's loop from waiting tasks to leases."""
+
+import heapq
+from itertools import islice
+
+from daisygw.contracts import (
+    LANES,
+    Contract,
+    Kind,
+    Size,
+    TaskKey,
+    TaskPlaced,
+    Waiting,
+    fits,
+    minus,
+    plus,
+    share_of,
+    taken,
+    times,
+)
+from daisygw.machines import Worker, candidates, refresh
+from daisygw.zones._admit import quota_of
+from daisygw.zones._leader import Leadership, is_open, record
+from daisygw.zones._orders import give_order
+
+_LOOK_AT = 8
+_LOOK_INTO = 4
+_MOST_PER_TURN = 512
+_LONG_LANES = frozenset({'long', 'gang'})
+
+
+def place_waiting(lead: Leadership) -> None:
+    """Place what fits now, lane by lane, a bounded number in a turn."""
+    _refresh(lead)
+    for name in LANES:
+        _place_lane(lead, name)
+
+
+def _refresh(lead: Leadership) -> None:
+    refresh(
+        lead.index,
+        lead.books.workers,
+        lambda worker: is_open(lead, worker),
+    )
+
+
+def _rank(lead: Leadership, team: str) -> float:
+    held = lead.books.register.held[team]
+    weight = lead.cfg.teams[team].weight if team in lead.cfg.teams else 1
+    return share_of(held, lead.books.capacity) / weight
+
+
+def _place_lane(lead: Leadership, name: str) -> None:
+    lane = lead.lanes.by_name[name]
+    if not lane.teams:
+        return
+    queue = [(_rank(lead, team), team) for team in lane.teams]
+    heapq.heapify(queue)
+    blocked: list[Size] = []
+    placed = 0
+    while queue and placed < _MOST_PER_TURN:
+        _, team = heapq.heappop(queue)
+        if _place_next(lead, name, team, blocked):
+            placed += 1
+            if team in lane.teams:
+                heapq.heappush(queue, (_rank(lead, team), team))
+
+
+def _place_next(
+    lead: Leadership,
+    name: str,
+    team: str,
+    blocked: list[Size],
+) -> bool:
+    jobs = list(islice(lead.lanes.by_name[name].teams[team], _LOOK_INTO))
+    for waiting in jobs:
+        if any(fits(size, waiting.size) for size in blocked):
+            continue
+        if not _may_hold(lead, name, waiting):
+            continue
+        if _place_job(lead, name, waiting):
+            return True
+        if waiting.contract.kind is not Kind.GANG:
+            blocked.append(waiting.size)
+    return False
+
+
+def _may_hold(lead: Leadership, name: str, waiting: Waiting) -> bool:
+    contract = waiting.contract
+    count = contract.count if contract.kind is Kind.GANG else 1
+    need = times(contract.size, count)
+    held = lead.books.register.held[contract.team]
+    if contract.team not in lead.cfg.teams:
+        return False
+    if not fits(plus(held, need), quota_of(lead, contract.team)):
+        return False
+    if name not in _LONG_LANES:
+        return True
+    slots = lead.books.capacity.slots
+    open_to_long = max(slots - int(slots * lead.policy.short_share), 1)
+    return lead.long_slots + need.slots <= open_to_long
+
+
+def _place_job(lead: Leadership, name: str, waiting: Waiting) -> bool:
+    lead.decisions += 1
+    if waiting.contract.kind is Kind.GANG:
+        return _place_gang(lead, waiting)
+    worker = _choose(lead, waiting.contract)
+    if worker is None:
+        return False
+    index = waiting.indexes.popleft()
+    taken(lead.lanes, waiting, 1)
+    _lease(lead, waiting.contract, index, worker)
+    if name in _LONG_LANES:
+        lead.long_tasks.add(TaskKey(waiting.contract.id, index))
+        lead.long_slots += 1
+    _refresh(lead)
+    return True
+
+
+def _choose(lead: Leadership, contract: Contract) -> Worker | None:
+    found = candidates(lead.index, contract.size, _LOOK_AT)
+    return min(
+        found,
+        key=lambda worker: lead.score(worker, contract.size),
+        default=None,
+    )
+
+
+def _lease(
+    lead: Leadership,
+    contract: Contract,
+    index: int,
+    worker: Worker,
+) -> None:
+    job = lead.books.register.jobs[contract.id]
+    placed = TaskPlaced(
+        contract.id,
+        index,
+        job.tasks[index].attempt + 1,
+        worker.spec.name,
+        worker.spec.incarnation,
+        lead.wall,
+    )
+    record(lead, placed)
+    give_order(lead, job, TaskKey(contract.id, index))
+
+
+def _place_gang(lead: Leadership, waiting: Waiting) -> bool:
+    contract = waiting.contract
+    chosen = _choose_gang(lead, contract, len(waiting.indexes))
+    if chosen is None:
+        return False
+    indexes = list(waiting.indexes)
+    waiting.indexes.clear()
+    taken(lead.lanes, waiting, len(indexes))
+    for index, worker in zip(indexes, chosen, strict=True):
+        _lease(lead, contract, index, worker)
+        lead.long_tasks.add(TaskKey(contract.id, index))
+        lead.long_slots += 1
+    _refresh(lead)
+    return True
+
+
+def _choose_gang(
+    lead: Leadership,
+    contract: Contract,
+    count: int,
+) -> list[Worker] | None:
+    chosen: list[Worker] = []
+    for worker in candidates(lead.index, contract.size, count):
+        free = worker.free
+        while len(chosen) < count and fits(contract.size, free):
+            chosen.append(worker)
+            free = minus(free, contract.size)
+        if len(chosen) == count:
+            return chosen
+    return None
--- /dev/null
+++ b/daisygw/zones/_queue.py
@@ -0,0 +1,99 @@
+"""How tasks come to wait, park and leave the queue of a leader."""
+
+from collections.abc import Iterable
+
+from daisygw.contracts import (
+    Contract,
+    Job,
+    Kind,
+    ResultCode,
+    TaskEnded,
+    TaskKey,
+    TaskSettled,
+    TaskState,
+    Waiting,
+    enqueue,
+    expected_run,
+    withdraw,
+)
+from daisygw.zones._leader import (
+    Leadership,
+    keep_until,
+    record,
+    tell_holders,
+)
+
+
+def is_held(lead: Leadership, contract: Contract) -> bool:
+    """Tell whether some entry could carry the job's orders out."""
+    if contract.kind is Kind.SERVICE:
+        return True
+    return bool(lead.holders.get(contract.id))
+
+
+def wait(lead: Leadership, job: Job, indexes: Iterable[int]) -> None:
+    """Let tasks wait in their lane, or park them where no entry holds them."""
+    contract = job.contract
+    if not is_held(lead, contract):
+        park(lead, contract.id)
+        return
+    run = expected_run(lead.books.register, contract)
+    lane = lead.lane_of(contract, run)
+    enqueue(lead.lanes, lane, Waiting(contract, run, lead.now), iter(indexes))
+
+
+def park(lead: Leadership, job: str) -> None:
+    """Take a job out of the queue until an entry holds it again."""
+    withdraw(lead.lanes, job)
+    lead.parked.setdefault(job, lead.now + lead.policy.park)
+
+
+def unpark(lead: Leadership, job: Job) -> None:
+    """Let a parked job's tasks wait again."""
+    if lead.parked.pop(job.contract.id, None) is None:
+        return
+    queued = [
+        task.index for task in job.tasks if task.state is TaskState.QUEUED
+    ]
+    if queued:
+        wait(lead, job, queued)
+
+
+def end_queued(lead: Leadership, job: Job, code: ResultCode) -> None:
+    """End every task of a job that was not started, as not run."""
+    contract = job.contract
+    withdraw(lead.lanes, contract.id)
+    lead.parked.pop(contract.id, None)
+    for task in list(job.tasks):
+        if task.state is TaskState.QUEUED:
+            end_task(lead, job, task.index, code)
+
+
+def end_task(
+    lead: Leadership,
+    job: Job,
+    index: int,
+    code: int,
+    run: int = 0,
+) -> None:
+    """End one task for good and tell the entries that hold its callers."""
+    contract = job.contract
+    task = job.tasks[index]
+    ended = TaskEnded(contract.id, index, task.attempt, code, lead.wall, run)
+    record(lead, ended)
+    key = TaskKey(contract.id, index)
+    settled = TaskSettled(
+        key,
+        task.attempt,
+        code,
+        address_of(lead, task.target),
+    )
+    tell_holders(lead, contract.id, settled)
+    if job.open == 0:
+        keep_until(lead, job)
+
+
+def address_of(lead: Leadership, target: str) -> str:
+    """Return a target's address, empty where it is not known."""
+    worker = lead.books.workers.by_name.get(target)
+    return worker.spec.address if worker else ''
--- /dev/null
+++ b/daisygw/zones/_replica.py
@@ -0,0 +1,293 @@
+"""The state of one replica of a group's log, and what all parts share.
+
+The decisions are plain functions over this state: they take an event and the
+time, change the state and leave effects in ``Replica.effects``; nothing here
+does I/O.  After each round of events the owner calls ``drain`` and carries
+the effects out in order: what must be durable comes first.
+"""
+
+import enum
+from random import Random
+
+from daisygw.zones._messages import (
+    Commit,
+    Deposed,
+    LogEntry,
+    Members,
+    Persist,
+    Send,
+    SnapshotTaken,
+    Timing,
+)
+
+
+class Role(enum.StrEnum):
+    """What a replica is in its group now."""
+
+    NEW = 'new'
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class Peer:
+    """What a leader knows of one other replica."""
+
+    def __init__(self, next_index: int) -> None:
+        """Begin by sending from ``next_index`` on."""
+        self.next_index = next_index
+        self.match = 0
+        self.commit = 0
+        self.acked = float('-inf')
+        self.heard = float('-inf')
+        self.snapshot_offset = 0
+        self.waiting = False
+
+
+class Replica:
+    """One replica: its term and vote, log, members and role."""
+
+    def __init__(
+        self,
+        group: str,
+        name: str,
+        seats: tuple[str, ...],
+        timing: Timing,
+        seed: int,
+        *,
+        away: bool = False,
+    ) -> None:
+        """Begin new: in no group, with an empty log.
+
+        ``seats`` are the hosts whose replicas vote; ``seed`` feeds the
+        election timer; ``away`` marks the tie-breaker, which lives in
+        another failure domain.
+        """
+        self.away = away
+        self.group = group
+        self.name = name
+        self.seats = seats
+        self.timing = timing
+        self.random = Random(seed)
+        self.role = Role.NEW
+        self.term = 0
+        self.vote = ''
+        self.leader = ''
+        self.log: list[LogEntry] = []
+        self.base = SnapshotTaken(0, 0, Members(), b'')
+        self.members = Members()
+        self.commit = 0
+        self.peers: dict[str, Peer] = {}
+        self.votes: set[str] = set()
+        self.trial = False
+        self.newcomers: dict[str, str] = {}
+        self.incoming = bytearray()
+        self.heard = float('-inf')
+        self.election_due = 0.0
+        self.heartbeat_due = 0.0
+        self.hello_due = 0.0
+        self.effects: list[object] = []
+        self.durable = _Durable()
+
+
+class _Durable:
+    """What of a replica is durable already."""
+
+    def __init__(self) -> None:
+        self.term = 0
+        self.vote = ''
+        self.members = Members()
+        self.index = 0
+        self.cut = 0
+        self.snapshot: SnapshotTaken | None = None
+
+
+def last_index(replica: Replica) -> int:
+    """Return the index of the last entry."""
+    return replica.base.index + len(replica.log)
+
+
+def term_at(replica: Replica, index: int) -> int:
+    """Return the term of the entry at ``index``, -1 where there is none."""
+    if index == replica.base.index:
+        return replica.base.term
+    offset = index - replica.base.index - 1
+    if 0 <= offset < len(replica.log):
+        return replica.log[offset].term
+    return -1
+
+
+def entries_from(replica: Replica, index: int) -> tuple[LogEntry, ...]:
+    """Return the entries from ``index`` to the end."""
+    return tuple(replica.log[index - replica.base.index - 1 :])
+
+
+def entry_at(replica: Replica, index: int) -> LogEntry:
+    """Return the entry at ``index``, which must be in the log."""
+    return replica.log[index - replica.base.index - 1]
+
+
+def majority(members: Members) -> int:
+    """Return how many voters make a majority."""
+    return len(members.voters) // 2 + 1
+
+
+def belongs(replica: Replica) -> bool:
+    """Tell whether this replica is a member, as far as it knows."""
+    members = replica.members
+    return replica.name in members.voters or replica.name in members.learners
+
+
+def is_formed(replica: Replica) -> bool:
+    """Tell whether this replica has taken part in a group."""
+    return bool(replica.members.voters) or replica.term > 0
+
+
+def is_voter(replica: Replica) -> bool:
+    """Tell whether this replica votes now."""
+    return replica.name in replica.members.voters
+
+
+def send(replica: Replica, message: object) -> None:
+    """Leave a message to be sent."""
+    replica.effects.append(Send(message))
+
+
+def reset_election(replica: Replica, now: float) -> None:
+    """Put off this replica's own candidacy.
+
+    A replica away from home (the tie-breaker) waits longer, so that the
+    failure domain's own hosts lead.
+    """
+    wait = replica.timing.election * (1 + replica.random.random())
+    if replica.away:
+        wait += replica.timing.election
+    replica.election_due = now + wait
+
+
+def take_members(replica: Replica) -> None:
+    """Use the newest members in the log, committed or not."""
+    for entry in reversed(replica.log):
+        if entry.members is not None:
+            replica.members = entry.members
+            return
+    replica.members = replica.base.members
+
+
+def step_down(replica: Replica, term: int, now: float) -> None:
+    """Follow in ``term``; a newer term clears the vote."""
+    if term > replica.term:
+        replica.term = term
+        replica.vote = ''
+        replica.leader = ''
+    if replica.role is Role.LEADER:
+        replica.effects.append(Deposed())
+    if replica.role is not Role.FOLLOWER:
+        reset_election(replica, now)
+    replica.role = Role.FOLLOWER
+    replica.peers.clear()
+
+
+def cut_log(replica: Replica, index: int) -> None:
+    """Drop the entries from ``index`` on, which are not committed."""
+    if index <= replica.commit:
+        raise AssertionError('a committed entry may not be cut')
+    del replica.log[index - replica.base.index - 1 :]
+    durable = replica.durable
+    if index <= durable.index:
+        durable.cut = min(durable.cut, index) if durable.cut else index
+        durable.index = index - 1
+    take_members(replica)
+
+
+def add_entries(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
+    """Add entries to the end of the log."""
+    replica.log.extend(entries)
+    for entry in entries:
+        if entry.members is not None:
+            replica.members = entry.members
+
+
+def commit_to(replica: Replica, index: int) -> None:
+    """Move the commit index forward and hand out what it passes."""
+    index = min(index, last_index(replica))
+    if index <= replica.commit:
+        return
+    first = replica.commit - replica.base.index
+    last = index - replica.base.index
+    replica.commit = index
+    replica.effects.append(Commit(tuple(replica.log[first:last])))
+
+
+def compact(replica: Replica, index: int, state: bytes) -> None:
+    """Let ``state`` stand for the log up to the committed ``index``."""
+    members = replica.base.members
+    for entry in replica.log[: index - replica.base.index]:
+        if entry.members is not None:
+            members = entry.members
+    taken = SnapshotTaken(index, term_at(replica, index), members, state)
+    del replica.log[: index - replica.base.index]
+    replica.base = taken
+    replica.durable.snapshot = taken
+
+
+def _unsaved(replica: Replica) -> Persist | None:
+    durable = replica.durable
+    saved = 0 if durable.snapshot else durable.index
+    first = max(saved, replica.base.index) + 1
+    entries = entries_from(replica, first)
+    same = (
+        durable.term == replica.term
+        and durable.vote == replica.vote
+        and durable.members == replica.base.members
+    )
+    if same and not entries and not durable.cut and not durable.snapshot:
+        return None
+    return Persist(
+        replica.term,
+        replica.vote,
+        replica.base.members,
+        entries,
+        durable.cut,
+        durable.snapshot,
+    )
+
+
+def drain(replica: Replica) -> list[object]:
+    """Return the effects since the last call, durability first."""
+    persist = _unsaved(replica)
+    effects = replica.effects
+    replica.effects = []
+    if persist is None:
+        return effects
+    durable = replica.durable
+    durable.term = replica.term
+    durable.vote = replica.vote
+    durable.members = replica.base.members
+    durable.index = last_index(replica)
+    durable.cut = 0
+    durable.snapshot = None
+    return [persist, *effects]
+
+
+def reload(replica: Replica, saved: Persist, now: float) -> None:
+    """Take up what an earlier life of this replica made durable.
+
+    It grants no vote for an election time: an earlier life may have
+    answered a leader just before it ended.
+    """
+    replica.term = saved.term
+    replica.vote = saved.vote
+    replica.base = saved.snapshot or SnapshotTaken(0, 0, saved.members, b'')
+    replica.log = list(saved.entries)
+    replica.commit = replica.base.index
+    take_members(replica)
+    if replica.members.voters:
+        replica.role = Role.FOLLOWER
+    durable = replica.durable
+    durable.term = saved.term
+    durable.vote = saved.vote
+    durable.members = replica.base.members
+    durable.index = last_index(replica)
+    replica.heard = now
+    reset_election(replica, now)
--- /dev/null
+++ b/daisygw/zones/_settle.py
@@ -0,0 +1,124 @@
+"""What follows from the end of an attempt: an outcome, or another try."""
+
+from daisygw.contracts import (
+    CodeClass,
+    Job,
+    Kind,
+    ResultCode,
+    Task,
+    TaskKey,
+    TaskReport,
+    TaskRequeued,
+    TaskState,
+    code_class,
+)
+from daisygw.zones._leader import Leadership, record
+from daisygw.zones._queue import end_task, wait
+
+_FREE_RETRIES = 10
+_SHUN_UNREACHABLE = 1.0
+
+
+def settle(
+    lead: Leadership,
+    key: TaskKey,
+    attempt: int,
+    code: int,
+    run: int = 0,
+) -> None:
+    """Close an attempt with ``code``; a late or doubled end is dropped."""
+    job = lead.books.register.jobs.get(key.job)
+    if job is None or not 0 <= key.index < len(job.tasks):
+        return
+    task = job.tasks[key.index]
+    if task.state is not TaskState.LEASED or task.attempt != attempt:
+        return
+    lead.orders.pop(key, None)
+    _forget_long(lead, key)
+    _note_target(lead, key, task, code)
+    if _ends(lead, job, task, code):
+        end_task(lead, job, key.index, _final_code(job, task, code), run)
+        return
+    fault = code_class(code) is not CodeClass.NOT_RUN
+    fault = fault and code != ResultCode.PREEMPTED
+    requeued = TaskRequeued(
+        key.job,
+        key.index,
+        attempt,
+        code,
+        lead.wall,
+        fault,
+    )
+    record(lead, requeued)
+    wait(lead, job, [key.index])
+
+
+def _forget_long(lead: Leadership, key: TaskKey) -> None:
+    if key in lead.long_tasks:
+        lead.long_tasks.discard(key)
+        lead.long_slots -= 1
+
+
+def _ends(lead: Leadership, job: Job, task: Task, code: int) -> bool:
+    kind = code_class(code)
+    if kind is CodeClass.NOT_RUN or code == ResultCode.PREEMPTED:
+        return False
+    if code not in {ResultCode.TASK_FAILED, ResultCode.WORKER_LOST}:
+        return True
+    if not job.contract.repeatable:
+        return True
+    if job.contract.kind is Kind.SERVICE:
+        return False
+    return (
+        len(task.failed_on) + 1 >= lead.policy.retries
+        or not _has_retry_budget(lead)
+    )
+
+
+def _has_retry_budget(lead: Leadership) -> bool:
+    register = lead.books.register
+    budget = register.started * lead.policy.retry_share + _FREE_RETRIES
+    return register.retried < budget
+
+
+def _final_code(job: Job, task: Task, code: int) -> int:
+    tried = {*task.failed_on, task.target}
+    if code == ResultCode.TASK_FAILED and len(tried) > 1:
+        return ResultCode.FAILED_EVERYWHERE
+    return code
+
+
+def _note_target(
+    lead: Leadership,
+    key: TaskKey,
+    task: Task,
+    code: int,
+) -> None:
+    sighting = lead.sightings.get(task.target)
+    if sighting is None:
+        return
+    if code == ResultCode.ANSWERED:
+        sighting.failures.clear()
+    elif code == ResultCode.TASK_FAILED:
+        sighting.failures.add(f'{key.job}/{key.index}')
+
+
+def on_report(lead: Leadership, report: TaskReport, entry: str) -> None:
+    """Take what an entry saw of an attempt.
+
+    That an order never left is believed only of the one entry that had it.
+    """
+    if code_class(report.code) is not CodeClass.NOT_RUN:
+        settle(lead, report.key, report.attempt, report.code, report.run)
+        return
+    ordered = lead.orders.get(report.key)
+    if ordered is None or ordered.attempt != report.attempt:
+        return
+    job = lead.books.register.jobs[report.key.job]
+    target = job.tasks[report.key.index].target
+    sighting = lead.sightings.get(target)
+    if sighting:
+        sighting.shunned = lead.now + _SHUN_UNREACHABLE
+        lead.books.workers.touched.add(target)
+    if ordered.entries == {entry} and not ordered.inherited:
+        settle(lead, report.key, report.attempt, report.code)
--- /dev/null
+++ b/daisygw/zones/_turns.py
@@ -0,0 +1,149 @@
+"""A leader's turns: its beginning, the passing of time, cancellations."""
+
+import heapq
+
+from daisygw.contracts import (
+    Answer,
+    Cancel,
+    Drain,
+    Job,
+    JobForgotten,
+    RefusalsTallied,
+    ResultCode,
+    TaskKey,
+    TaskState,
+)
+from daisygw.machines import TargetDrained
+from daisygw.zones._leader import (
+    Leadership,
+    keep_until,
+    leased_tasks,
+    record,
+    tell,
+)
+from daisygw.zones._orders import give_stop
+from daisygw.zones._placing import place_waiting
+from daisygw.zones._queue import end_queued, park, wait
+from daisygw.zones._watch import adopt_orders, sweep_leases
+
+_SWEEP_EVERY = 0.25
+
+
+def begin(lead: Leadership) -> None:
+    """Take over the books: adopt leases, queue what waits."""
+    adopt_orders(lead)
+    for job in list(lead.books.register.jobs.values()):
+        _adopt(lead, job)
+
+
+def _adopt(lead: Leadership, job: Job) -> None:
+    if job.open == 0:
+        keep_until(lead, job)
+        return
+    queued = [
+        task.index for task in job.tasks if task.state is TaskState.QUEUED
+    ]
+    if queued:
+        wait(lead, job, queued)
+    if job.contract.deadline:
+        due = (lead.now + job.contract.deadline, job.contract.id)
+        heapq.heappush(lead.deadlines, due)
+
+
+def pass_time(lead: Leadership, now: float, wall: int) -> None:
+    """Move the clock: ``now`` monotonic (s), ``wall`` since epoch (ms)."""
+    lead.now = now
+    lead.wall = max(wall, lead.wall)
+    if now < lead.sweep_due:
+        return
+    lead.sweep_due = now + _SWEEP_EVERY
+    sweep_leases(lead)
+    _expire(lead)
+    _forget(lead)
+    _tally(lead)
+
+
+def finish_turn(lead: Leadership) -> None:
+    """Place what the events of this turn made possible."""
+    place_waiting(lead)
+
+
+def _expire(lead: Leadership) -> None:
+    jobs = lead.books.register.jobs
+    while lead.deadlines and lead.deadlines[0][0] <= lead.now:
+        _, name = heapq.heappop(lead.deadlines)
+        job = jobs.get(name)
+        if job and job.open:
+            end_queued(lead, job, ResultCode.DEADLINE_PASSED)
+    for name, until in list(lead.parked.items()):
+        job = jobs.get(name)
+        if job is None or lead.now >= until:
+            lead.parked.pop(name)
+            if job:
+                end_queued(lead, job, ResultCode.CALLER_GONE)
+
+
+def _forget(lead: Leadership) -> None:
+    while lead.ended and lead.ended[0][0] <= lead.now:
+        _, name = heapq.heappop(lead.ended)
+        lead.holders.pop(name, None)
+        record(lead, JobForgotten(name))
+
+
+def _tally(lead: Leadership) -> None:
+    for (team, code), count in lead.refusals.items():
+        record(lead, RefusalsTallied(team, code, count))
+    lead.refusals.clear()
+
+
+def on_cancel(lead: Leadership, cancel: Cancel, entry: str) -> None:
+    """Cancel a wave of jobs; the cost is that of the jobs named."""
+    unknown = 0
+    for name in cancel.jobs:
+        job = lead.books.register.jobs.get(name)
+        if job is None:
+            unknown += 1
+            continue
+        end_queued(lead, job, ResultCode.CANCELLED)
+        for index in leased_tasks(job):
+            _stop_task(lead, job, index)
+    code = ResultCode.ACCEPTED
+    if unknown == len(cancel.jobs):
+        code = ResultCode.UNKNOWN_JOB
+    reason = f'{len(cancel.jobs) - unknown} cancelled, {unknown} unknown'
+    tell(lead, entry, Answer(cancel.seq, code, reason))
+
+
+def _stop_task(lead: Leadership, job: Job, index: int) -> None:
+    task = job.tasks[index]
+    key = TaskKey(job.contract.id, index)
+    ordered = lead.orders[key]
+    ordered.stopping = ResultCode.CANCELLED_RUNNING
+    give_stop(lead, key, task.attempt, task.target, ordered.stopping)
+
+
+def on_drain(lead: Leadership, drain: Drain, entry: str) -> None:
+    """Close a target to new work, or open it again."""
+    if drain.target not in lead.books.workers.by_name:
+        answer = Answer(drain.seq, ResultCode.UNKNOWN_TARGET, drain.target)
+        tell(lead, entry, answer)
+        return
+    record(lead, TargetDrained(drain.target, drain.drained))
+    tell(lead, entry, Answer(drain.seq, ResultCode.ACCEPTED))
+
+
+def entry_up(lead: Leadership, entry: str) -> None:
+    """Note an entry that is connected to this leader."""
+    lead.entries[entry] = None
+
+
+def entry_down(lead: Leadership, entry: str) -> None:
+    """Note that an entry is gone, and park what only it held."""
+    lead.entries.pop(entry, None)
+    for name, holders in lead.holders.items():
+        if entry not in holders:
+            continue
+        holders.discard(entry)
+        job = lead.books.register.jobs.get(name)
+        if not holders and job and name in lead.lanes.where:
+            park(lead, name)
--- /dev/null
+++ b/daisygw/zones/_watch.py
@@ -0,0 +1,199 @@
+"""Watching the targets: announcements, leases and what they prove."""
+
+from daisygw.contracts import (
+    Job,
+    Kind,
+    ResultCode,
+    TaskKey,
+    TaskState,
+)
+from daisygw.machines import (
+    Announcement,
+    AnnouncementTaken,
+    RunningAttempt,
+    TargetDropped,
+    TargetListed,
+    TargetSetAside,
+    Worker,
+)
+from daisygw.zones._leader import Leadership, Ordered, Sighting, record, tell
+from daisygw.zones._orders import give_order, give_stop
+from daisygw.zones._settle import settle
+
+_MOST_RESENDS = 2
+_SILENT_BEATS = 2.5
+
+
+def on_announcement(
+    lead: Leadership,
+    announcement: Announcement,
+    entry: str,
+) -> None:
+    """Take a target's announcement and acknowledge it through ``entry``."""
+    sighting = _sighting(lead, announcement)
+    if sighting is None or announcement.number <= sighting.number:
+        return
+    sighting.number = announcement.number
+    sighting.seen = lead.now
+    policy = lead.policy
+    sighting.lease_end = lead.now + policy.lease + policy.lease_margin
+    lead.books.workers.touched.add(announcement.spec.name)
+    for ended in announcement.ended:
+        settle(lead, ended.key, ended.attempt, ended.code, ended.run)
+    _check_running(lead, announcement)
+    _judge(lead, announcement.spec.name, sighting)
+    taken = AnnouncementTaken(
+        announcement.spec.name,
+        announcement.spec.incarnation,
+        announcement.number,
+        policy.lease,
+        policy.order_age,
+        policy.announce_every,
+    )
+    tell(lead, entry, taken)
+
+
+def _sighting(
+    lead: Leadership,
+    announcement: Announcement,
+) -> Sighting | None:
+    spec = announcement.spec
+    known = lead.sightings.get(spec.name)
+    if known and spec.incarnation in known.past:
+        return None
+    worker = lead.books.workers.by_name.get(spec.name)
+    if worker and worker.spec.incarnation != spec.incarnation:
+        lose_attempts(lead, worker)
+    if known is None or known.incarnation != spec.incarnation:
+        fresh = Sighting(spec.incarnation, lead.now)
+        if known:
+            fresh.past = {*known.past, known.incarnation}
+        lead.sightings[spec.name] = fresh
+        known = fresh
+    if worker is None or worker.spec != spec:
+        record(lead, TargetListed(spec))
+    return known
+
+
+def lose_attempts(lead: Leadership, worker: Worker) -> None:
+    """Close every attempt of a worker whose process or lease is over."""
+    for key in list(worker.held):
+        task = lead.books.register.jobs[key.job].tasks[key.index]
+        settle(lead, key, task.attempt, ResultCode.WORKER_LOST)
+
+
+def _check_running(lead: Leadership, announcement: Announcement) -> None:
+    name = announcement.spec.name
+    worker = lead.books.workers.by_name[name]
+    running = {attempt.key: attempt for attempt in announcement.running}
+    for attempt in announcement.running:
+        _check_known(lead, attempt, worker)
+    for key in list(worker.held):
+        if key not in running:
+            _check_absent(lead, key, announcement)
+
+
+def _check_known(
+    lead: Leadership,
+    attempt: RunningAttempt,
+    worker: Worker,
+) -> None:
+    ordered = lead.orders.get(attempt.key)
+    known = ordered is not None and ordered.attempt == attempt.attempt
+    if known and attempt.key in worker.held:
+        ordered.running = True
+        if ordered.stopping:
+            _stop(lead, attempt, worker, ordered.stopping)
+        return
+    _stop(lead, attempt, worker, ResultCode.CANCELLED_RUNNING)
+
+
+def _stop(
+    lead: Leadership,
+    attempt: RunningAttempt,
+    worker: Worker,
+    code: int,
+) -> None:
+    name = worker.spec.name
+    give_stop(lead, attempt.key, attempt.attempt, name, code)
+
+
+def _check_absent(
+    lead: Leadership,
+    key: TaskKey,
+    announcement: Announcement,
+) -> None:
+    """Decide on a held attempt that its target does not list.
+
+    An order is refused once it is older than ``order_age``.  An
+    announcement made after one that was acknowledged later than that proves
+    that an attempt missing from it never starts.
+    """
+    ordered = lead.orders[key]
+    if ordered.running:
+        settle(lead, key, ordered.attempt, ResultCode.WORKER_LOST)
+        return
+    if lead.now < ordered.at + lead.policy.order_age:
+        _resend(lead, key, ordered)
+    elif ordered.proof == 0:
+        ordered.proof = announcement.number
+    elif announcement.heard >= ordered.proof:
+        settle(lead, key, ordered.attempt, ResultCode.NOT_STARTED)
+
+
+def _resend(lead: Leadership, key: TaskKey, ordered: Ordered) -> None:
+    waited = lead.now - ordered.at
+    patient = waited < lead.policy.announce_every
+    if patient or ordered.resent >= _MOST_RESENDS:
+        return
+    ordered.resent += 1
+    give_order(lead, lead.books.register.jobs[key.job], key)
+
+
+def _judge(lead: Leadership, name: str, sighting: Sighting) -> None:
+    worker = lead.books.workers.by_name[name]
+    failed = len(sighting.failures) >= lead.policy.aside_failures
+    if not worker.aside and failed:
+        record(lead, TargetSetAside(name, aside=True))
+        sighting.probe_due = lead.now + lead.policy.probe_every
+    elif worker.aside and lead.now >= sighting.probe_due:
+        sighting.failures = set(list(sighting.failures)[:-1])
+        record(lead, TargetSetAside(name, aside=False))
+        sighting.probe_due = float('inf')
+
+
+def sweep_leases(lead: Leadership) -> None:
+    """Drop the targets whose lease is over; shun those that fell silent."""
+    silence = lead.policy.announce_every * _SILENT_BEATS
+    for name, sighting in list(lead.sightings.items()):
+        worker = lead.books.workers.by_name.get(name)
+        if worker is None:
+            continue
+        if lead.now >= sighting.lease_end:
+            lose_attempts(lead, worker)
+            record(lead, TargetDropped(name, worker.spec.incarnation))
+            sighting.number = 0
+        elif lead.now - sighting.seen > silence:
+            sighting.shunned = lead.now + lead.policy.announce_every
+            lead.books.workers.touched.add(name)
+
+
+def adopt_orders(lead: Leadership) -> None:
+    """As a new leader, take every lease in the books as may be running."""
+    policy = lead.policy
+    lease_end = lead.now + policy.lease + policy.lease_margin
+    for name, worker in lead.books.workers.by_name.items():
+        incarnation = worker.spec.incarnation
+        lead.sightings[name] = Sighting(incarnation, lease_end)
+    for job in lead.books.register.jobs.values():
+        _adopt_job(lead, job)
+
+
+def _adopt_job(lead: Leadership, job: Job) -> None:
+    for task in job.tasks:
+        if task.state is TaskState.LEASED:
+            ordered = Ordered(task.attempt, lead.now)
+            ordered.inherited = True
+            lead.orders[TaskKey(job.contract.id, task.index)] = ordered
+
+
