--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+SEED ?= 1
+ROUNDS ?= 1
+
+.PHONY: help install format check test demo binary bench bench-decisions chaos slopes clean
+
+help:  ## List the verbs
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
+
+$(STAMP): requirements.txt requirements-dev.txt constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements-dev.txt -c constraints.txt
+	touch $(STAMP)
+
+install: $(STAMP)  ## Install what the checkout needs, pinned
+
+format: $(STAMP)  ## Format the code
+	$(BIN)/ruff check -q --fix .
+	$(BIN)/ruff format -q .
+
+check: $(STAMP)  ## Check format and lint
+	$(BIN)/ruff format -q --check .
+	$(BIN)/ruff check -q .
+	$(BIN)/flake8 daisygw standins tests bench
+
+test: check  ## Check, and run all tests
+	$(BIN)/python -m behave --no-summary tests/features
+
+demo: $(STAMP)  ## Run a small cell and submit to it
+	$(BIN)/python -m standins.demo
+
+binary: $(STAMP)  ## Build the one binary, dist/daisygw
+	sh standins/build.sh $(BIN)
+
+bench: $(STAMP)  ## Measure whole cells at the users' sizes
+	$(BIN)/python -m bench.cells
+
+bench-decisions: $(STAMP)  ## Measure the decisions alone
+	$(BIN)/python -m bench.decisions
+
+slopes: $(STAMP)  ## Measure the slopes of docs/CAPACITY.md
+	$(BIN)/python -m bench.slopes
+
+chaos: $(STAMP)  ## Break a cell at random: SEED=n ROUNDS=n
+	$(BIN)/python -m bench.chaos --seed $(SEED) --rounds $(ROUNDS)
+
+clean:  ## Remove what was built
+	rm -rf build dist run *.egg-info
--- a/daisygw/cli/__init__.py
+++ b/daisygw/cli/__init__.py
@@ -1,8 +1,10 @@
 """The command line: definitions of commands apart from what they do."""
 
 from daisygw.cli._app import make_application, run_application
+from daisygw.cli._definitions import command_names
 
 __all__ = (
+    'command_names',
     'make_application',
     'run_application',
 )
--- a/daisygw/cli/_app.py
+++ b/daisygw/cli/_app.py
@@ -24,7 +24,9 @@
         self.name = definition.name
         self.description = definition.text
         self.arguments = [
-            argument(one.name, one.text, optional=one.optional, multiple=one.many)
+            argument(
+                one.name, one.text, optional=one.optional, multiple=one.many
+            )
             for one in definition.arguments
         ]
         self.options = [
--- a/daisygw/cli/_client.py
+++ b/daisygw/cli/_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -42,7 +42,7 @@
 async def calling(
     address: str,
     call: Call,
-) -> AsyncIterator[aiohttp.ClientResponse]:
+) -> AsyncGenerator[aiohttp.ClientResponse, None]:
     """Make a call; the body reads its reply."""
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT)
     url = f'http://{address}{call.path}'
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -60,9 +60,7 @@
         'submit',
         'Submit a request and print its whole answer',
         'daisygw.cli._requests:submit',
-        arguments=(
-            Argument('body', 'File with the body, - for input', True),
-        ),
+        arguments=(Argument('body', 'File with the body, - for input', True),),
         options=(
             _ENTRY,
             Option('id', 'Id of the request; repeat it to send it again'),
@@ -145,3 +143,8 @@
         options=(_ENTRY,),
     ),
 )
+
+
+def command_names() -> list[str]:
+    """Return the names of all commands."""
+    return [definition.name for definition in COMMANDS]
--- a/daisygw/cli/_execution.py
+++ b/daisygw/cli/_execution.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from importlib import import_module
+from types import MappingProxyType
 from typing import Any
 
 from daisygw.cli._definitions import Definition
@@ -11,7 +12,7 @@
 
 Given = Mapping[str, Any]
 
-_BY_CLASS = {
+_BY_CLASS = MappingProxyType({
     CodeClass.DONE: ExitStatus.SUCCESS,
     CodeClass.BAD_INPUT: ExitStatus.REFUSED,
     CodeClass.NOT_RUN: ExitStatus.REFUSED,
@@ -19,11 +20,11 @@
     CodeClass.UNKNOWN: ExitStatus.UNKNOWN,
     CodeClass.OPERATOR: ExitStatus.REFUSED,
     CodeClass.PROCESS: ExitStatus.ERROR,
-}
-_BY_CODE = {
+})
+_BY_CODE = MappingProxyType({
     ResultCode.SETTINGS_INVALID: ExitStatus.SETTINGS,
     ResultCode.ENTRY_UNREACHABLE: ExitStatus.UNREACHABLE,
-}
+})
 
 
 def exit_status(code: int) -> ExitStatus:
--- a/daisygw/contracts/_codes.py
+++ b/daisygw/contracts/_codes.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from types import MappingProxyType
 
 _CLASS_WIDTH = 100
 
@@ -70,7 +71,7 @@
     PROCESS = 7
 
 
-_HTTP_BY_CLASS = {
+_HTTP_BY_CLASS = MappingProxyType({
     CodeClass.DONE: 200,
     CodeClass.BAD_INPUT: 400,
     CodeClass.NOT_RUN: 503,
@@ -78,9 +79,9 @@
     CodeClass.UNKNOWN: 504,
     CodeClass.OPERATOR: 409,
     CodeClass.PROCESS: 500,
-}
+})
 
-_HTTP_BY_CODE = {
+_HTTP_BY_CODE = MappingProxyType({
     ResultCode.ACCEPTED: 202,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.NEVER_FITS: 422,
@@ -90,7 +91,7 @@
     ResultCode.UNKNOWN_JOB: 404,
     ResultCode.UNKNOWN_TARGET: 404,
     ResultCode.CONFIG_INVALID: 400,
-}
+})
 
 
 def code_class(code: int) -> CodeClass:
--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -104,7 +104,7 @@
 
     @property
     def version(self) -> int:
-        """Return the newest accepted version, 0 before any change."""
+        """The newest accepted version, 0 before any change."""
         return self.current.version if self.current else 0
 
 
--- a/daisygw/contracts/_lanes.py
+++ b/daisygw/contracts/_lanes.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 from typing import TypeAlias
 
 from daisygw.contracts._configuration import Policy
@@ -33,7 +34,7 @@
 
     @property
     def size(self) -> Size:
-        """Return what one task needs."""
+        """What one task needs."""
         return self.contract.size
 
 
@@ -78,10 +79,10 @@
     return lane_of
 
 
-ORDERINGS: Mapping[str, Callable[[Policy], LaneOf]] = {
+ORDERINGS: Mapping[str, Callable[[Policy], LaneOf]] = MappingProxyType({
     'lanes': by_lanes,
     'fifo': by_arrival,
-}
+})
 
 
 def enqueue(
--- a/daisygw/contracts/_messages.py
+++ b/daisygw/contracts/_messages.py
@@ -50,6 +50,14 @@
     run: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedAtEntry:
+    """A submission that the entry refused itself, for the tally."""
+
+    team: str
+    code: int
+
+
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """Cancel jobs by id, all answered at once."""
--- /dev/null
+++ b/daisygw/links/_announce_http.py
@@ -0,0 +1,74 @@
+"""The HTTP face of an entry for targets: their announcements."""
+
+import asyncio
+from dataclasses import asdict
+
+import falcon.asgi
+import msgspec
+
+from daisygw.contracts import ContractError, ResultCode
+from daisygw.links._entry import Entry, tell_leader
+from daisygw.links._entry_http import put_refusal
+from daisygw.machines import Announced, Announcement, AnnouncementTaken
+
+_ANNOUNCE_WAIT = 2.0
+
+
+class Announcements:
+    """``/v1/targets/{name}/announcements``: a target's heartbeats."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        name: str,
+    ) -> None:
+        """Pass an announcement on; answer once the leader took it."""
+        announcement = _announcement(await req.stream.read(), name)
+        taken = await _announce(self.entry, announcement)
+        if taken is None:
+            reason = 'no leader took the announcement in time'
+            put_refusal(resp, ResultCode.NO_LEADER, reason)
+            return
+        resp.media = asdict(taken)
+
+
+_decode_announcement = msgspec.json.Decoder(Announcement).decode
+
+
+def _announcement(raw: bytes, name: str) -> Announcement:
+    try:
+        announcement = _decode_announcement(raw)
+    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+        raise ContractError(ResultCode.MALFORMED, str(exc)) from exc
+    spec = announcement.spec
+    if spec.name != name:
+        raise ContractError(ResultCode.BAD_VALUE, 'spec.name: not that of it')
+    capacity = spec.capacity
+    amounts = (capacity.cpus, capacity.memory, capacity.accelerators)
+    if min(amounts) < 0 or capacity.slots < 1 or announcement.number < 1:
+        reason = 'spec.capacity: must not be negative'
+        raise ContractError(ResultCode.BAD_SIZE, reason)
+    return announcement
+
+
+async def _announce(
+    entry: Entry,
+    announcement: Announcement,
+) -> AnnouncementTaken | None:
+    spec = announcement.spec
+    key = (spec.name, spec.incarnation, announcement.number)
+    fut = asyncio.get_running_loop().create_future()
+    entry.announced[key] = fut
+    try:
+        if not tell_leader(entry, entry.domain, Announced(announcement)):
+            return None
+        return await asyncio.wait_for(fut, _ANNOUNCE_WAIT)
+    except TimeoutError:
+        return None
+    finally:
+        entry.announced.pop(key, None)
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -9,6 +9,7 @@
 import typing
 from collections.abc import Callable, Iterable
 from operator import attrgetter
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -25,7 +26,7 @@
     decoder: msgspec.msgpack.Decoder
 
 
-_NUMBERS: dict[int, type] = {
+_NUMBERS: dict[int, type] = MappingProxyType({
     1: contracts.JobAccepted,
     2: contracts.TaskPlaced,
     3: contracts.TaskEnded,
@@ -49,6 +50,7 @@
     29: contracts.StopOrder,
     32: contracts.About,
     33: contracts.LeaderIs,
+    34: contracts.RefusedAtEntry,
     30: machines.Announced,
     31: machines.AnnouncementTaken,
     40: zones.Hello,
@@ -62,7 +64,7 @@
     48: zones.SnapshotReply,
     49: zones.TakeOver,
     60: zones.LogEntry,
-}
+})
 
 
 def _form(tag: int, kind: type) -> _Form:
@@ -80,8 +82,10 @@
     return _Form(tag, kind, getter, msgspec.msgpack.Decoder(row_type))
 
 
-_BY_TAG = {tag: _form(tag, kind) for tag, kind in _NUMBERS.items()}
-_BY_KIND = {form.kind: form for form in _BY_TAG.values()}
+_BY_TAG = MappingProxyType({
+    tag: _form(tag, kind) for tag, kind in _NUMBERS.items()
+})
+_BY_KIND = MappingProxyType({form.kind: form for form in _BY_TAG.values()})
 _encode = msgspec.msgpack.Encoder().encode
 _rows = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
 
--- /dev/null
+++ b/daisygw/links/_config_http.py
@@ -0,0 +1,70 @@
+"""The HTTP face of an entry for changes of the configuration."""
+
+from dataclasses import asdict, replace
+from secrets import token_hex
+from time import time
+from typing import Any
+
+import falcon.asgi
+import msgspec
+
+from daisygw.contracts import Change, ContractError, ResultCode
+from daisygw.links._config_machine import CONFIGURATION
+from daisygw.links._entry import Entry, ask_leader
+from daisygw.links._entry_http import put_answer, read_json
+
+_MS = 1000
+_TOKEN_BYTES = 8
+_CHANGE_WAIT = 12.0
+
+
+class Configurations:
+    """``/v1/configuration``: the configuration in force, and changes."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Show the configuration in force at this entry."""
+        resp.media = asdict(self.entry.cfg)
+
+    async def on_post(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Ask for a change; answer where it is in force."""
+        raw = await read_json(req)
+        change = _change(raw)
+        answer, _ = await ask_leader(
+            self.entry,
+            CONFIGURATION,
+            lambda seq: replace(change, seq=seq),
+            _CHANGE_WAIT,
+        )
+        put_answer(resp, answer, change=change.change)
+
+
+def _change(raw: Any) -> Change:
+    if not isinstance(raw, dict):
+        raise ContractError(ResultCode.MALFORMED, 'must be a JSON object')
+    fields = {
+        'seq': 0,
+        'at': int(time() * _MS),
+        'change': token_hex(_TOKEN_BYTES),
+        'operator': '',
+        **raw,
+    }
+    overlays = fields.get('overlays', {})
+    if not isinstance(overlays, dict):
+        raise ContractError(ResultCode.BAD_VALUE, 'overlays: must be a table')
+    fields['overlays'] = sorted(overlays.items())
+    try:
+        return msgspec.convert(fields, Change)
+    except msgspec.ValidationError as exc:
+        raise ContractError(ResultCode.BAD_VALUE, str(exc)) from exc
--- a/daisygw/links/_config_machine.py
+++ b/daisygw/links/_config_machine.py
@@ -22,7 +22,7 @@
 )
 from daisygw.links._group import Group, Machine, leads
 from daisygw.links._views import to_json
-from daisygw.settings import Settings, build
+from daisygw.settings import Settings, build, hosts_of
 from daisygw.zones import Tell, host_of, last_index
 
 CONFIGURATION = 'configuration'
@@ -192,15 +192,12 @@
     for name, peer in replica.peers.items():
         if peer.commit >= index:
             reached.add(host_of(name))
-    in_force = []
-    waiting = []
-    for site in state.boot.domains:
-        hosts = {
-            name
-            for name, host in state.boot.hosts.items()
-            if host.domain == site
-        }
-        (in_force if hosts <= reached else waiting).append(site)
+    in_force = [
+        site
+        for site in state.boot.domains
+        if reached.issuperset(hosts_of(state.boot, site))
+    ]
+    waiting = [site for site in state.boot.domains if site not in in_force]
     return in_force, waiting
 
 
--- a/daisygw/links/_domain_machine.py
+++ b/daisygw/links/_domain_machine.py
@@ -1,6 +1,7 @@
 """A failure domain's books and leader, as a machine for its group."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from daisygw.contracts import (
@@ -8,6 +9,7 @@
     Configuration,
     Drain,
     Query,
+    RefusedAtEntry,
     Submit,
     TaskReport,
 )
@@ -27,6 +29,7 @@
     on_announcement,
     on_cancel,
     on_drain,
+    on_refused_at_entry,
     on_report,
     on_submit,
     pass_time,
@@ -122,14 +125,17 @@
     on_announcement(lead, message.announcement, entry)
 
 
-_BY_TYPE: Mapping[type, Callable[[Leadership, Any, str], None]] = {
-    Announced: _announced,
-    Cancel: on_cancel,
-    Drain: on_drain,
-    Query: on_query,
-    Submit: on_submit,
-    TaskReport: on_report,
-}
+_BY_TYPE: Mapping[type, Callable[[Leadership, Any, str], None]] = (
+    MappingProxyType({
+        Announced: _announced,
+        Cancel: on_cancel,
+        Drain: on_drain,
+        Query: on_query,
+        RefusedAtEntry: on_refused_at_entry,
+        Submit: on_submit,
+        TaskReport: on_report,
+    })
+)
 
 
 def decide(state: DomainState, message: Any, entry: str) -> None:
--- a/daisygw/links/_driving.py
+++ b/daisygw/links/_driving.py
@@ -181,4 +181,3 @@
 def on_stop(entry: Entry, order: StopOrder) -> None:
     """Pass a stop on to its target."""
     on_errand(entry, stop(entry, order))
-
--- a/daisygw/links/_dump.py
+++ b/daisygw/links/_dump.py
@@ -52,9 +52,7 @@
         'usage': usage(),
         'groups': groups,
         'links': [describe_link(one) for one in scheduler.links.values()],
-        'sessions': [
-            describe_link(one) for one in scheduler.sessions.values()
-        ],
+        'sessions': [describe_link(one) for one in scheduler.sessions.values()],
     }
     return Answer(query.seq, ResultCode.ACCEPTED, view=to_json(view))
 
--- /dev/null
+++ b/daisygw/links/_dump_http.py
@@ -0,0 +1,121 @@
+"""The HTTP face of an entry for its own state: dump, metrics, health."""
+
+import asyncio
+from typing import Any
+
+import falcon
+import falcon.asgi
+import msgspec
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+from daisygw.contracts import Answer, Query
+from daisygw.links._dump import describe_link, usage
+from daisygw.links._entry import Entry, post_about
+
+_VIEW_WAIT = 2.0
+
+
+class Dump:
+    """``/v1/dump``: the state of this host's two processes."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Show the entry's state and its scheduler's."""
+        answer = await ask_own_scheduler(self.entry, 'dump')
+        resp.media = {
+            'entry': describe_entry(self.entry),
+            'scheduler': msgspec.json.decode(answer.view) if answer else None,
+        }
+
+
+async def ask_own_scheduler(entry: Entry, view: str) -> Answer | None:
+    """Ask the scheduler on this host about itself."""
+    link = entry.links[entry.host]
+    if not link.up:
+        return None
+    seq = next(entry.numbers)
+    fut = asyncio.get_running_loop().create_future()
+    entry.asked[seq] = fut
+    post_about(link, entry.domain, Query(seq, view))
+    try:
+        return await asyncio.wait_for(fut, _VIEW_WAIT)
+    except TimeoutError:
+        return None
+    finally:
+        entry.asked.pop(seq, None)
+
+
+def describe_entry(entry: Entry) -> dict[str, Any]:
+    """Return what a dump shows of an entry."""
+    return {
+        'process': 'entry',
+        'host': entry.host,
+        'domain': entry.domain,
+        'stopping': entry.stopping,
+        'in_progress': entry.in_progress,
+        'driven': sorted(entry.driven),
+        'answered': entry.answered,
+        'refused': entry.refused,
+        'config_version': entry.cfg.version,
+        'leaders': {group: news.host for group, news in entry.leaders.items()},
+        'usage': usage(),
+        'links': [describe_link(link) for link in entry.links.values()],
+    }
+
+
+class Health:
+    """``/v1/health``: for the balancer in front of the entries."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Answer 200 while new requests are taken, 503 otherwise."""
+        resp.media = {'stopping': self.entry.stopping}
+        if self.entry.stopping:
+            resp.status = falcon.HTTP_503
+
+
+class Metrics:
+    """``/metrics``: of this host's two processes."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Serve for ``entry``."""
+        self.entry = entry
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Show the metrics in the text format."""
+        answer = await ask_own_scheduler(self.entry, 'metrics')
+        resp.content_type = falcon.MEDIA_TEXT
+        scheduler = answer.view if answer else ''
+        resp.text = _metrics(self.entry) + scheduler
+
+
+def _metrics(entry: Entry) -> str:
+    registry = CollectorRegistry()
+    for name, text, reading in (
+        ('in_progress', 'Requests in progress', entry.in_progress),
+        ('answered', 'Requests answered', entry.answered),
+        ('refused', 'Requests refused', entry.refused),
+        ('driven', 'Jobs carried out here now', len(entry.driven)),
+        ('config_version', 'Configuration in force', entry.cfg.version),
+    ):
+        gauge = Gauge(f'daisygw_entry_{name}', text, registry=registry)
+        gauge.set(reading)
+    return generate_latest(registry).decode('utf-8')
--- a/daisygw/links/_entry_http.py
+++ b/daisygw/links/_entry_http.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from secrets import token_hex
@@ -10,6 +10,7 @@
 
 import falcon
 import falcon.asgi
+import msgspec
 import xxhash
 
 from daisygw.contracts import (
@@ -18,13 +19,14 @@
     ContractError,
     DaisygwError,
     Kind,
+    RefusedAtEntry,
     ResultCode,
     check_contract,
     http_status,
     mint,
 )
 from daisygw.links._driving import leave, submit
-from daisygw.links._entry import Driven, Entry, Outcome
+from daisygw.links._entry import Driven, Entry, Outcome, tell_leader
 from daisygw.links._logs import log, log_error
 from daisygw.links._target_client import CODE_HEADER, read_answer
 
@@ -56,6 +58,24 @@
     }
 
 
+def put_answer(
+    resp: falcon.asgi.Response,
+    answer: Answer | None,
+    **more: Any,
+) -> None:
+    """Write an answer of a leader, with its view."""
+    if answer is None:
+        reason = 'no leader answered in time'
+        put_refusal(resp, ResultCode.OUTCOME_UNKNOWN, reason, **more)
+        return
+    view = msgspec.json.decode(answer.view) if answer.view else None
+    if view is not None:
+        more['view'] = view
+    put_refusal(resp, answer.code, answer.reason, **more)
+    if answer.code == ResultCode.ACCEPTED and view is not None:
+        resp.status = falcon.HTTP_200
+
+
 async def on_error(
     req: falcon.asgi.Request,
     resp: falcon.asgi.Response,
@@ -94,7 +114,7 @@
 
 
 @asynccontextmanager
-async def in_progress(entry: Entry) -> AsyncIterator[None]:
+async def in_progress(entry: Entry) -> AsyncGenerator[None, None]:
     """Count a request in progress; a graceful stop waits for it."""
     entry.in_progress += 1
     try:
@@ -123,7 +143,7 @@
             put_refusal(resp, ResultCode.STOPPING, reason, retry_after=1)
             return
         async with in_progress(entry):
-            contract, body, minted = await _read_submission(entry, req)
+            contract, body, minted = await _read_tallied(entry, req)
             answer, driven = await submit(
                 entry,
                 contract,
@@ -136,23 +156,41 @@
             await _put_outcomes(entry, resp, driven)
 
 
-async def _read_submission(
+async def _read_tallied(
     entry: Entry,
     req: falcon.asgi.Request,
 ) -> tuple[Contract, bytes, bool]:
     raw = parse_json(req.get_header(CONTRACT_HEADER) or '{}')
+    try:
+        return await _read_submission(entry, req, raw)
+    except ContractError as exc:
+        entry.refused += 1
+        team = raw.get('team', '') if isinstance(raw, dict) else ''
+        refused = RefusedAtEntry(str(team), exc.code)
+        tell_leader(entry, entry.domain, refused)
+        raise
+
+
+async def _read_submission(
+    entry: Entry,
+    req: falcon.asgi.Request,
+    raw: Any,
+) -> tuple[Contract, bytes, bool]:
     minted_id = mint(entry.domain, token_hex(_TOKEN_BYTES))
     contract = check_contract(raw, entry.cfg, minted_id)
-    limits = entry.cfg.limits
     service = contract.kind is Kind.SERVICE
-    most = limits.spec_bytes if service else limits.body_bytes
-    body = await read_body(req, most)
+    body = await read_body(req, _most_bytes(entry, service=service))
     digest = xxhash.xxh64_hexdigest(body)
     spec = _spec(body) if service else ''
     contract = replace(contract, digest=digest, spec=spec)
     return contract, body, contract.id == minted_id
 
 
+def _most_bytes(entry: Entry, *, service: bool) -> int:
+    limits = entry.cfg.limits
+    return limits.spec_bytes if service else limits.body_bytes
+
+
 def _spec(body: bytes) -> str:
     try:
         return body.decode('utf-8') or '{}'
@@ -248,21 +286,27 @@
     """Yield one JSON line a task as tasks end."""
     try:
         async with in_progress(entry):
-            sent: set[int] = set()
-            while len(sent) < driven.contract.count:
-                changed = driven.changed
-                for index in list(driven.outcomes):
-                    if index not in sent:
-                        sent.add(index)
-                        yield await _line(entry, driven.outcomes[index])
-                if len(driven.outcomes) == len(sent) < driven.contract.count:
-                    await changed.wait()
+            async for outcome in _outcomes(driven):
+                yield await _line(entry, outcome)
             entry.answered += 1
-            log('answered', id=driven.contract.id, tasks=len(sent))
+            log('answered', id=driven.contract.id)
     finally:
         leave(entry, driven)
 
 
+async def _outcomes(driven: Driven) -> AsyncIterator[Outcome]:
+    """Yield each task's outcome once, in the order of their ends."""
+    sent = 0
+    while sent < driven.contract.count:
+        changed = driven.changed
+        ready = list(driven.outcomes.values())[sent:]
+        for outcome in ready:
+            yield outcome
+        sent += len(ready)
+        if not ready:
+            await changed.wait()
+
+
 async def _line(entry: Entry, outcome: Outcome) -> bytes:
     code = outcome.code
     body = outcome.body
@@ -280,7 +324,7 @@
         'name': ResultCode(code).name,
         **_readable(body if code == ResultCode.ANSWERED else None),
     }
-    return json.dumps(line).encode('utf-8') + b'\n'
+    return f'{json.dumps(line)}\n'.encode()
 
 
 def _readable(body: bytes | None) -> dict[str, str]:
--- a/daisygw/links/_entry_process.py
+++ b/daisygw/links/_entry_process.py
@@ -3,14 +3,14 @@
 import asyncio
 import signal
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncGenerator, Generator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from functools import partial
+from types import MappingProxyType
 from typing import Any
 
 import falcon.asgi
 import uvicorn
-from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from daisygw.contracts import (
     Answer,
@@ -23,22 +23,19 @@
     StopOrder,
     TaskSettled,
 )
+from daisygw.links._announce_http import Announcements
+from daisygw.links._config_http import Configurations
 from daisygw.links._config_machine import settings_in_force
 from daisygw.links._driving import on_order, on_settled, on_stop, resubmit
+from daisygw.links._dump_http import Dump, Health, Metrics, describe_entry
 from daisygw.links._entry import Entry
 from daisygw.links._entry_http import Requests, on_crash, on_error
 from daisygw.links._logs import log
 from daisygw.links._operator_http import (
-    Announcements,
     Cancellations,
-    Configurations,
     Drains,
-    Dump,
-    Health,
     OneRequest,
     Views,
-    ask_own_scheduler,
-    describe_entry,
 )
 from daisygw.links._stream import Link, keep_connected, running
 from daisygw.links._target_client import open_session
@@ -50,38 +47,6 @@
 _DRAIN_LOOK = 0.05
 
 
-class Metrics:
-    """``/metrics``: of this host's two processes."""
-
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
-    async def on_get(
-        self,
-        req: falcon.asgi.Request,
-        resp: falcon.asgi.Response,
-    ) -> None:
-        """Show the metrics in the text format."""
-        answer = await ask_own_scheduler(self.entry, 'metrics')
-        resp.content_type = falcon.MEDIA_TEXT
-        resp.text = _metrics(self.entry) + (answer.view if answer else '')
-
-
-def _metrics(entry: Entry) -> str:
-    registry = CollectorRegistry()
-    for name, text, reading in (
-        ('in_progress', 'Requests in progress', entry.in_progress),
-        ('answered', 'Requests answered', entry.answered),
-        ('refused', 'Requests refused', entry.refused),
-        ('driven', 'Jobs carried out here now', len(entry.driven)),
-        ('config_version', 'Configuration in force', entry.cfg.version),
-    ):
-        gauge = Gauge(f'daisygw_entry_{name}', text, registry=registry)
-        gauge.set(reading)
-    return generate_latest(registry).decode('utf-8')
-
-
 def _on_answer(entry: Entry, link: Link, answer: Answer) -> None:
     fut = entry.asked.get(answer.seq)
     if fut and not fut.done():
@@ -114,7 +79,7 @@
     entry.cfg = configuration_of(settings, change.version)
 
 
-_BY_TYPE = {
+_BY_TYPE = MappingProxyType({
     Answer: _on_answer,
     AnnouncementTaken: _on_taken,
     ConfigChanged: _on_config,
@@ -122,7 +87,7 @@
     Order: lambda entry, link, order: on_order(entry, order),
     StopOrder: lambda entry, link, order: on_stop(entry, order),
     TaskSettled: lambda entry, link, settled: on_settled(entry, settled),
-}
+})
 
 
 def _on_message(entry: Entry, link: Link, message: Any) -> None:
@@ -178,7 +143,7 @@
     """A server that leaves signals to the process."""
 
     @contextmanager
-    def capture_signals(self) -> Iterator[None]:
+    def capture_signals(self) -> Generator[None, None, None]:
         """Capture none."""
         yield
 
@@ -201,7 +166,9 @@
 
 
 @asynccontextmanager
-async def _serving(entry: Entry, sock: socket.socket) -> AsyncIterator[None]:
+async def _serving(
+    entry: Entry, sock: socket.socket
+) -> AsyncGenerator[None, None]:
     config = uvicorn.Config(
         make_app(entry),
         loop='asyncio',
@@ -223,7 +190,7 @@
 
 
 @asynccontextmanager
-async def _linked(entry: Entry) -> AsyncIterator[None]:
+async def _linked(entry: Entry) -> AsyncGenerator[None, None]:
     async with AsyncExitStack() as stack:
         entry.http = await stack.enter_async_context(open_session())
         for name, host in entry.boot.hosts.items():
--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -9,7 +9,7 @@
 import os
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, BinaryIO
@@ -109,7 +109,7 @@
 
 
 @contextmanager
-def _disk_errors() -> Iterator[None]:
+def _disk_errors() -> Generator[None, None, None]:
     try:
         yield
     except OSError as exc:
@@ -153,9 +153,10 @@
     path = folder / _SNAPSHOT
     if not path.exists():
         return None
-    for _, payload in _read_frames(path):
-        return _decode_snapshot(payload)
-    raise _damaged(path, 0)
+    frame = next(_read_frames(path), None)
+    if frame is None:
+        raise _damaged(path, 0)
+    return _decode_snapshot(frame[1])
 
 
 class _Loading:
@@ -190,11 +191,12 @@
 def _load_log(folder: Path, snapshot: SnapshotTaken | None) -> Persist:
     loading = _Loading(snapshot)
     path = folder / _LOG
-    end = 0
+    whole = 0
     for end, payload in _read_frames(path):
         _take_record(loading, payload)
-    if end != path.stat().st_size:
-        os.truncate(path, end)
+        whole = end
+    if whole != path.stat().st_size:
+        os.truncate(path, whole)
     return Persist(
         loading.term,
         loading.vote,
--- a/daisygw/links/_logs.py
+++ b/daisygw/links/_logs.py
@@ -3,18 +3,19 @@
 import json
 import logging as std_logging
 import sys
+from types import MappingProxyType
 from typing import Any
 
 from absl import flags, logging
 
 from daisygw.contracts import ResultCode, SettingsError
 
-_LEVELS = {
+_LEVELS = MappingProxyType({
     'debug': logging.DEBUG,
     'info': logging.INFO,
     'warning': logging.WARNING,
     'error': logging.ERROR,
-}
+})
 _FIELDS = 'daisygw_fields'
 
 
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -7,10 +7,11 @@
 import asyncio
 import signal
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import xxhash
@@ -150,7 +151,14 @@
         decide(state, message, link.peer)
 
 
-_LOCAL_VIEWS = {'dump': scheduler_dump, 'metrics': scheduler_metrics}
+_LOCAL_VIEWS = MappingProxyType({
+    'dump': scheduler_dump,
+    'metrics': scheduler_metrics,
+})
+
+
+def _on_link(scheduler: Scheduler, link: Link) -> None:
+    scheduler.wake.set()
 
 
 def _on_session(scheduler: Scheduler, link: Link) -> None:
@@ -272,8 +280,9 @@
 
 
 @asynccontextmanager
-async def _linked(scheduler: Scheduler) -> AsyncIterator[None]:
+async def _linked(scheduler: Scheduler) -> AsyncGenerator[None, None]:
     on_message = partial(_on_message, scheduler)
+    on_change = partial(_on_link, scheduler)
     async with AsyncExitStack() as stack:
         for name, host in scheduler.boot.hosts.items():
             if name == scheduler.host:
@@ -285,7 +294,7 @@
                 scheduler.host,
                 host.scheduler,
                 on_message,
-                lambda changed: scheduler.wake.set(),
+                on_change,
             )
             await stack.enter_async_context(running(connecting))
         yield
@@ -335,4 +344,3 @@
             _journal.close(group.journal)
     log('scheduler stopped', host=host)
     logging.flush()
-
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager, suppress
 from typing import Any, TypeAlias
 
@@ -81,22 +81,26 @@
             on_message(link, message)
 
 
-@asynccontextmanager
-async def _connected(link: Link, on_change: OnChange) -> AsyncIterator[None]:
+def _set_up(link: Link, on_change: OnChange, *, up: bool) -> None:
     link.waiting.clear()
     link.about = ''
-    link.up = True
+    link.up = up
     on_change(link)
+
+
+@asynccontextmanager
+async def _connected(
+    link: Link, on_change: OnChange
+) -> AsyncGenerator[None, None]:
+    _set_up(link, on_change, up=True)
     try:
         yield
     finally:
-        link.up = False
-        link.waiting.clear()
-        on_change(link)
+        _set_up(link, on_change, up=False)
 
 
 @asynccontextmanager
-async def running(work: Any) -> AsyncIterator[asyncio.Task]:
+async def running(work: Any) -> AsyncGenerator[asyncio.Task, None]:
     """Run a coroutine beside the body, and cancel it at the end."""
     task = asyncio.ensure_future(work)
     try:
@@ -189,7 +193,7 @@
     address: str,
     on_message: OnMessage,
     on_change: OnChange,
-) -> AsyncIterator[None]:
+) -> AsyncGenerator[None, None]:
     """Accept links at ``address`` while the body runs."""
     host, _, port = address.rpartition(':')
     server = Server([_Acceptor(on_message, on_change)], codec=BatchCodec())
--- a/daisygw/links/_views.py
+++ b/daisygw/links/_views.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -127,9 +128,9 @@
     }
 
 
-_VIEWS: Mapping[str, Callable[[Leadership, str], Any]] = {
+_VIEWS: Mapping[str, Callable[[Leadership, str], Any]] = MappingProxyType({
     'job': _job,
     'report': _report,
     'summary': _summary,
     'targets': _targets,
-}
+})
--- a/daisygw/machines/_index.py
+++ b/daisygw/machines/_index.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterator
-
+from itertools import islice
 from typing import TypeAlias
 
 from sortedcontainers import SortedDict
@@ -81,15 +81,17 @@
     most: int,
 ) -> Iterator[Worker]:
     """Yield up to ``most`` workers that can hold ``need``, best level first."""
+    fitting = (
+        worker for worker in _likely(index, need) if fits(need, worker.free)
+    )
+    yield from islice(fitting, most)
+
+
+def _likely(index: FreeIndex, need: Size) -> Iterator[Worker]:
     need_cpu = _cpu_level(need.cpus)
-    found = 0
     for level, bucket in index.buckets.items():
         if level[1] < need.accelerators or level[2] < need_cpu:
             continue
         for worker in bucket.values():
             index.looked_at += 1
-            if fits(need, worker.free):
-                found += 1
-                yield worker
-                if found >= most:
-                    return
+            yield worker
--- a/daisygw/machines/_scoring.py
+++ b/daisygw/machines/_scoring.py
@@ -1,6 +1,7 @@
 """Ways to choose among the workers that can hold a task."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import TypeAlias
 
 from daisygw.contracts import Size, share_of
@@ -28,7 +29,9 @@
     return score
 
 
-SCORINGS: Mapping[str, Callable[[Mapping[str, int]], Score]] = {
-    'finish': by_finish,
-    'first': by_first,
-}
+SCORINGS: Mapping[str, Callable[[Mapping[str, int]], Score]] = (
+    MappingProxyType({
+        'finish': by_finish,
+        'first': by_first,
+    })
+)
--- a/daisygw/machines/_workers.py
+++ b/daisygw/machines/_workers.py
@@ -26,7 +26,7 @@
 
     @property
     def open(self) -> bool:
-        """Tell whether new work may be placed here."""
+        """Whether new work may be placed here."""
         return not (self.spec.leaving or self.drained or self.aside)
 
 
--- a/daisygw/report/_tally.py
+++ b/daisygw/report/_tally.py
@@ -92,12 +92,17 @@
 def wait_figures(tally: Tally) -> list[WaitFigures]:
     """Return the waiting times by team and kind."""
     return [
-        WaitFigures(
-            team,
-            kind,
-            waits.get_total_count(),
-            *(int(waits.get_value_at_percentile(p)) for p in _PERCENTILES),
-            int(waits.get_max_value()),
-        )
+        _figures(team, kind, waits)
         for (team, kind), waits in sorted(tally.waits.items())
     ]
+
+
+def _figures(team: str, kind: str, waits: HdrHistogram) -> WaitFigures:
+    percentiles = waits.get_percentile_to_value_dict(_PERCENTILES)
+    return WaitFigures(
+        team,
+        kind,
+        waits.get_total_count(),
+        *(int(percentiles[one]) for one in _PERCENTILES),
+        int(waits.get_max_value()),
+    )
--- a/daisygw/settings/_bounds.py
+++ b/daisygw/settings/_bounds.py
@@ -3,6 +3,7 @@
 import ipaddress
 import math
 from collections.abc import Iterator
+from types import MappingProxyType
 from typing import TypeAlias
 
 from daisygw.contracts import ORDERINGS
@@ -15,7 +16,7 @@
 _MOST = 10**9
 _LAST_PORT = 65_535
 
-_BOUNDS = {
+_BOUNDS = MappingProxyType({
     'policy.short_run': (0, _WEEK),
     'policy.short_share': (0, 1),
     'policy.gang_patience': (0, _HOUR),
@@ -48,7 +49,7 @@
     'timing.drift': (0, 0.5),
     'timing.hello': (0.05, 10),
     'timing.batch': (1024, 4_194_304),
-}
+})
 
 Fault: TypeAlias = tuple[str, str]
 
@@ -118,13 +119,21 @@
             yield key, 'it has no host'
         if not 0 <= domain.share <= 1:
             yield f'{key}.share', 'it is not from 0 to 1'
-        tie_breaker = settings.hosts.get(domain.tie_breaker)
-        if domain.tie_breaker and tie_breaker is None:
-            reason = f'{domain.tie_breaker!r} is not a host'
-            yield f'{key}.tie_breaker', reason
-        elif tie_breaker and tie_breaker.domain == name:
-            reason = 'it must be in another failure domain'
-            yield f'{key}.tie_breaker', reason
+        yield from _tie_breaker(settings, name, domain.tie_breaker)
+
+
+def _tie_breaker(
+    settings: Settings,
+    domain: str,
+    tie_breaker: str,
+) -> Iterator[Fault]:
+    host = settings.hosts.get(tie_breaker)
+    if tie_breaker and host is None:
+        reason = f'{tie_breaker!r} is not a host'
+        yield f'domains.{domain}.tie_breaker', reason
+    elif host and host.domain == domain:
+        reason = 'it must be in another failure domain'
+        yield f'domains.{domain}.tie_breaker', reason
 
 
 def _teams(settings: Settings) -> Iterator[Fault]:
--- a/daisygw/settings/_load.py
+++ b/daisygw/settings/_load.py
@@ -70,8 +70,9 @@
 
 def check_keys(raw: Mapping[str, Any], source: str) -> None:
     """Refuse a key that no setting has."""
-    for key in _unknown_keys(raw, Settings, ''):
-        raise _fault(source, key, 'no such setting')
+    unknown = next(_unknown_keys(raw, Settings, ''), None)
+    if unknown is not None:
+        raise _fault(source, unknown, 'no such setting')
 
 
 def lay_over(
@@ -135,8 +136,9 @@
 
 
 def _check(settings: Settings, source: str) -> None:
-    for key, reason in check_bounds(settings):
-        raise _fault(source, key, reason)
+    fault = next(check_bounds(settings), None)
+    if fault is not None:
+        raise _fault(source, *fault)
 
 
 def load(base: Path, overlay: Path | None) -> Settings:
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -1,6 +1,11 @@
 """Zones: failure domains, their replicated log, books and leader."""
 
-from daisygw.zones._admit import ADMISSIONS, expected_wait, on_submit
+from daisygw.zones._admit import (
+    ADMISSIONS,
+    expected_wait,
+    on_refused_at_entry,
+    on_submit,
+)
 from daisygw.zones._books import Books, apply
 from daisygw.zones._election import has_authority, lease_end
 from daisygw.zones._leader import Leadership, Tell, take
@@ -95,6 +100,7 @@
     'on_announcement',
     'on_cancel',
     'on_drain',
+    'on_refused_at_entry',
     'on_report',
     'on_submit',
     'pass_time',
--- a/daisygw/zones/_admit.py
+++ b/daisygw/zones/_admit.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from types import MappingProxyType
 
 from daisygw.contracts import (
     Answer,
@@ -10,6 +11,7 @@
     Job,
     JobAccepted,
     Kind,
+    RefusedAtEntry,
     ResultCode,
     Size,
     Submit,
@@ -47,6 +49,16 @@
     tell(lead, entry, Answer(submit.seq, code, reason, retry_after))
 
 
+def on_refused_at_entry(
+    lead: Leadership,
+    refused: RefusedAtEntry,
+    entry: str,
+) -> None:
+    """Tally what an entry refused; an unknown team counts as unnamed."""
+    team = refused.team if refused.team in lead.cfg.teams else ''
+    lead.refusals[team, refused.code] += 1
+
+
 def _accept(lead: Leadership, submit: Submit, entry: str) -> None:
     contract = submit.contract
     record(lead, JobAccepted(contract, lead.wall))
@@ -96,8 +108,7 @@
 
 def _never_fits(lead: Leadership, contract: Contract) -> Refusal | None:
     capacities = [
-        worker.spec.capacity
-        for worker in lead.books.workers.by_name.values()
+        worker.spec.capacity for worker in lead.books.workers.by_name.values()
     ]
     if not capacities:
         reason = 'no worker has announced itself'
@@ -167,7 +178,7 @@
 ADMISSIONS: Mapping[
     str,
     Callable[[Leadership, Contract], Refusal | None],
-] = {
+] = MappingProxyType({
     'wait': _by_wait,
     'open': _open,
-}
+})
--- a/daisygw/zones/_books.py
+++ b/daisygw/zones/_books.py
@@ -1,6 +1,7 @@
 """The books of a failure domain: the state that its log replicates."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from daisygw.contracts import (
@@ -124,7 +125,7 @@
     books.tally.refusals[record.team, record.code] += record.count
 
 
-_BY_TYPE: Mapping[type, Callable[[Books, Any], None]] = {
+_BY_TYPE: Mapping[type, Callable[[Books, Any], None]] = MappingProxyType({
     JobAccepted: _accept,
     JobForgotten: _forget,
     RefusalsTallied: _refusals,
@@ -135,4 +136,4 @@
     TaskEnded: _end,
     TaskPlaced: _place,
     TaskRequeued: _requeue,
-}
+})
--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -142,9 +142,7 @@
 
 def leased_tasks(job: Job) -> list[int]:
     """Return the indexes of a job's tasks that hold a lease."""
-    return [
-        task.index for task in job.tasks if task.state is TaskState.LEASED
-    ]
+    return [task.index for task in job.tasks if task.state is TaskState.LEASED]
 
 
 def take(lead: Leadership) -> tuple[list[Any], list[Tell]]:
--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -28,15 +28,18 @@
 def say_hello(replica: Replica, now: float) -> None:
     """As a new replica, ask every seat whether the group is formed."""
     replica.hello_due = now + replica.timing.hello
+    _form_if_new(replica, now)
     for host in replica.seats:
         if host != host_of(replica.name):
-            hello = Hello(replica.group, replica.name, host)
+            formed = is_formed(replica)
+            hello = Hello(replica.group, replica.name, host, formed)
             send(replica, hello)
 
 
 def on_hello(replica: Replica, hello: Hello, now: float) -> None:
     """Answer a newcomer, and remember it."""
     replica.newcomers[host_of(hello.sender)] = hello.sender
+    _note_formed(replica, hello.sender, formed=hello.formed)
     reply = HelloReply(
         replica.group,
         replica.name,
@@ -48,20 +51,29 @@
 
 def on_hello_reply(replica: Replica, reply: HelloReply, now: float) -> None:
     """Form the group once every seat is known to be new."""
-    if is_formed(replica) or reply.formed:
-        return
-    replica.newcomers[host_of(reply.sender)] = reply.sender
-    names = {**replica.newcomers, host_of(replica.name): replica.name}
-    if replica.seats[0] != host_of(replica.name):
+    _note_formed(replica, reply.sender, formed=reply.formed)
+    _form_if_new(replica, now)
+
+
+def _note_formed(replica: Replica, name: str, *, formed: bool) -> None:
+    if formed:
+        replica.unformed.pop(host_of(name), None)
+    else:
+        replica.unformed[host_of(name)] = name
+
+
+def _form_if_new(replica: Replica, now: float) -> None:
+    names = {**replica.unformed, host_of(replica.name): replica.name}
+    first = replica.seats[0] == host_of(replica.name)
+    known = all(host in names for host in replica.seats)
+    if is_formed(replica) or not first or not known:
         return
-    if all(host in names for host in replica.seats):
-        voters = tuple(names[host] for host in replica.seats)
-        members = Members(voters)
-        _take_form(replica, members, now)
-        for name in voters:
-            if name != replica.name:
-                form = Form(replica.group, replica.name, name, members)
-                send(replica, form)
+    members = Members(tuple(names[host] for host in replica.seats))
+    _take_form(replica, members, now)
+    for name in members.voters:
+        if name != replica.name:
+            form = Form(replica.group, replica.name, name, members)
+            send(replica, form)
 
 
 def on_form(replica: Replica, form: Form, now: float) -> None:
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -35,11 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """From a replica that is in no group yet, to each host of the group."""
+    """From a replica that is not a member, to each host of the group.
+
+    It is ``formed`` where it has been a member, and so may hold entries.
+    """
 
     group: str
     sender: str
     to: str
+    formed: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -81,6 +81,7 @@
         self.votes: set[str] = set()
         self.trial = False
         self.newcomers: dict[str, str] = {}
+        self.unformed: dict[str, str] = {}
         self.incoming = bytearray()
         self.heard = float('-inf')
         self.election_due = 0.0
@@ -139,8 +140,11 @@
 
 
 def is_formed(replica: Replica) -> bool:
-    """Tell whether this replica has taken part in a group."""
-    return bool(replica.members.voters) or replica.term > 0
+    """Tell whether this replica has been in a group, and may hold entries.
+
+    One that has only voted holds none: it may still help to form a group.
+    """
+    return bool(replica.members.voters)
 
 
 def is_voter(replica: Replica) -> bool:
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -69,10 +69,9 @@
         return True
     if job.contract.kind is Kind.SERVICE:
         return False
-    return (
-        len(task.failed_on) + 1 >= lead.policy.retries
-        or not _has_retry_budget(lead)
-    )
+    return len(
+        task.failed_on
+    ) + 1 >= lead.policy.retries or not _has_retry_budget(lead)
 
 
 def _has_retry_budget(lead: Leadership) -> bool:
--- a/daisygw/zones/_step.py
+++ b/daisygw/zones/_step.py
@@ -1,6 +1,7 @@
 """One step of a replica: an event and the time in, effects left behind."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from daisygw.zones._election import (
@@ -41,18 +42,20 @@
     on_snapshot_reply,
 )
 
-_BY_TYPE: Mapping[type, Callable[[Replica, Any, float], None]] = {
-    Append: on_append,
-    AppendReply: on_append_reply,
-    Form: on_form,
-    Hello: on_hello,
-    HelloReply: on_hello_reply,
-    SnapshotPart: on_snapshot_part,
-    SnapshotReply: on_snapshot_reply,
-    TakeOver: on_take_over,
-    VoteReply: on_vote_reply,
-    VoteRequest: on_vote_request,
-}
+_BY_TYPE: Mapping[type, Callable[[Replica, Any, float], None]] = (
+    MappingProxyType({
+        Append: on_append,
+        AppendReply: on_append_reply,
+        Form: on_form,
+        Hello: on_hello,
+        HelloReply: on_hello_reply,
+        SnapshotPart: on_snapshot_part,
+        SnapshotReply: on_snapshot_reply,
+        TakeOver: on_take_over,
+        VoteReply: on_vote_reply,
+        VoteRequest: on_vote_request,
+    })
+)
 
 
 def receive(replica: Replica, message: Any, now: float) -> None:
--- a/daisygw/zones/_watch.py
+++ b/daisygw/zones/_watch.py
@@ -2,7 +2,6 @@
 
 from daisygw.contracts import (
     Job,
-    Kind,
     ResultCode,
     TaskKey,
     TaskState,
@@ -195,5 +194,3 @@
             ordered = Ordered(task.attempt, lead.now)
             ordered.inherited = True
             lead.orders[TaskKey(job.contract.id, task.index)] = ordered
-
-
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -4,22 +4,21 @@
 system.
 """
 
+import json
 import os
 import signal
 import socket
 import subprocess  # noqa: S404  the cell's own processes, from outside it
 import sys
 import time
-from collections.abc import Iterator, Sequence
+import urllib.error
+import urllib.request
+from collections.abc import Generator, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import json
-import urllib.error
-import urllib.request
-
 _LOOPBACK = '127.0.0.1'
 _LOOK = 0.05
 _STOP_WAIT = 30
@@ -312,7 +311,9 @@
 
 
 @contextmanager
-def running_cell(plan: Plan, folder: Path) -> Iterator[RunningCell]:
+def running_cell(
+    plan: Plan, folder: Path
+) -> Generator[RunningCell, None, None]:
     """Run a cell's hosts (targets are started by the body)."""
     folder.mkdir(parents=True, exist_ok=True)
     cell = RunningCell(plan, folder)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daisygw."""
--- /dev/null
+++ b/tests/steps/shape_steps.py
@@ -0,0 +1,147 @@
+"""Steps that read the code itself."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+from behave import then
+
+from tests.utils import ROOT
+
+_PRODUCT = ROOT / 'daisygw'
+_DECISIONS = ('contracts', 'machines', 'zones', 'report')
+_ALLOWED = frozenset({
+    'ast',
+    'collections',
+    'contextlib',
+    'dataclasses',
+    'enum',
+    'functools',
+    'hdrh',
+    'heapq',
+    'itertools',
+    'math',
+    'operator',
+    'random',
+    'sortedcontainers',
+    'types',
+    'typing',
+    'daisygw',
+})
+_BANNED_WORDS = frozenset({
+    'threading',
+    'ThreadPoolExecutor',
+    'ProcessPoolExecutor',
+    'to_thread',
+    'run_in_executor',
+    'multiprocessing',
+    'subprocess',
+    'new_event_loop',
+    'fork',
+    'popen',
+    'Popen',
+    'system',
+    'io_uring',
+})
+_VALUE_BASES = frozenset({'IntEnum', 'StrEnum', 'Enum'})
+
+
+def _trees(folder: Path) -> Iterator[tuple[Path, ast.Module]]:
+    for path in sorted(folder.rglob('*.py')):
+        yield path, ast.parse(path.read_text())
+
+
+def _imports(tree: ast.Module) -> Iterator[str]:
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ''
+
+
+@then('the decision packages import only what decides')
+def check_decisions(context):
+    """Read the imports of every decision module."""
+    for package in _DECISIONS:
+        for path, tree in _trees(_PRODUCT / package):
+            for name in _imports(tree):
+                head = name.split('.')[0]
+                assert head in _ALLOWED, f'{path}: {name}'
+                outside = ('daisygw.links', 'daisygw.cli', 'daisygw.settings')
+                assert not name.startswith(outside), f'{path}: {name}'
+
+
+@then("no package imports another's private modules")
+def check_faces(context):
+    """Look for imports of a private module from another package."""
+    for path, tree in _trees(_PRODUCT):
+        own = f'daisygw.{path.parent.name}'
+        for name in _imports(tree):
+            parts = name.split('.')
+            private = any(part.startswith('_') for part in parts[1:])
+            if private and parts[0] == 'daisygw':
+                assert name.startswith(own), f'{path}: {name}'
+
+
+def _classes(tree: ast.Module) -> Iterator[ast.ClassDef]:
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ClassDef):
+            yield node
+
+
+def _decorators(node: ast.ClassDef) -> list[str]:
+    return [ast.unparse(one) for one in node.decorator_list]
+
+
+@then('every data class of the product is frozen')
+def check_frozen(context):
+    """Read the decorators of every class."""
+    for path, tree in _trees(_PRODUCT):
+        for node in _classes(tree):
+            for decorator in _decorators(node):
+                if 'dataclass' in decorator:
+                    assert 'frozen=True' in decorator, f'{path}: {node.name}'
+
+
+@then('the product starts no thread, no second loop and no process')
+def check_threads(context):
+    """Look for names that would start one."""
+    for path, tree in _trees(_PRODUCT):
+        for node in ast.walk(tree):
+            name = getattr(node, 'attr', getattr(node, 'id', ''))
+            assert name not in _BANNED_WORDS, f'{path}: {name}'
+        for name in _imports(tree):
+            assert name.split('.')[0] not in _BANNED_WORDS, f'{path}: {name}'
+
+
+def _holds_state(node: ast.ClassDef) -> bool:
+    bases = {ast.unparse(base).split('.')[-1] for base in node.bases}
+    if bases & _VALUE_BASES or any(
+        'dataclass' in one for one in _decorators(node)
+    ):
+        return True
+    methods = [one.name for one in node.body if hasattr(one, 'name')]
+    return '__init__' in methods or bool(bases)
+
+
+@then('every class of the product holds state or names values')
+def check_classes(context):
+    """Look for classes that only gather functions."""
+    for path, tree in _trees(_PRODUCT):
+        for node in _classes(tree):
+            assert _holds_state(node), f'{path}: {node.name}'
+
+
+def _lines(*folders: str) -> int:
+    paths = [
+        path for folder in folders for path in (ROOT / folder).rglob('*.py')
+    ]
+    return sum(len(path.read_text().splitlines()) for path in paths)
+
+
+@then('the tests are under a third of all code')
+def check_share(context):
+    """Count lines."""
+    tests = _lines('tests')
+    code = _lines('daisygw', 'standins', 'bench')
+    assert tests * 3 < code + tests, (tests, code)
