Prove the guarantees with real processes under failure

Cause: kills, freezes, cuts, lost memory and broken connections were not tried on real processes. Faults that the scenarios found: a leader that was stopped gracefully left its group without a leader until an election (now it hands over first); the configuration's group could have an even number of seats, so that one lost host stopped it for good (now it is refused). Ruled out: a cell of one failure domain with two hosts and no tie-breaker can not lose a host; the scenarios that stop one use two domains.

--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -49,6 +49,7 @@
     Outlet,
     carry_out,
     keep_short,
+    leads,
 )
 from daisygw.links._logs import log
 from daisygw.links._stream import Link, keep_connected, post, running, serving
@@ -58,9 +59,20 @@
     seats_of,
     share_of_domain,
 )
-from daisygw.zones import Replica, Tell, host_of, receive, reload, tick
+from daisygw.zones import (
+    Replica,
+    Tell,
+    host_of,
+    receive,
+    reload,
+    resign,
+    tick,
+)
 
 _TICK = 0.05
+_RESIGN_WAIT = 2.0
+_LAST_WORDS = 0.2
+_MOST_BEHIND = 1_000_000
 _MS = 1000
 _ENTRY_PREFIX = 'entry/'
 
@@ -300,12 +312,29 @@
         yield
 
 
+async def _resign(scheduler: Scheduler) -> None:
+    """Hand every lead over; after a while also to a voter that lags."""
+    until = time.monotonic() + _RESIGN_WAIT
+    for behind in (0, 0, 0, _MOST_BEHIND):
+        for group in scheduler.groups.values():
+            now = time.monotonic()
+            if leads(group):
+                resign(group.replica, now, behind)
+                carry_out(group, now, scheduler.outlet)
+        if not scheduler.leading or time.monotonic() > until:
+            break
+        await asyncio.sleep(_TICK * 2)
+    await asyncio.sleep(_LAST_WORDS)
+
+
 async def _until_stopped(scheduler: Scheduler) -> None:
     turning = asyncio.ensure_future(_turns(scheduler))
     ticking = asyncio.ensure_future(_ticks(scheduler))
     stopping = asyncio.ensure_future(scheduler.stopped.wait())
     work = (turning, ticking, stopping)
     done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
+    if stopping in done:
+        await _resign(scheduler)
     for task in work:
         if task not in done:
             task.cancel()
--- a/daisygw/settings/_bounds.py
+++ b/daisygw/settings/_bounds.py
@@ -105,7 +105,10 @@
             fault = _address_fault(getattr(host, key))
             if fault:
                 yield f'hosts.{name}.{key}', fault
-    for seat in settings.configuration.seats:
+    seats = settings.configuration.seats
+    if len(seats) % 2 == 0 and seats:
+        yield 'configuration.seats', 'it must be an odd number of hosts'
+    for seat in seats:
         if seat not in settings.hosts:
             yield 'configuration.seats', f'{seat!r} is not a host'
 
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -7,7 +7,7 @@
     on_submit,
 )
 from daisygw.zones._books import Books, apply
-from daisygw.zones._election import has_authority, lease_end
+from daisygw.zones._election import has_authority, lease_end, resign
 from daisygw.zones._leader import Leadership, Tell, take
 from daisygw.zones._messages import (
     Append,
@@ -108,6 +108,7 @@
     'propose',
     'receive',
     'reload',
+    'resign',
     'take',
     'tick',
 )
--- a/daisygw/zones/_election.py
+++ b/daisygw/zones/_election.py
@@ -199,16 +199,21 @@
 
 
 def hand_over(replica: Replica, now: float) -> None:
-    """From the tie-breaker: let a home replica that caught up lead.
+    """From the tie-breaker: let a home replica that caught up lead."""
+    if replica.away:
+        resign(replica, now)
+
+
+def resign(replica: Replica, now: float, behind: int = 0) -> None:
+    """As the leader, let a voter lead that lacks ``behind`` entries at most.
 
     It steps down first, so that its own lease is over before another leads.
     """
-    if not replica.away or replica.commit != last_index(replica):
-        return
+    wanted = last_index(replica) - behind
     for name in _others(replica):
         peer = replica.peers.get(name)
         near = peer and now - peer.heard < replica.timing.election
-        if near and peer.match == last_index(replica):
+        if near and peer.match >= wanted:
             order = TakeOver(replica.group, replica.name, name, replica.term)
             step_down(replica, replica.term, now)
             send(replica, order)
--- a/standins/_runs.py
+++ b/standins/_runs.py
@@ -270,6 +270,15 @@
     target.spec = replace(target.spec, leaving=True)
 
 
+def _open_spans(target: Target) -> list[tuple[str, int, float, float]]:
+    now = time.monotonic()
+    return [
+        (name_of(run.order.key), run.order.attempt, run.at, now)
+        for run in target.runs.values()
+        if not run.ended.is_set()
+    ]
+
+
 def counts(target: Target) -> dict[str, Any]:
     """Return what the target saw, for the checks of a trial."""
     judge = target.judge
@@ -280,6 +289,6 @@
         'over_capacity': judge.over_capacity,
         'refused': dict(judge.refused),
         'started_leaving': judge.started_leaving,
-        'spans': judge.spans,
+        'spans': [*judge.spans, *_open_spans(target)],
         'running': sum(not run.ended.is_set() for run in target.runs.values()),
     }
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -101,6 +101,14 @@
             yield f'tie_breaker = "{hosts_in(plan, following)[0].name}"'
 
 
+def _config_seats(plan: Plan) -> list[str]:
+    """Return an odd number of hosts, spread over the failure domains."""
+    firsts = [hosts_in(plan, name)[0].name for name in domains_of(plan)]
+    if len(firsts) == 2:
+        firsts.append(plan.hosts[1].name)
+    return firsts[: len(firsts) - 1 + len(firsts) % 2]
+
+
 def base_toml(plan: Plan, data: Path) -> str:
     """Return the base settings of a plan."""
     lines = ['[cell]', 'name = "demo"', '', *_domain_tables(plan)]
@@ -112,7 +120,7 @@
             f'scheduler = "{host.scheduler}"',
             f'disk = {str(host.disk).lower()}',
         ]
-    seats = [hosts_in(plan, name)[0].name for name in domains_of(plan)]
+    seats = _config_seats(plan)
     lines += ['[configuration]', f'seats = {json.dumps(seats)}']
     lines += ['[process]', f'data = "{data}"', 'log_level = "info"']
     lines += ['[timing]']
--- /dev/null
+++ b/standins/partition.py
@@ -0,0 +1,113 @@
+"""A cell whose hosts reach each other through relays that can be cut."""
+
+import json
+import sys
+from collections.abc import Collection, Generator
+from contextlib import contextmanager
+from itertools import permutations
+from pathlib import Path
+
+from standins.cell import (
+    HostPlan,
+    Plan,
+    Process,
+    RunningCell,
+    call,
+    free_ports,
+    running_cell,
+    start_host,
+    wait_until,
+    write_settings,
+)
+
+_LOOPBACK = '127.0.0.1'
+_UP_WAIT = 20
+
+
+class Network:
+    """The relays of a cell: one for each ordered pair of hosts."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        """Start the relays; all links are open."""
+        pairs = list(permutations(plan.hosts, 2))
+        ports = free_ports(len(pairs) + 1)
+        self.plan = plan
+        self.folder = folder
+        self.control = f'{_LOOPBACK}:{ports[-1]}'
+        self.listens = {
+            (one.name, other.name): f'{_LOOPBACK}:{port}'
+            for (one, other), port in zip(pairs, ports, strict=False)
+        }
+        relays = [
+            f'{self.listens[one.name, other.name]}={other.scheduler}'
+            f'={one.name}>{other.name}'
+            for one, other in pairs
+        ]
+        args = [sys.executable, '-m', 'standins.relay', self.control, *relays]
+        self.process = Process('relays', args, folder)
+
+    def overlay(self, host: HostPlan) -> Path:
+        """Return an overlay in which all other hosts are behind relays."""
+        lines = []
+        for other in self.plan.hosts:
+            if other is not host:
+                lines += [
+                    f'[hosts.{other.name}]',
+                    f'scheduler = "{self.listens[host.name, other.name]}"',
+                ]
+        path = self.folder / f'{host.name}.toml'
+        path.write_text('\n'.join(lines))
+        return path
+
+
+def cut(network: Network, *sides: Collection[str]) -> None:
+    """Cut the hosts of each side off from those of all other sides."""
+    names = [
+        f'{one}>{other}'
+        for one, other in permutations(
+            [host.name for host in network.plan.hosts],
+            2,
+        )
+        if any((one in side) != (other in side) for side in sides)
+    ]
+    body = json.dumps(names).encode()
+    call(network.control, '/cut', 'PUT', body)
+
+
+def mend(network: Network) -> None:
+    """Open all links."""
+    call(network.control, '/cut', 'PUT', b'[]')
+
+
+@contextmanager
+def relayed_cell(
+    plan: Plan,
+    folder: Path,
+) -> Generator[tuple[RunningCell, Network], None, None]:
+    """Run a cell's hosts behind relays."""
+    folder.mkdir(parents=True, exist_ok=True)
+    network = Network(plan, folder)
+    wait_until(
+        lambda: _up(network),
+        _UP_WAIT,
+        'the relays',
+    )
+    bare = Plan(plan.region, (), plan.teams, plan.extra)
+    try:
+        with running_cell(bare, folder) as cell:
+            cell.plan = plan
+            write_settings(cell)
+            for host in plan.hosts:
+                start_host(cell, host, overlay=network.overlay(host))
+            yield cell, network
+    finally:
+        network.process.popen.kill()
+        network.process.popen.wait()
+
+
+def _up(network: Network) -> bool:
+    try:
+        call(network.control, '/cut', 'PUT', b'[]')
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,123 @@
+"""Faults that a trial brings about in a running cell."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from shutil import rmtree
+from types import MappingProxyType
+
+from standins.cell import (
+    RunningCell,
+    domains_of,
+    fetch,
+    hosts_in,
+    kill,
+    send_signal,
+)
+from standins.partition import Network, cut, mend
+
+_LONGER_THAN_A_LEASE = 9.0
+_DOWN = 1.0
+_CUT = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """What a fault may touch."""
+
+    cell: RunningCell
+    network: Network | None = None
+
+
+Fault = Callable[[Trial], Awaitable[None]]
+
+
+def leader_host(cell: RunningCell, domain: str) -> str:
+    """Return the host that leads a failure domain, as its entries see it."""
+    for host in hosts_in(cell.plan, domain):
+        dump = fetch(host.entry, '/v1/dump')
+        if dump and domain in dump['entry']['leaders']:
+            return dump['entry']['leaders'][domain]
+    return hosts_in(cell.plan, domain)[0].name
+
+
+async def _leader(trial: Trial) -> str:
+    domain = domains_of(trial.cell.plan)[0]
+    return leader_host(trial.cell, domain)
+
+
+async def kill_leader(trial: Trial) -> None:
+    """Kill the first domain's leader, and start it again."""
+    name = f'scheduler-{await _leader(trial)}'
+    kill(trial.cell, name)
+    await asyncio.sleep(_DOWN)
+    trial.cell.processes[name].restart()
+
+
+async def kill_entry(trial: Trial) -> None:
+    """Kill an entry, and start it again."""
+    name = f'entry-{trial.cell.plan.hosts[0].name}'
+    kill(trial.cell, name)
+    await asyncio.sleep(_DOWN)
+    trial.cell.processes[name].restart()
+
+
+async def _freeze(trial: Trial, name: str) -> None:
+    send_signal(trial.cell, name, signal.SIGSTOP)
+    await asyncio.sleep(_LONGER_THAN_A_LEASE)
+    send_signal(trial.cell, name, signal.SIGCONT)
+
+
+async def freeze_leader(trial: Trial) -> None:
+    """Freeze the first domain's leader for longer than a lease."""
+    await _freeze(trial, f'scheduler-{await _leader(trial)}')
+
+
+async def freeze_entry(trial: Trial) -> None:
+    """Freeze an entry for longer than a lease."""
+    await _freeze(trial, f'entry-{trial.cell.plan.hosts[0].name}')
+
+
+async def freeze_target(trial: Trial) -> None:
+    """Freeze one process of targets for longer than a lease."""
+    await _freeze(trial, 'targets-lone')
+
+
+async def _cut_off(trial: Trial, *names: str) -> None:
+    cut(trial.network, set(names))
+    await asyncio.sleep(_CUT)
+    mend(trial.network)
+
+
+async def cut_host(trial: Trial) -> None:
+    """Cut the first domain's leading host off from all others."""
+    await _cut_off(trial, await _leader(trial))
+
+
+async def cut_domain(trial: Trial) -> None:
+    """Cut the last failure domain off from all others."""
+    domain = domains_of(trial.cell.plan)[-1]
+    names = [host.name for host in hosts_in(trial.cell.plan, domain)]
+    await _cut_off(trial, *names)
+
+
+FAULTS: Mapping[str, Fault] = MappingProxyType({
+    'a leading scheduler is killed': kill_leader,
+    'an entry is killed': kill_entry,
+    'a leading scheduler is frozen for 9 s': freeze_leader,
+    'an entry is frozen for 9 s': freeze_entry,
+    'a host is cut off silently': cut_host,
+    'oviedo is cut off': cut_domain,
+    'a target is frozen for 9 s': freeze_target,
+})
+
+
+def wipe_host(cell: RunningCell, host: str) -> None:
+    """Lose a host's two processes and its data, and start it again."""
+    for kind in ('entry', 'scheduler'):
+        kill(cell, f'{kind}-{host}')
+    rmtree(Path(cell.folder) / 'data' / host, ignore_errors=True)
+    for kind in ('scheduler', 'entry'):
+        cell.processes[f'{kind}-{host}'].restart()
--- a/tests/log_world.py
+++ b/tests/log_world.py
@@ -209,12 +209,16 @@
             continue
         if world.storm and world.random.random() < _LOST:
             continue
-        if world.storm and world.random.random() < _DOUBLED:
-            world.wire.append(message)
-        if _reaches(world, message):
-            host = host_of(message.to)
-            receive(world.nodes[host].replica, message, world.now)
-            carry_out(world, host)
+        _hand_in(world, message)
+
+
+def _hand_in(world: World, message: object) -> None:
+    if world.storm and world.random.random() < _DOUBLED:
+        world.wire.append(message)
+    if _reaches(world, message):
+        host = host_of(message.to)
+        receive(world.nodes[host].replica, message, world.now)
+        carry_out(world, host)
 
 
 def _tick_all(world: World) -> None:
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -1,5 +1,7 @@
 """Steps that drive replicas of the log through failures."""
 
+from types import MappingProxyType
+
 from behave import given, then, when
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import given as drawn
@@ -73,7 +75,7 @@
     world.nodes[host].paused = 100
 
 
-_DRIVE = {
+_DRIVE = MappingProxyType({
     'time': pass_time,
     'deliver': deliver,
     'double': lambda world, number: deliver(world, number, twice=True),
@@ -87,7 +89,7 @@
     'pause': _pause,
     'cut': lambda world, link: world.cut.add(link),
     'mend': lambda world, link: world.cut.clear(),
-}
+})
 
 
 @given('a group of three replicas')
