--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -4,6 +4,8 @@
 
 from daisygw.contracts._size import Size
 
+_CHANGES_KNOWN = 10_000
+
 
 @dataclass(frozen=True, slots=True)
 class Team:
@@ -114,3 +116,5 @@
         return
     history.current = change
     history.versions[change.change] = change.version
+    while len(history.versions) > _CHANGES_KNOWN:
+        history.versions.pop(next(iter(history.versions)))
--- a/daisygw/links/_entry.py
+++ b/daisygw/links/_entry.py
@@ -127,25 +127,23 @@
 ) -> tuple[Answer | None, bool]:
     """Ask a group's leader until it answers or ``patience`` (s) is over.
 
-    Returns the answer, and whether the question was ever passed on.
+    An answer to any sending of the question will do.  Returns the answer,
+    and whether the question was ever passed on.
     """
     loop = asyncio.get_running_loop()
     until = loop.time() + patience
+    fut = loop.create_future()
     passed_on = False
-    while loop.time() < until:
-        seq = next(entry.numbers)
-        fut = loop.create_future()
-        entry.asked[seq] = fut
-        sent = tell_leader(entry, group, make(seq))
+    seqs = []
+    while not fut.done() and loop.time() < until:
+        seqs.append(next(entry.numbers))
+        entry.asked[seqs[-1]] = fut
+        sent = tell_leader(entry, group, make(seqs[-1]))
         passed_on = passed_on or sent
-        wait = _ASK_AGAIN if sent else _LOOK_AGAIN
-        try:
-            return await asyncio.wait_for(fut, wait), True
-        except TimeoutError:
-            continue
-        finally:
-            entry.asked.pop(seq, None)
-    return None, passed_on
+        await asyncio.wait([fut], timeout=_ASK_AGAIN if sent else _LOOK_AGAIN)
+    for seq in seqs:
+        entry.asked.pop(seq, None)
+    return (fut.result() if fut.done() else None), passed_on
 
 
 def on_errand(entry: Entry, work: Any) -> asyncio.Task:
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -73,6 +73,7 @@
 _RESIGN_WAIT = 2.0
 _LAST_WORDS = 0.2
 _MOST_BEHIND = 1_000_000
+_MOST_CHANGES = 100
 _MS = 1000
 _ENTRY_PREFIX = 'entry/'
 
@@ -198,7 +199,12 @@
         if name == CONFIGURATION:
             decide_changes(scheduler.config, group, now)
         carry_out(group, now, scheduler.outlet)
-        keep_short(group, scheduler.boot.process.snapshot_every)
+        keep_short(group, _most_entries(scheduler, name))
+
+
+def _most_entries(scheduler: Scheduler, group: str) -> int:
+    every = scheduler.boot.process.snapshot_every
+    return min(every, _MOST_CHANGES) if group == CONFIGURATION else every
 
 
 async def _turns(scheduler: Scheduler) -> None:
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -2,7 +2,9 @@
 
 A link sends everything that became ready in one turn of the loop as one
 batch.  What could not be sent when a link breaks is dropped: every message
-between our processes is safe to lose and to repeat.
+between our processes is safe to lose and to repeat.  A link that brings
+nothing for a while, not even a pulse, counts as broken, so that a silent
+partition is noticed.
 """
 
 import asyncio
@@ -20,6 +22,8 @@
 _EXCHANGE = '/daisygw.Links/Exchange'
 _PEER = 'daisygw-peer'
 _RETRY = 0.2
+_PULSE = 0.5
+_SILENCE = 1.5
 _MOST_WAITING = 100_000
 _BROKEN = (
     OSError,
@@ -58,9 +62,15 @@
     link.ready.set()
 
 
+async def _until_ready(link: Link) -> None:
+    """Wait for something to send, or until a pulse (an empty batch) is due."""
+    with suppress(TimeoutError):
+        await asyncio.wait_for(link.ready.wait(), _PULSE)
+
+
 async def _send_batches(link: Link, stream: Any) -> None:
     while True:
-        await link.ready.wait()
+        await _until_ready(link)
         link.ready.clear()
         batch = link.waiting
         link.waiting = []
@@ -75,7 +85,11 @@
     stream: Any,
     on_message: OnMessage,
 ) -> None:
-    async for batch in stream:
+    while True:
+        receiving = stream.recv_message()
+        batch = await asyncio.wait_for(receiving, _SILENCE)
+        if batch is None:
+            return
         link.received += len(batch)
         for message in batch:
             on_message(link, message)
--- a/daisygw/zones/_placing.py
+++ b/daisygw/zones/_placing.py
@@ -105,7 +105,7 @@
     lead.decisions += 1
     if waiting.contract.kind is Kind.GANG:
         return _place_gang(lead, waiting)
-    worker = _choose(lead, waiting.contract)
+    worker = _choose(lead, waiting)
     if worker is None:
         return False
     index = waiting.indexes.popleft()
@@ -118,15 +118,34 @@
     return True
 
 
-def _choose(lead: Leadership, contract: Contract) -> Worker | None:
-    found = candidates(lead.index, contract.size, _LOOK_AT)
+def _choose(lead: Leadership, waiting: Waiting) -> Worker | None:
+    size = waiting.size
+    avoided = _avoided(lead, waiting)
+    found = (
+        worker
+        for worker in candidates(lead.index, size, _LOOK_AT + len(avoided))
+        if worker.spec.name not in avoided
+    )
     return min(
         found,
-        key=lambda worker: lead.score(worker, contract.size),
+        key=lambda worker: lead.score(worker, size),
         default=None,
     )
 
 
+def _avoided(lead: Leadership, waiting: Waiting) -> frozenset[str]:
+    """Return where the next task failed, while there is another worker."""
+    job = lead.books.register.jobs[waiting.contract.id]
+    failed_on = frozenset(job.tasks[waiting.indexes[0]].failed_on)
+    if not failed_on:
+        return failed_on
+    others = any(
+        worker.open and name not in failed_on
+        for name, worker in lead.books.workers.by_name.items()
+    )
+    return failed_on if others else frozenset()
+
+
 def _lease(
     lead: Leadership,
     contract: Contract,
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -12,7 +12,8 @@
     TaskState,
     code_class,
 )
-from daisygw.zones._leader import Leadership, record
+from daisygw.machines import TargetSetAside
+from daisygw.zones._leader import Leadership, Sighting, record
 from daisygw.zones._queue import end_task, wait
 
 _FREE_RETRIES = 10
@@ -100,6 +101,17 @@
         sighting.failures.clear()
     elif code == ResultCode.TASK_FAILED:
         sighting.failures.add(f'{key.job}/{key.index}')
+        _judge(lead, task.target, sighting)
+
+
+def _judge(lead: Leadership, name: str, sighting: Sighting) -> None:
+    """Set a target aside once enough distinct tasks have failed there."""
+    worker = lead.books.workers.by_name.get(name)
+    few = len(sighting.failures) < lead.policy.aside_failures
+    if worker is None or worker.aside or few:
+        return
+    record(lead, TargetSetAside(name, aside=True))
+    sighting.probe_due = lead.now + lead.policy.probe_every
 
 
 def on_report(lead: Leadership, report: TaskReport, entry: str) -> None:
--- a/daisygw/zones/_watch.py
+++ b/daisygw/zones/_watch.py
@@ -40,7 +40,7 @@
     for ended in announcement.ended:
         settle(lead, ended.key, ended.attempt, ended.code, ended.run)
     _check_running(lead, announcement)
-    _judge(lead, announcement.spec.name, sighting)
+    _probe(lead, announcement.spec.name, sighting)
     taken = AnnouncementTaken(
         announcement.spec.name,
         announcement.spec.incarnation,
@@ -149,13 +149,10 @@
     give_order(lead, lead.books.register.jobs[key.job], key)
 
 
-def _judge(lead: Leadership, name: str, sighting: Sighting) -> None:
+def _probe(lead: Leadership, name: str, sighting: Sighting) -> None:
+    """Take a target back that was set aside: one more failure closes it."""
     worker = lead.books.workers.by_name[name]
-    failed = len(sighting.failures) >= lead.policy.aside_failures
-    if not worker.aside and failed:
-        record(lead, TargetSetAside(name, aside=True))
-        sighting.probe_due = lead.now + lead.policy.probe_every
-    elif worker.aside and lead.now >= sighting.probe_due:
+    if worker.aside and lead.now >= sighting.probe_due:
         sighting.failures = set(list(sighting.failures)[:-1])
         record(lead, TargetSetAside(name, aside=False))
         sighting.probe_due = float('inf')
--- /dev/null
+++ b/tests/features/journal.feature
@@ -0,0 +1,36 @@
+Feature: The journal of a replica on its disk
+
+  Scenario: What was saved is read again
+    Given a journal with 20 entries in 5 saves
+    Then 20 entries, the term and the vote are read again
+
+  Scenario: A torn last record is cut off
+    Given a journal with 20 entries in 5 saves
+    When the file loses its last 3 bytes
+    Then 19 entries, the term and the vote are read again
+    And the file ends with a whole record
+
+  Scenario Outline: A flipped bit <where> is a clear error, and the replica is new
+    Given a journal with 20 entries in 5 saves
+    When a bit is flipped <where>
+    Then reading ends with code 703, and the next start finds no journal
+
+    Examples:
+      | where                 |
+      | in the middle         |
+      | in the last record    |
+      | in a record's length  |
+
+  Scenario: A snapshot replaces the log before it
+    Given a journal with 20 entries in 5 saves
+    When a snapshot is saved up to entry 18
+    Then the snapshot and 2 entries are read again
+
+  Scenario: Replaced entries stay replaced
+    Given a journal with 20 entries in 5 saves
+    When the entries from 11 on are replaced by 3 others
+    Then 13 entries, the term and the vote are read again
+
+  Scenario: A full disk ends the process with a numbered error
+    Given a running scheduler whose disk takes no more than 40000 bytes
+    Then it ends with code 705 in its log
--- /dev/null
+++ b/tests/steps/configuration_steps.py
@@ -0,0 +1,256 @@
+"""Steps that change the configuration under races and failures."""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+from behave import then, when
+
+from standins.cell import call, fetch, hosts_in, kill, wait_until
+from standins.partition import cut, mend
+
+_IN_FORCE = 5.0
+_UP_WAIT = 60
+_MANY_WAIT = 120
+_TRIES = 8
+_KILL_WAIT = 5
+_PATH = '/v1/configuration'
+
+
+def _document(context, expected, change, **overlays):
+    base = context.trial.cell.base.read_text()
+    text = f'{base}\n[limits]\nbody_bytes = {10_000 + expected}\n'
+    return {
+        'expected': expected,
+        'change': change,
+        'operator': 'ana',
+        'base': text,
+        'overlays': overlays,
+    }
+
+
+def _apply(context, entry, document):
+    body = json.dumps(document).encode()
+    return json.loads(call(entry, _PATH, 'POST', body)[1])
+
+
+def _entries(context):
+    return [host.entry for host in context.trial.cell.plan.hosts]
+
+
+def _note_versions(context):
+    seen = context.__dict__.setdefault('versions', {})
+    versions = []
+    for entry in _entries(context):
+        shown = fetch(entry, _PATH)
+        if shown is not None:
+            versions.append(shown['version'])
+            seen.setdefault(entry, []).append(shown['version'])
+    return versions
+
+
+async def _race(context, count):
+    async with aiohttp.ClientSession() as http:
+
+        async def ask(number):
+            entry = _entries(context)[number % len(_entries(context))]
+            document = _document(context, 0, f'race-{number}')
+            url = f'http://{entry}{_PATH}'
+            async with http.post(url, json=document) as reply:
+                return await reply.json()
+
+        return await asyncio.gather(*map(ask, range(count)))
+
+
+@when('{count:d} operators race to change version 0 through all entries')
+def race(context, count):
+    """Ask for all changes at once."""
+    context.replies = asyncio.run(_race(context, count))
+
+
+@then('one wins, and the others are refused with code {code:d}')
+def check_race(context, code):
+    """Count the winners."""
+    codes = [reply['code'] for reply in context.replies]
+    assert codes.count(103) == 1, context.replies
+    assert codes.count(code) == len(codes) - 1, context.replies
+
+
+@then('a resend of the winning change is accepted as the same version')
+def check_resend(context):
+    """Send the winner again, as after a lost answer."""
+    winner = next(one for one in context.replies if one['code'] == 103)
+    document = _document(context, 0, winner['change'])
+    again = _apply(context, _entries(context)[-1], document)
+    assert again['code'] == 103, again
+    assert again['view']['version'] == winner['view']['version'] == 1
+
+
+@then('version {version:d} is in force at every entry within 5 s')
+def check_version(context, version):
+    """Look at every entry."""
+    wait_until(
+        lambda: set(_note_versions(context)) == {version},
+        _IN_FORCE,
+        'the version',
+    )
+
+
+def _apply_surely(context, expected, change):
+    """Resend until the answer is known."""
+    for turn in range(_TRIES):
+        entries = _entries(context)
+        try:
+            reply = _apply(
+                context,
+                entries[turn % len(entries)],
+                _document(context, expected, change),
+            )
+        except (OSError, ValueError):
+            time.sleep(0.3)
+            continue
+        if reply['code'] in {101, 103}:
+            context.accepted = reply['view']['version']
+            return
+    raise AssertionError(f'{change} was not accepted')
+
+
+@when('{count:d} changes are applied one after the other')
+def apply_many(context, count):
+    """Apply them through all entries in turn."""
+    began = time.monotonic()
+    for number in range(count):
+        document = _document(context, number, f'c{number}')
+        entry = _entries(context)[number % len(_entries(context))]
+        reply = _apply(context, entry, document)
+        assert reply['code'] in {101, 103}, reply
+        if number % 50 == 0:
+            _note_versions(context)
+    assert time.monotonic() - began < _MANY_WAIT
+    context.accepted = count
+
+
+def _config_leader(context):
+    for entry in _entries(context):
+        dump = fetch(entry, '/v1/dump')
+        if dump and 'configuration' in dump['entry']['leaders']:
+            return dump['entry']['leaders']['configuration']
+    raise AssertionError('no leader of the configuration')
+
+
+@when('the leader of the configuration is killed during the next change')
+def kill_in_change(context):
+    """Kill it while a change is on its way, and resend the change."""
+    cell = context.trial.cell
+    leader = _config_leader(context)
+    expected = context.accepted
+
+    async def ask_and_kill():
+        async with aiohttp.ClientSession() as http:
+            document = _document(context, expected, 'mid')
+            url = f'http://{_entries(context)[0]}{_PATH}'
+            asking = asyncio.ensure_future(http.post(url, json=document))
+            await asyncio.sleep(0)
+            kill(cell, f'scheduler-{leader}')
+            await asyncio.wait([asking], timeout=_KILL_WAIT)
+            asking.cancel()
+
+    asyncio.run(ask_and_kill())
+    _apply_surely(context, expected, 'mid')
+    cell.processes[f'scheduler-{leader}'].restart()
+    assert context.accepted == expected + 1
+
+
+@when('all processes are killed and started again')
+def restart_all(context):
+    """Kill all at once."""
+    _note_versions(context)
+    cell = context.trial.cell
+    names = [one for one in cell.processes if not one.startswith('targets')]
+    for name in names:
+        kill(cell, name)
+    for name in names:
+        cell.processes[name].restart()
+    wait_until(
+        lambda: len(_note_up(context)) == len(_entries(context)),
+        _UP_WAIT,
+        'the entries',
+    )
+
+
+def _note_up(context):
+    return [one for one in _entries(context) if fetch(one, '/v1/health')]
+
+
+@then('every accepted change is in force at every entry within 5 s')
+def check_accepted(context):
+    """Wait until each shows the newest version that was accepted."""
+    wait_until(
+        lambda: set(_note_versions(context)) == {context.accepted},
+        _IN_FORCE,
+        f'version {context.accepted}',
+    )
+    limit = fetch(_entries(context)[0], _PATH)['limits']['body_bytes']
+    assert limit == 10_000 + context.accepted - 1, limit
+
+
+@then('no entry ever showed an older version after a newer one')
+def check_never_back(context):
+    """A restarted entry shows version 0 until it has been told."""
+    for entry, versions in context.versions.items():
+        known = [version for version in versions if version]
+        assert known == sorted(known), (entry, versions)
+
+
+@then('a start reads a snapshot and not the history')
+def check_snapshot(context):
+    """Look at the log of a configuration replica after the restart."""
+    for entry in _entries(context):
+        groups = fetch(entry, '/v1/dump')['scheduler']['groups']
+        config = next(one for one in groups if one['group'] == 'configuration')
+        assert config['snapshot_index'] > 0, config
+        assert config['log_entries'] <= 200, config
+
+
+@when('oviedo is cut off')
+def cut_oviedo(context):
+    """Cut both of its hosts off."""
+    trial = context.trial
+    names = {host.name for host in hosts_in(trial.cell.plan, 'oviedo')}
+    cut(trial.network, names)
+    time.sleep(2)
+
+
+@when('a change is accepted that still waits for oviedo')
+def change_without_oviedo(context):
+    """The answer must name the site that it waits for."""
+    entry = hosts_in(context.trial.cell.plan, 'santander')[0].entry
+    document = _document(context, 0, 'during-the-cut')
+    reply = _apply(context, entry, document)
+    assert reply['code'] == 101, reply
+    assert reply['view']['waiting'] == ['oviedo'], reply
+    assert reply['view']['in_force'] == ['santander'], reply
+    context.accepted = 1
+    _note_versions(context)
+
+
+@when('the links are mended')
+def mend_links(context):
+    """Open all links."""
+    mend(context.trial.network)
+
+
+@when('a change with a fault in the overlay of a site is asked for')
+def faulty_change(context):
+    """Ask for it."""
+    overlay = '[limits]\nbody_byte = 1\n'
+    document = _document(context, 0, 'faulty', oviedo=overlay)
+    context.reply = _apply(context, _entries(context)[0], document)
+
+
+@then('it is refused with code {code:d} and names the site and the key')
+def check_faulty(context, code):
+    """Check the reason."""
+    assert context.reply['code'] == code, context.reply
+    assert 'oviedo: limits.body_byte' in context.reply['reason']
--- /dev/null
+++ b/tests/steps/journal_steps.py
@@ -0,0 +1,179 @@
+"""Steps that damage the files of a journal."""
+
+import resource
+import subprocess  # noqa: S404  a scheduler under a limit on file size
+import sys
+import tempfile
+from pathlib import Path
+from types import MappingProxyType
+
+from behave import fixture, given, then, use_fixture, when
+
+from daisygw.contracts import JournalError
+from daisygw.links import journal_files
+from daisygw.zones import LogEntry, Members, Persist, SnapshotTaken
+from standins.cell import (
+    HostPlan,
+    Plan,
+    RunningCell,
+    free_ports,
+    write_settings,
+)
+
+_MEMBERS = Members(('a#1', 'b#1', 't#1'))
+_BODY = b'x' * 50
+_FULL_WAIT = 60
+
+
+@fixture
+def folder(context):
+    """Give a scenario a folder of its own."""
+    with tempfile.TemporaryDirectory() as name:
+        yield Path(name)
+
+
+def _entries(first, last, term=3):
+    return tuple(
+        LogEntry(index, term, _BODY) for index in range(first, last + 1)
+    )
+
+
+@given('a journal with {entries:d} entries in {saves:d} saves')
+def write_journal(context, entries, saves):
+    """Write it, and close it."""
+    context.folder = use_fixture(folder, context) / 'santander'
+    journal = journal_files.create(context.folder, 'a#1')
+    each = entries // saves
+    for number in range(saves):
+        first = number * each + 1
+        batch = _entries(first, first + each - 1)
+        journal_files.save(journal, Persist(3, 'b#1', _MEMBERS, batch))
+    context.journal = journal
+    context.log = context.folder / 'log'
+
+
+@when('the file loses its last {count:d} bytes')
+def tear(context, count):
+    """Cut the file short."""
+    content = context.log.read_bytes()
+    context.log.write_bytes(content[:-count])
+
+
+_PLACES = MappingProxyType({
+    'in the middle': lambda size: size // 2,
+    'in the last record': lambda size: size - 5,
+    "in a record's length": lambda size: 1,
+})
+
+
+@when('a bit is flipped {where}')
+def flip(context, where):
+    """Flip one bit."""
+    content = bytearray(context.log.read_bytes())
+    content[_PLACES[where](len(content))] ^= 4
+    context.log.write_bytes(content)
+
+
+@when('a snapshot is saved up to entry {index:d}')
+def save_snapshot(context, index):
+    """Save a snapshot with the entries after it."""
+    taken = SnapshotTaken(index, 3, _MEMBERS, b'state')
+    after = _entries(index + 1, 20)
+    persist = Persist(3, 'b#1', _MEMBERS, after, 0, taken)
+    journal_files.save(context.journal, persist)
+    context.taken = taken
+
+
+@when('the entries from {first:d} on are replaced by {count:d} others')
+def replace_entries(context, first, count):
+    """Save a cut."""
+    others = _entries(first, first + count - 1, 4)
+    persist = Persist(4, 'b#1', _MEMBERS, others, first)
+    journal_files.save(context.journal, persist)
+
+
+def _load(context):
+    journal, saved = journal_files.load(context.folder)
+    journal_files.close(journal)
+    return saved
+
+
+@then('{count:d} entries, the term and the vote are read again')
+def check_read(context, count):
+    """Read the journal as a start does."""
+    saved = _load(context)
+    indexes = [entry.index for entry in saved.entries]
+    assert indexes == list(range(1, count + 1)), indexes
+    assert saved.vote == 'b#1' and saved.term >= 3
+    assert saved.members == _MEMBERS
+
+
+@then('the file ends with a whole record')
+def check_cut(context):
+    """Read it a second time: nothing is left to cut."""
+    size = context.log.stat().st_size
+    _load(context)
+    assert context.log.stat().st_size == size
+
+
+@then('reading ends with code {code:d}, and the next start finds no journal')
+def check_damage(context, code):
+    """The damaged files are set aside."""
+    try:
+        _load(context)
+    except JournalError as exc:
+        assert exc.code == code, exc
+    else:
+        raise AssertionError('the damage was not noticed')
+    assert journal_files.load(context.folder) is None
+    aside = context.folder.with_name('santander.damaged-0')
+    assert aside.exists()
+
+
+@then('the snapshot and {count:d} entries are read again')
+def check_snapshot(context, count):
+    """Read both."""
+    saved = _load(context)
+    assert saved.snapshot == context.taken
+    assert len(saved.entries) == count
+
+
+@given('a running scheduler whose disk takes no more than {size:d} bytes')
+def run_full(context, size):
+    """Run one under a limit on the size of files, with work for its log."""
+    place = use_fixture(folder, context)
+    addresses = [f'127.0.0.1:{port}' for port in free_ports(2)]
+    host = HostPlan('solo', 'norte', *addresses)
+    cell = RunningCell(Plan('n', (host,)), place)
+    write_settings(cell)
+    stuffed = place / 'data' / 'solo' / 'norte'
+    journal = journal_files.create(stuffed, 'solo#1')
+    members = Members(('solo#1',))
+    filling = Persist(1, 'solo#1', members, _entries(1, 2, 1)[:0])
+    while (stuffed / 'log').stat().st_size < size - 60:
+        journal_files.save(journal, filling)
+    journal_files.close(journal)
+    context.done = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'daisygw',
+            'scheduler',
+            f'--config={cell.base}',
+            '--host=solo',
+        ],
+        capture_output=True,
+        timeout=_FULL_WAIT,
+        check=False,
+        preexec_fn=lambda: resource.setrlimit(
+            resource.RLIMIT_FSIZE,
+            (size, size),
+        ),
+    )
+
+
+@then('it ends with code {code:d} in its log')
+def check_full(context, code):
+    """It must not go on without its disk."""
+    assert context.done.returncode == 1, context.done
+    assert f'"code": {code}' in context.done.stderr.decode(), context.done
