--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: the decisions alone, whole cells, slopes and chaos."""
--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -1,6 +1,7 @@
 """The two commands that run until they are stopped."""
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable
 from importlib import import_module
 from pathlib import Path
@@ -13,6 +14,8 @@
 from daisygw.settings import Settings, load
 from daisygw.status import ExitStatus
 
+_GC_THRESHOLDS = (50_000, 20, 100)
+
 Run = Callable[[Settings, str], Awaitable[None]]
 
 
@@ -31,6 +34,7 @@
         reason = f'--host: {host!r} is not one of the hosts'
         raise SettingsError(ResultCode.SETTINGS_INVALID, reason)
     set_up_logs(settings.process.log_level, f'{process}/{host}')
+    spare_collector()
     try:
         asyncio.run(run(settings, host))
     except DaisygwError as exc:
@@ -42,6 +46,16 @@
     return ExitStatus.SUCCESS
 
 
+def spare_collector() -> None:
+    """Let the cyclic collector look at the large books less often.
+
+    The books hold no cycles; a full collection of them stops the loop.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_GC_THRESHOLDS)
+
+
 def _load(module: str, name: str) -> Any:
     return getattr(import_module(module), name)
 
--- a/daisygw/contracts/_register.py
+++ b/daisygw/contracts/_register.py
@@ -76,13 +76,17 @@
 def place(register: Register, record: TaskPlaced) -> Size:
     """Note a lease; return the size that the target must hold."""
     job = register.jobs[record.job]
-    job.tasks[record.index] = replace(
-        job.tasks[record.index],
-        state=TaskState.LEASED,
-        attempt=record.attempt,
-        target=record.target,
-        incarnation=record.incarnation,
-        since=record.at,
+    before = job.tasks[record.index]
+    job.tasks[record.index] = Task(
+        record.index,
+        before.ready,
+        TaskState.LEASED,
+        record.attempt,
+        record.target,
+        record.incarnation,
+        record.at,
+        before.code,
+        before.failed_on,
     )
     team = job.contract.team
     register.held[team] = plus(register.held[team], job.contract.size)
@@ -108,11 +112,16 @@
     job = register.jobs[record.job]
     task = job.tasks[record.index]
     _release(register, job, task)
-    job.tasks[record.index] = replace(
-        task,
-        state=TaskState.ENDED,
-        since=record.at,
-        code=record.code,
+    job.tasks[record.index] = Task(
+        record.index,
+        task.ready,
+        TaskState.ENDED,
+        task.attempt,
+        task.target,
+        task.incarnation,
+        record.at,
+        record.code,
+        task.failed_on,
     )
     contract = job.contract
     register.ended[record.code] += 1
--- a/daisygw/contracts/_size.py
+++ b/daisygw/contracts/_size.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+_NO_LIMIT = float('inf')
+
 
 @dataclass(frozen=True, slots=True)
 class Size:
@@ -62,10 +64,9 @@
 
 def share_of(used: Size, whole: Size) -> float:
     """Return the largest share (0 to 1) that ``used`` takes of ``whole``."""
-    pairs = (
-        (used.cpus, whole.cpus),
-        (used.memory, whole.memory),
-        (used.accelerators, whole.accelerators),
-        (used.slots, whole.slots),
+    return max(
+        used.cpus / (whole.cpus or _NO_LIMIT),
+        used.memory / (whole.memory or _NO_LIMIT),
+        used.accelerators / (whole.accelerators or _NO_LIMIT),
+        used.slots / (whole.slots or _NO_LIMIT),
     )
-    return max((part / total for part, total in pairs if total), default=0)
--- a/daisygw/links/_books_file.py
+++ b/daisygw/links/_books_file.py
@@ -7,7 +7,7 @@
 from hdrh.histogram import HdrHistogram
 
 from daisygw.contracts import Contract, Job, Register, Size, Task, TaskKey
-from daisygw.machines import TargetSpec, Worker, Workers
+from daisygw.machines import TargetSpec, Worker, Workers, enter
 from daisygw.report import Packing, Tally
 from daisygw.zones import Books
 
@@ -128,8 +128,7 @@
     worker.held = dict(held)
     worker.drained = drained
     worker.aside = aside
-    workers.by_name[spec.name] = worker
-    workers.touched.add(spec.name)
+    enter(workers, worker)
 
 
 def _load_tally(tally: Tally, row: _TallyRow) -> None:
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from types import MappingProxyType
@@ -62,6 +63,7 @@
 from daisygw.zones import (
     Replica,
     Tell,
+    Timing,
     host_of,
     receive,
     reload,
@@ -70,6 +72,7 @@
 )
 
 _TICK = 0.05
+_CONFIG_PACE = 3
 _RESIGN_WAIT = 2.0
 _LAST_WORDS = 0.2
 _MOST_BEHIND = 1_000_000
@@ -229,6 +232,18 @@
     return f'{host}#{time.time_ns():x}'
 
 
+def _timing(scheduler: Scheduler, group: str) -> Timing:
+    """Return a group's times; the configuration's may be slower."""
+    timing = scheduler.boot.timing
+    if group != CONFIGURATION:
+        return timing
+    return replace(
+        timing,
+        heartbeat=timing.heartbeat * _CONFIG_PACE,
+        election=timing.election * _CONFIG_PACE,
+    )
+
+
 def _open_replica(
     scheduler: Scheduler,
     group: str,
@@ -247,7 +262,7 @@
         group,
         name,
         seats,
-        scheduler.boot.timing,
+        _timing(scheduler, group),
         xxhash.xxh32_intdigest(name.encode('ascii')),
         away=away,
     )
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -22,8 +22,8 @@
 _EXCHANGE = '/daisygw.Links/Exchange'
 _PEER = 'daisygw-peer'
 _RETRY = 0.2
-_PULSE = 0.5
-_SILENCE = 1.5
+_PULSE = 0.6
+_SILENCE = 2.0
 _MOST_WAITING = 100_000
 _BROKEN = (
     OSError,
--- a/daisygw/machines/_workers.py
+++ b/daisygw/machines/_workers.py
@@ -3,6 +3,8 @@
 Changed only by records of the log, the same way on every replica.
 """
 
+from collections import Counter
+
 from daisygw.contracts import NOTHING, Size, TaskKey, minus, plus
 from daisygw.machines._target import (
     TargetDrained,
@@ -34,13 +36,21 @@
     """All workers of a failure domain by name.
 
     ``touched`` collects the names whose free capacity or state changed, for
-    whoever keeps an index.
+    whoever keeps an index; ``shapes`` counts workers by their capacity.
     """
 
     def __init__(self) -> None:
         """Begin with none."""
         self.by_name: dict[str, Worker] = {}
         self.touched: set[str] = set()
+        self.shapes: Counter[Size] = Counter()
+
+
+def enter(workers: Workers, worker: Worker) -> None:
+    """Put a worker into the books."""
+    workers.by_name[worker.spec.name] = worker
+    workers.shapes[worker.spec.capacity] += 1
+    workers.touched.add(worker.spec.name)
 
 
 def list_target(workers: Workers, record: TargetListed) -> Size:
@@ -49,10 +59,12 @@
     known = workers.by_name.get(spec.name)
     workers.touched.add(spec.name)
     if known is None:
-        workers.by_name[spec.name] = Worker(spec)
+        enter(workers, Worker(spec))
         return spec.capacity
     if known.spec.incarnation != spec.incarnation:
         known.aside = False
+    workers.shapes += Counter({spec.capacity: 1})
+    workers.shapes -= Counter({known.spec.capacity: 1})
     freed = minus(spec.capacity, known.spec.capacity)
     known.spec = spec
     known.free = plus(known.free, freed)
@@ -65,6 +77,7 @@
     if known is None or known.spec.incarnation != record.incarnation:
         return NOTHING
     workers.by_name.pop(record.name)
+    workers.shapes -= Counter({known.spec.capacity: 1})
     workers.touched.add(record.name)
     return known.spec.capacity
 
--- a/daisygw/zones/_admit.py
+++ b/daisygw/zones/_admit.py
@@ -107,17 +107,17 @@
 
 
 def _never_fits(lead: Leadership, contract: Contract) -> Refusal | None:
-    capacities = [
-        worker.spec.capacity for worker in lead.books.workers.by_name.values()
-    ]
-    if not capacities:
+    shapes = lead.books.workers.shapes
+    if not shapes:
         reason = 'no worker has announced itself'
         return ResultCode.NO_WORKERS, reason, _RETRY_SOON
-    if not any(fits(contract.size, capacity) for capacity in capacities):
+    if not any(fits(contract.size, shape) for shape in shapes):
         return ResultCode.NEVER_FITS, 'no worker could ever hold a task', 0
     if contract.kind is not Kind.GANG:
         return None
-    room = sum(_room(contract.size, capacity) for capacity in capacities)
+    room = sum(
+        _room(contract.size, shape) * count for shape, count in shapes.items()
+    )
     if room < contract.count:
         reason = f'the cell could hold {room} tasks of it at most'
         return ResultCode.NEVER_FITS, reason, 0
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -233,8 +233,8 @@
     snapshot sent at once.
     """
 
-    heartbeat: float = 0.1
-    election: float = 1
+    heartbeat: float = 0.25
+    election: float = 1.25
     drift: float = 0.2
     hello: float = 0.3
     batch: int = 262_144
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -44,6 +44,7 @@
     hosts: tuple[HostPlan, ...]
     teams: tuple[str, ...] = ('patio', 'criba')
     extra: str = ''
+    quick: bool = True
 
 
 def free_ports(count: int) -> list[int]:
@@ -64,6 +65,7 @@
     per_domain: int = 2,
     extra: str = '',
     disk: bool = True,
+    quick: bool = True,
 ) -> Plan:
     """Plan a cell with some hosts in each failure domain."""
     ports = iter(free_ports(len(domains) * per_domain * 2))
@@ -78,7 +80,7 @@
         for domain in domains
         for number in range(1, per_domain + 1)
     )
-    return Plan(region, hosts, extra=extra)
+    return Plan(region, hosts, extra=extra, quick=quick)
 
 
 def domains_of(plan: Plan) -> list[str]:
@@ -123,8 +125,9 @@
     seats = _config_seats(plan)
     lines += ['[configuration]', f'seats = {json.dumps(seats)}']
     lines += ['[process]', f'data = "{data}"', 'log_level = "info"']
-    lines += ['[timing]']
-    lines += [f'{key} = {number}' for key, number in _QUICK.items()]
+    if plan.quick:
+        lines += ['[timing]']
+        lines += [f'{key} = {number}' for key, number in _QUICK.items()]
     for team in plan.teams:
         lines += [f'[teams.{team}]', 'weight = 1']
     return '\n'.join([*lines, plan.extra, ''])
