Reserve for gangs, preempt, learn speeds; hold decisions to their bounds

Cause: waits, crest, gangs and fairness had no deterministic measure, and three parts of the policy were missing. A new commit index of the configuration is sent at once: each change had waited for a heartbeat (0.8 s), so that 500 changes took over 6 minutes. Ruled out: gangs under the share of long work (one of three never started); headroom against every team over its share (p99 of the others 40.4 ms).

--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -29,6 +29,7 @@
 from daisygw.contracts._lanes import (
     LANES,
     ORDERINGS,
+    URGENT,
     LaneOf,
     Lanes,
     Waiting,
@@ -76,6 +77,7 @@
     fits,
     minus,
     plus,
+    room_for,
     share_of,
     times,
 )
@@ -92,6 +94,7 @@
     'LANES',
     'NOTHING',
     'ORDERINGS',
+    'URGENT',
     'About',
     'Answer',
     'Cancel',
@@ -157,6 +160,7 @@
     'place',
     'plus',
     'requeue',
+    'room_for',
     'share_of',
     'taken',
     'times',
--- a/daisygw/contracts/_size.py
+++ b/daisygw/contracts/_size.py
@@ -62,6 +62,14 @@
     )
 
 
+def room_for(size: Size, whole: Size) -> int:
+    """Return how many times ``size`` fits into ``whole``."""
+    share = share_of(size, whole)
+    if not fits(size, whole) or share == 0:
+        return 0
+    return int(1 / share)
+
+
 def share_of(used: Size, whole: Size) -> float:
     """Return the largest share (0 to 1) that ``used`` takes of ``whole``."""
     return max(
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -265,6 +265,7 @@
         _timing(scheduler, group),
         xxhash.xxh32_intdigest(name.encode('ascii')),
         away=away,
+        tells_commits=group == CONFIGURATION,
     )
     if saved:
         reload(replica, saved, time.monotonic())
--- a/daisygw/machines/_index.py
+++ b/daisygw/machines/_index.py
@@ -40,10 +40,16 @@
     return (slow, worker.free.accelerators, _cpu_level(worker.free.cpus))
 
 
-def set_speed(index: FreeIndex, name: str, relative: float) -> None:
-    """Note how slow a worker is: 1 is the fastest, 2 takes twice as long."""
+def set_speed(index: FreeIndex, name: str, relative: float) -> bool:
+    """Note how slow a worker is: 1 is the fastest, 2 takes twice as long.
+
+    Returns whether its place in the index changes.
+    """
     steps = round((max(relative, 1) - 1) * _SPEED_STEPS)
-    index.slowness[name] = min(steps, _SPEED_STEPS * _SPEED_STEPS)
+    steps = min(steps, _SPEED_STEPS * _SPEED_STEPS)
+    changed = index.slowness.get(name, 0) != steps
+    index.slowness[name] = steps
+    return changed
 
 
 def _remove(index: FreeIndex, name: str) -> None:
--- a/daisygw/settings/_bounds.py
+++ b/daisygw/settings/_bounds.py
@@ -19,6 +19,7 @@
 _BOUNDS = MappingProxyType({
     'policy.short_run': (0, _WEEK),
     'policy.short_share': (0, 1),
+    'policy.headroom': (0, 1),
     'policy.gang_patience': (0, _HOUR),
     'policy.retries': (1, 100),
     'policy.retry_share': (0, 1),
--- a/daisygw/zones/_admit.py
+++ b/daisygw/zones/_admit.py
@@ -21,7 +21,7 @@
     ahead,
     expected_run,
     fits,
-    share_of,
+    room_for,
     times,
 )
 from daisygw.zones._leader import Leadership, record, tell
@@ -116,7 +116,8 @@
     if contract.kind is not Kind.GANG:
         return None
     room = sum(
-        _room(contract.size, shape) * count for shape, count in shapes.items()
+        room_for(contract.size, shape) * count
+        for shape, count in shapes.items()
     )
     if room < contract.count:
         reason = f'the cell could hold {room} tasks of it at most'
@@ -124,13 +125,6 @@
     return None
 
 
-def _room(size: Size, capacity: Size) -> int:
-    share = share_of(size, capacity)
-    if not fits(size, capacity) or share == 0:
-        return 0
-    return int(1 / share)
-
-
 def quota_of(lead: Leadership, team: str) -> Size:
     """Return this failure domain's share of a team's quota."""
     quota = lead.cfg.teams[team].quota
--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -31,6 +31,15 @@
     message: Any
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Workers that a waiting gang will use from ``due`` (s) on."""
+
+    job: str
+    workers: frozenset[str]
+    due: float
+
+
 class Sighting:
     """What a leader has seen of one target, on its own clock (s)."""
 
@@ -95,12 +104,15 @@
         self.ended: list[tuple[float, str]] = []
         self.sweep_due = 0.0
         self.decisions = 0
+        self.speeds: dict[str, float] = {}
+        self.reserved: Reservation | None = None
         self.configure(cfg)
 
     def configure(self, cfg: Configuration) -> None:
         """Use another configuration from now on."""
         self.cfg = cfg
         self.policy = cfg.policy
+        self.weights = sum(team.weight for team in cfg.teams.values())
         self.lane_of: LaneOf = ORDERINGS[cfg.policy.ordering](cfg.policy)
         scoring = SCORINGS[cfg.policy.scoring]
         self.score: Score = scoring(self.index.slowness)
--- a/daisygw/zones/_placing.py
+++ b/daisygw/zones/_placing.py
@@ -5,6 +5,7 @@
 
 from daisygw.contracts import (
     LANES,
+    URGENT,
     Contract,
     Kind,
     Size,
@@ -22,18 +23,24 @@
 from daisygw.zones._admit import quota_of
 from daisygw.zones._leader import Leadership, is_open, record
 from daisygw.zones._orders import give_order
+from daisygw.zones._preempt import preempt
+from daisygw.zones._reserve import end_reservation, may_use, reserve
 
 _LOOK_AT = 8
 _LOOK_INTO = 4
 _MOST_PER_TURN = 512
-_LONG_LANES = frozenset({'long', 'gang'})
+_LONG_LANE = 'long'
+_GREEDY = 2
 
 
 def place_waiting(lead: Leadership) -> None:
     """Place what fits now, lane by lane, a bounded number in a turn."""
     _refresh(lead)
+    end_reservation(lead)
     for name in LANES:
         _place_lane(lead, name)
+        if name == URGENT:
+            preempt(lead)
 
 
 def _refresh(lead: Leadership) -> None:
@@ -72,6 +79,8 @@
     team: str,
     blocked: list[Size],
 ) -> bool:
+    if name != URGENT and _is_greedy(lead, team):
+        return False
     jobs = list(islice(lead.lanes.by_name[name].teams[team], _LOOK_INTO))
     for waiting in jobs:
         if any(fits(size, waiting.size) for size in blocked):
@@ -80,11 +89,35 @@
             continue
         if _place_job(lead, name, waiting):
             return True
-        if waiting.contract.kind is not Kind.GANG:
-            blocked.append(waiting.size)
+        _note_unplaced(lead, waiting, blocked)
     return False
 
 
+def _note_unplaced(
+    lead: Leadership,
+    waiting: Waiting,
+    blocked: list[Size],
+) -> None:
+    if waiting.contract.kind is Kind.GANG:
+        reserve(lead, waiting)
+    elif not lead.reserved:
+        blocked.append(waiting.size)
+
+
+def _is_greedy(lead: Leadership, team: str) -> bool:
+    """Tell whether a team is far over its share while little is free.
+
+    The last part of the slots is kept for the other teams that run work, so
+    that one team's flood does not make them wait.
+    """
+    capacity = lead.books.capacity.slots
+    held = lead.books.held.slots
+    alone = lead.books.register.held[team].slots == held
+    if alone or capacity - held >= capacity * lead.policy.headroom:
+        return False
+    return _rank(lead, team) * lead.weights > _GREEDY
+
+
 def _may_hold(lead: Leadership, name: str, waiting: Waiting) -> bool:
     contract = waiting.contract
     count = contract.count if contract.kind is Kind.GANG else 1
@@ -94,7 +127,7 @@
         return False
     if not fits(plus(held, need), quota_of(lead, contract.team)):
         return False
-    if name not in _LONG_LANES:
+    if name != _LONG_LANE:
         return True
     slots = lead.books.capacity.slots
     open_to_long = max(slots - int(slots * lead.policy.short_share), 1)
@@ -111,7 +144,7 @@
     index = waiting.indexes.popleft()
     taken(lead.lanes, waiting, 1)
     _lease(lead, waiting.contract, index, worker)
-    if name in _LONG_LANES:
+    if name == _LONG_LANE:
         lead.long_tasks.add(TaskKey(waiting.contract.id, index))
         lead.long_slots += 1
     _refresh(lead)
@@ -123,8 +156,8 @@
     avoided = _avoided(lead, waiting)
     found = (
         worker
-        for worker in candidates(lead.index, size, _LOOK_AT + len(avoided))
-        if worker.spec.name not in avoided
+        for worker in candidates(lead.index, size, _looked_at(lead, avoided))
+        if worker.spec.name not in avoided and may_use(lead, waiting, worker)
     )
     return min(
         found,
@@ -133,6 +166,11 @@
     )
 
 
+def _looked_at(lead: Leadership, avoided: frozenset[str]) -> int:
+    reserved = len(lead.reserved.workers) if lead.reserved else 0
+    return _LOOK_AT + len(avoided) + reserved
+
+
 def _avoided(lead: Leadership, waiting: Waiting) -> frozenset[str]:
     """Return where the next task failed, while there is another worker."""
     job = lead.books.register.jobs[waiting.contract.id]
@@ -175,8 +213,6 @@
     taken(lead.lanes, waiting, len(indexes))
     for index, worker in zip(indexes, chosen, strict=True):
         _lease(lead, contract, index, worker)
-        lead.long_tasks.add(TaskKey(contract.id, index))
-        lead.long_slots += 1
     _refresh(lead)
     return True
 
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -38,6 +38,7 @@
         self.next_index = next_index
         self.match = 0
         self.commit = 0
+        self.told = 0
         self.acked = float('-inf')
         self.heard = float('-inf')
         self.snapshot_offset = 0
@@ -56,14 +57,17 @@
         seed: int,
         *,
         away: bool = False,
+        tells_commits: bool = False,
     ) -> None:
         """Begin new: in no group, with an empty log.
 
         ``seats`` are the hosts whose replicas vote; ``seed`` feeds the
         election timer; ``away`` marks the tie-breaker, which lives in
-        another failure domain.
+        another failure domain; where it ``tells_commits``, a leader sends
+        a new commit index at once and not with the next entries.
         """
         self.away = away
+        self.tells_commits = tells_commits
         self.group = group
         self.name = name
         self.seats = seats
--- a/daisygw/zones/_replication.py
+++ b/daisygw/zones/_replication.py
@@ -47,10 +47,11 @@
     """Send every peer what it lacks; as a leader only."""
     if replica.role is not Role.LEADER:
         return
+    advance(replica)
     for name, peer in replica.peers.items():
-        if peer.next_index <= last_index(replica):
+        behind = replica.tells_commits and peer.told < replica.commit
+        if behind or peer.next_index <= last_index(replica):
             _send_next(replica, name, peer, now)
-    advance(replica)
 
 
 def heartbeat(replica: Replica, now: float) -> None:
@@ -79,6 +80,7 @@
         entries,
     )
     peer.next_index += len(entries)
+    peer.told = replica.commit
     send(replica, message)
 
 
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -15,6 +15,7 @@
 from daisygw.machines import TargetSetAside
 from daisygw.zones._leader import Leadership, Sighting, record
 from daisygw.zones._queue import end_task, wait
+from daisygw.zones._speed import note_run
 
 _FREE_RETRIES = 10
 _SHUN_UNREACHABLE = 1.0
@@ -37,6 +38,8 @@
     lead.orders.pop(key, None)
     _forget_long(lead, key)
     _note_target(lead, key, task, code)
+    if code == ResultCode.ANSWERED:
+        note_run(lead, task.target, job.contract, run)
     if _ends(lead, job, task, code):
         end_task(lead, job, key.index, _final_code(job, task, code), run)
         return
--- /dev/null
+++ b/tests/steps/decisions_steps.py
@@ -0,0 +1,109 @@
+"""Steps that play recorded arrivals on the decision core."""
+
+from functools import cache
+
+from behave import then, when
+
+from bench import waits
+from bench.core import (
+    ENTRY,
+    Core,
+    Scale,
+    contract_of,
+    fill,
+    submit,
+    turn,
+)
+from daisygw.contracts import (
+    Kind,
+    Priority,
+    ResultCode,
+    Size,
+    StopOrder,
+    TaskReport,
+)
+from daisygw.zones import finish_turn, on_report, take
+
+
+@cache
+def played(name):
+    """Play a list once for all scenarios that ask for it."""
+    return getattr(waits, name)(waits.PRESENT)
+
+
+@when('the arrivals "{name}" are played')
+def play(context, name):
+    """Play them under the present policy."""
+    context.figures = played(name)
+
+
+@then('{figure} is at most {times:g} times {other}')
+def check_times(context, figure, times, other):
+    """Compare two figures."""
+    figures = context.figures
+    assert figures[figure] <= times * figures[other], figures
+
+
+@then('{figure} is at least {bound:g}')
+def check_least(context, figure, bound):
+    """Compare a figure with its bound."""
+    assert context.figures[figure] >= bound, context.figures
+
+
+@then('{figure} is at most {bound:g}')
+def check_most(context, figure, bound):
+    """Compare a figure with its bound."""
+    assert context.figures[figure] <= bound, context.figures
+
+
+@when('{count:d} tasks are placed on 24, 290 and 2900 workers')
+def place_many(context, count):
+    """Place them, in cells that hold them."""
+    context.looked = {}
+    for workers in (24, 290, 2900):
+        core = Core(Scale(workers, 0, 20, 100), waits.PRESENT)
+        fill(core, count)
+        lead = core.lead
+        context.looked[workers] = lead.index.looked_at / lead.decisions
+
+
+@then(
+    'as many candidates are looked at in a decision, whatever the workers',
+)
+def check_looked(context):
+    """Compare the sizes: 120 times the workers, the same work."""
+    looked = context.looked
+    assert looked[2900] <= looked[24] * 1.1, looked
+
+
+def _messages(core):
+    finish_turn(core.lead)
+    return [tell.message for tell in take(core.lead)[1]]
+
+
+@when('a full cell of checkpointing work gets an urgent request')
+def fill_and_press(context):
+    """Fill all slots, then submit."""
+    core = Core(Scale(4, 0, 1), waits.PRESENT)
+    batch = contract_of(
+        core, count=32, kind=Kind.BATCH, checkpoint=True, size=Size()
+    )
+    submit(core, batch)
+    turn(core, 0.01)
+    context.core = core
+    context.urgent = contract_of(core, priority=Priority.URGENT, size=Size())
+    submit(core, context.urgent)
+    context.told = _messages(core)
+
+
+@then('one task is told to stop, and the urgent one is placed when it has')
+def check_preempted(context):
+    """Report the stop, and look for the order."""
+    stops = [one for one in context.told if isinstance(one, StopOrder)]
+    assert len(stops) == 1, context.told
+    stop = stops[0]
+    assert stop.code == ResultCode.PREEMPTED
+    report = TaskReport(stop.key, stop.attempt, stop.code)
+    on_report(context.core.lead, report, ENTRY)
+    orders = [getattr(one, 'key', None) for one in _messages(context.core)]
+    assert context.urgent.id in [key.job for key in orders if key], orders
--- /dev/null
+++ b/tests/steps/docs_steps.py
@@ -0,0 +1,92 @@
+"""Steps that compare the pages with the code."""
+
+import dataclasses
+import re
+import tempfile
+from pathlib import Path
+
+from behave import then, when
+
+from daisygw.cli import command_names
+from daisygw.contracts import Limits, Policy, ResultCode
+from daisygw.settings import Process
+from daisygw.zones import Timing
+from standins.cell import RunningCell, plan_cell, write_settings
+from tests.utils import ROOT, daisygw
+
+_ROW = re.compile(r'^\| (\d{3}) \| (\w+) \|', re.MULTILINE)
+_LINK = re.compile(r'\]\((docs/[^)]+)\)')
+_COMMAND = re.compile(r'daisygw ([a-z][^`\n|]*)')
+
+
+def _page(name):
+    return (ROOT / name).read_text()
+
+
+@then('docs/RESULT_CODES.md has a row for each code, and no other')
+def check_codes(context):
+    """Compare the table with the enumeration."""
+    rows = {
+        (int(code), name)
+        for code, name in _ROW.findall(
+            _page('docs/RESULT_CODES.md'),
+        )
+    }
+    assert rows == {(code.value, code.name) for code in ResultCode}
+
+
+@then('docs/OPERATING.md and docs/POLICY.md name every setting')
+def check_settings(context):
+    """Look for the name of each field."""
+    pages = _page('docs/OPERATING.md') + _page('docs/POLICY.md')
+    for kind in (Policy, Limits, Process, Timing):
+        for part in dataclasses.fields(kind):
+            assert f'`{part.name}`' in pages, f'{kind.__name__}.{part.name}'
+
+
+def _shown():
+    for line in _COMMAND.findall(_page('docs/OPERATING.md')):
+        words = line.split()
+        name = ' '.join(words[:2])
+        if name not in command_names():
+            name = words[0]
+        yield name, re.findall(r'--([a-z-]+)', line)
+
+
+@then('each command in docs/OPERATING.md has the options shown')
+def check_commands(context):
+    """Ask each command that is shown for its help."""
+    shown = list(_shown())
+    assert len(shown) > 5
+    for name, options in shown:
+        said = daisygw(*name.split(), '--help').stdout.decode()
+        for option in options:
+            assert f'--{option}' in said, (name, option)
+
+
+@when('the settings of the example cell are checked as the page says')
+def check_example(context):
+    """Write a cell's settings and run the page's command on them."""
+    with tempfile.TemporaryDirectory() as folder:
+        plan = plan_cell('norte', ('santander', 'oviedo', 'bilbao'))
+        cell = RunningCell(plan, Path(folder))
+        write_settings(cell)
+        context.done = daisygw(
+            'config',
+            'check',
+            f'--config={cell.base}',
+            f'--overlay={folder}/santander.toml',
+        )
+
+
+@then('the check of the example ends well')
+def check_example_done(context):
+    """Check the status."""
+    assert context.done.returncode == 0, context.done
+
+
+@then('each link in README.md leads to a file')
+def check_links(context):
+    """Look for the files."""
+    for link in _LINK.findall(_page('README.md')):
+        assert (ROOT / link).exists(), link
