Let an entry give a job back; split the scheduler's module

Cause: an entry that had told its caller 'unknown' still counted as holding the job; its orders went there, were proved never started, and were given again without end, holding capacity. Change: an entry answers an order for a job that it does not carry out with LetGo; the leader frees the capacity and parks the job.

--- a/daisygw/contracts/_messages.py
+++ b/daisygw/contracts/_messages.py
@@ -50,6 +50,14 @@
     run: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LetGo:
+    """The entry got an order for a job that it does not carry out any more."""
+
+    key: TaskKey
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class RefusedAtEntry:
     """A submission that the entry refused itself, for the tally."""
--- a/daisygw/links/_driving.py
+++ b/daisygw/links/_driving.py
@@ -7,6 +7,7 @@
     Answer,
     Contract,
     Kind,
+    LetGo,
     LinkError,
     Order,
     ResultCode,
@@ -115,7 +116,11 @@
         on_errand(entry, _start_service(entry, order))
         return
     driven = entry.driven.get(order.key.job)
-    if driven is None or order.key.index in driven.outcomes:
+    if driven is None:
+        group = home(entry, order.key.job)
+        tell_leader(entry, group, LetGo(order.key, order.attempt))
+        return
+    if order.key.index in driven.outcomes:
         return
     known = driven.runs.get(order.key.index)
     if known:
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/links/_scheduler.py
@@ -9,161 +9,61 @@
 import time
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import replace
 from functools import partial
-from pathlib import Path
 from types import MappingProxyType
 from typing import Any
 
-import xxhash
 from absl import logging
 
 from daisygw.contracts import (
     About,
     Change,
-    ConfigAtBoot,
-    ConfigChanged,
-    JournalError,
     LeaderIs,
     Query,
 )
 from daisygw.links import _journal
 from daisygw.links._config_machine import (
     CONFIGURATION,
-    ConfigState,
     ask_change,
-    config_machine,
     decide_changes,
-    settings_in_force,
 )
 from daisygw.links._domain_machine import (
-    DomainState,
     decide,
-    machine_of,
     see_entry,
     set_clock,
-    use_configuration,
 )
 from daisygw.links._dump import scheduler_dump, scheduler_metrics
 from daisygw.links._group import (
-    Group,
-    Machine,
-    Outlet,
     carry_out,
     keep_short,
     leads,
 )
 from daisygw.links._logs import log
+from daisygw.links._scheduler_groups import open_groups
+from daisygw.links._scheduler_state import (
+    Scheduler,
+    learn_config,
+    tell_config,
+)
 from daisygw.links._stream import Link, keep_connected, post, running, serving
 from daisygw.settings import (
     Settings,
-    configuration_of,
-    seats_of,
-    share_of_domain,
 )
 from daisygw.zones import (
-    Replica,
-    Tell,
-    Timing,
-    host_of,
     receive,
-    reload,
     resign,
     tick,
 )
 
 _TICK = 0.1
-_CONFIG_PACE = 3
 _RESIGN_WAIT = 2.0
 _LAST_WORDS = 0.2
 _MOST_BEHIND = 1_000_000
 _MOST_CHANGES = 100
-_ALONE = 8.0
 _MS = 1000
 _ENTRY_PREFIX = 'entry/'
 
 
-class Scheduler:
-    """The state of one scheduler process."""
-
-    def __init__(self, settings: Settings, host: str) -> None:
-        """Begin without groups or links, as the host called ``host``."""
-        self.boot = settings
-        self.settings = settings
-        self.host = host
-        self.domain = settings.hosts[host].domain
-        self.groups: dict[str, Group] = {}
-        self.domains: dict[str, DomainState] = {}
-        self.config = ConfigState(settings)
-        self.links: dict[str, Link] = {}
-        self.sessions: dict[str, Link] = {}
-        self.leading: dict[str, int] = {}
-        self.knows_config = False
-        self.began = time.monotonic()
-        self.wake = asyncio.Event()
-        self.stopped = asyncio.Event()
-        self.outlet = Outlet(partial(_send, self), partial(_tell, self))
-
-
-def _send(scheduler: Scheduler, message: Any) -> None:
-    link = scheduler.links.get(host_of(message.to))
-    if link:
-        post(link, message)
-
-
-def _tell(scheduler: Scheduler, tell: Tell) -> None:
-    session = scheduler.sessions.get(tell.entry)
-    if session:
-        post(session, tell.message)
-
-
-def _on_leading(
-    scheduler: Scheduler,
-    group: str,
-    term: int,
-    leading: bool,
-) -> None:
-    if leading:
-        scheduler.leading[group] = term
-    else:
-        scheduler.leading.pop(group, None)
-    log('leader', group=group, term=term, leads=leading)
-    news = LeaderIs(group, scheduler.host, term, leading)
-    for session in scheduler.sessions.values():
-        post(session, news)
-
-
-def _on_config(scheduler: Scheduler, change: ConfigChanged) -> None:
-    settings = settings_in_force(scheduler.boot, change, scheduler.domain)
-    scheduler.settings = settings
-    cfg = configuration_of(settings, change.version)
-    for state in scheduler.domains.values():
-        use_configuration(state, cfg)
-    log('configuration', version=change.version, change=change.change)
-    _tell_config(scheduler)
-
-
-def _tell_config(scheduler: Scheduler) -> None:
-    """Tell the entries what is in force, once this replica surely knows.
-
-    A replica that has just started may lag behind what entries have seen; it
-    is believed without a leader only after a while, as in a partition.
-    """
-    if not scheduler.knows_config:
-        return
-    news = scheduler.config.history.current or ConfigAtBoot(scheduler.host)
-    for session in scheduler.sessions.values():
-        post(session, news)
-
-
-def _learn_config(scheduler: Scheduler, now: float) -> None:
-    current = scheduler.groups[CONFIGURATION].replica.current
-    alone = now > scheduler.began + _ALONE
-    if not scheduler.knows_config and (current or alone):
-        scheduler.knows_config = True
-        _tell_config(scheduler)
-
-
 def _on_message(scheduler: Scheduler, link: Link, message: Any) -> None:
     if link.peer.startswith(_ENTRY_PREFIX):
         _on_entry(scheduler, link, message)
@@ -213,7 +113,7 @@
     scheduler.sessions[link.peer] = link
     for group, term in scheduler.leading.items():
         post(link, LeaderIs(group, scheduler.host, term))
-    _tell_config(scheduler)
+    tell_config(scheduler)
 
 
 def take_turn(scheduler: Scheduler, now: float, wall: int) -> None:
@@ -226,7 +126,7 @@
             decide_changes(scheduler.config, group, now)
         carry_out(group, now, scheduler.outlet)
         keep_short(group, _most_entries(scheduler, name))
-    _learn_config(scheduler, now)
+    learn_config(scheduler, now)
 
 
 def _most_entries(scheduler: Scheduler, group: str) -> int:
@@ -252,91 +152,6 @@
         await asyncio.sleep(_TICK)
 
 
-def _birth(host: str) -> str:
-    return f'{host}#{time.time_ns():x}'
-
-
-def _timing(scheduler: Scheduler, group: str) -> Timing:
-    """Return a group's times; the configuration's may be slower."""
-    timing = scheduler.boot.timing
-    if group != CONFIGURATION:
-        return timing
-    return replace(
-        timing,
-        heartbeat=timing.heartbeat * _CONFIG_PACE,
-        election=timing.election * _CONFIG_PACE,
-    )
-
-
-def _open_replica(
-    scheduler: Scheduler,
-    group: str,
-    seats: tuple[str, ...],
-    *,
-    away: bool,
-) -> tuple[Replica, _journal.Journal | None]:
-    folder = Path(scheduler.boot.process.data) / scheduler.host / group
-    journal = None
-    saved = None
-    name = _birth(scheduler.host)
-    if scheduler.boot.hosts[scheduler.host].disk:
-        journal, saved = _open_journal(folder, name)
-        name = journal.name
-    replica = Replica(
-        group,
-        name,
-        seats,
-        _timing(scheduler, group),
-        xxhash.xxh32_intdigest(name.encode('ascii')),
-        away=away,
-        tells_commits=group == CONFIGURATION,
-    )
-    if saved:
-        reload(replica, saved, time.monotonic())
-    return replica, journal
-
-
-def _open_journal(folder: Path, name: str) -> tuple[_journal.Journal, Any]:
-    try:
-        loaded = _journal.load(folder)
-    except JournalError as exc:
-        log('journal', code=exc.code, reason=exc.reason)
-        loaded = None
-    return loaded or (_journal.create(folder, name), None)
-
-
-def _add_group(
-    scheduler: Scheduler,
-    name: str,
-    seats: tuple[str, ...],
-    machine: Machine,
-) -> None:
-    away = name in scheduler.boot.domains and name != scheduler.domain
-    replica, journal = _open_replica(scheduler, name, seats, away=away)
-    scheduler.groups[name] = Group(replica, journal, machine)
-
-
-def _open_groups(scheduler: Scheduler) -> None:
-    settings = scheduler.boot
-    for domain in settings.domains:
-        seats = seats_of(settings, domain)
-        if scheduler.host in seats:
-            share = share_of_domain(settings, domain)
-            cfg = configuration_of(settings, 0)
-            state = DomainState(domain, share, cfg)
-            scheduler.domains[domain] = state
-            on_leading = partial(_on_leading, scheduler, domain)
-            machine = machine_of(state, on_leading)
-            _add_group(scheduler, domain, seats, machine)
-    machine = config_machine(
-        scheduler.config,
-        partial(_on_config, scheduler),
-        partial(_on_leading, scheduler, CONFIGURATION),
-    )
-    seats = settings.configuration.seats
-    _add_group(scheduler, CONFIGURATION, seats, machine)
-
-
 @asynccontextmanager
 async def _linked(scheduler: Scheduler) -> AsyncGenerator[None, None]:
     on_message = partial(_on_message, scheduler)
@@ -403,7 +218,7 @@
 async def run_scheduler(settings: Settings, host: str) -> None:
     """Run a scheduler until it is told to stop."""
     scheduler = Scheduler(settings, host)
-    _open_groups(scheduler)
+    open_groups(scheduler)
     _on_signals(scheduler)
     address = settings.hosts[host].scheduler
     accepting = serving(
--- /dev/null
+++ b/daisygw/links/_scheduler_groups.py
@@ -0,0 +1,125 @@
+"""Opening a scheduler's replicas: from its disk, or as new ones."""
+
+import time
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import xxhash
+
+from daisygw.contracts import (
+    JournalError,
+)
+from daisygw.links import _journal
+from daisygw.links._config_machine import (
+    CONFIGURATION,
+    config_machine,
+)
+from daisygw.links._domain_machine import (
+    DomainState,
+    machine_of,
+)
+from daisygw.links._group import (
+    Group,
+    Machine,
+)
+from daisygw.links._logs import log
+from daisygw.links._scheduler_state import Scheduler, on_config, on_leading
+from daisygw.settings import (
+    configuration_of,
+    seats_of,
+    share_of_domain,
+)
+from daisygw.zones import (
+    Replica,
+    Timing,
+    reload,
+)
+
+_CONFIG_PACE = 3
+
+
+def _birth(host: str) -> str:
+    return f'{host}#{time.time_ns():x}'
+
+
+def _timing(scheduler: Scheduler, group: str) -> Timing:
+    """Return a group's times; the configuration's may be slower."""
+    timing = scheduler.boot.timing
+    if group != CONFIGURATION:
+        return timing
+    return replace(
+        timing,
+        heartbeat=timing.heartbeat * _CONFIG_PACE,
+        election=timing.election * _CONFIG_PACE,
+    )
+
+
+def _open_replica(
+    scheduler: Scheduler,
+    group: str,
+    seats: tuple[str, ...],
+    *,
+    away: bool,
+) -> tuple[Replica, _journal.Journal | None]:
+    folder = Path(scheduler.boot.process.data) / scheduler.host / group
+    journal = None
+    saved = None
+    name = _birth(scheduler.host)
+    if scheduler.boot.hosts[scheduler.host].disk:
+        journal, saved = _open_journal(folder, name)
+        name = journal.name
+    replica = Replica(
+        group,
+        name,
+        seats,
+        _timing(scheduler, group),
+        xxhash.xxh32_intdigest(name.encode('ascii')),
+        away=away,
+        tells_commits=group == CONFIGURATION,
+    )
+    if saved:
+        reload(replica, saved, time.monotonic())
+    return replica, journal
+
+
+def _open_journal(folder: Path, name: str) -> tuple[_journal.Journal, Any]:
+    try:
+        loaded = _journal.load(folder)
+    except JournalError as exc:
+        log('journal', code=exc.code, reason=exc.reason)
+        loaded = None
+    return loaded or (_journal.create(folder, name), None)
+
+
+def _add_group(
+    scheduler: Scheduler,
+    name: str,
+    seats: tuple[str, ...],
+    machine: Machine,
+) -> None:
+    away = name in scheduler.boot.domains and name != scheduler.domain
+    replica, journal = _open_replica(scheduler, name, seats, away=away)
+    scheduler.groups[name] = Group(replica, journal, machine)
+
+
+def open_groups(scheduler: Scheduler) -> None:
+    settings = scheduler.boot
+    for domain in settings.domains:
+        seats = seats_of(settings, domain)
+        if scheduler.host in seats:
+            share = share_of_domain(settings, domain)
+            cfg = configuration_of(settings, 0)
+            state = DomainState(domain, share, cfg)
+            scheduler.domains[domain] = state
+            heard = partial(on_leading, scheduler, domain)
+            machine = machine_of(state, heard)
+            _add_group(scheduler, domain, seats, machine)
+    machine = config_machine(
+        scheduler.config,
+        partial(on_config, scheduler),
+        partial(on_leading, scheduler, CONFIGURATION),
+    )
+    seats = settings.configuration.seats
+    _add_group(scheduler, CONFIGURATION, seats, machine)
--- a/daisygw/settings/_schema.py
+++ b/daisygw/settings/_schema.py
@@ -54,7 +54,6 @@
     """
 
     data: str = 'run/data'
-    metrics: bool = True
     grace: float = 60
     patience: float = 5
     snapshot_every: int = 5000
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -52,6 +52,7 @@
     finish_turn,
     on_cancel,
     on_drain,
+    on_let_go,
     pass_time,
 )
 from daisygw.zones._watch import on_announcement
@@ -100,6 +101,7 @@
     'on_announcement',
     'on_cancel',
     'on_drain',
+    'on_let_go',
     'on_refused_at_entry',
     'on_report',
     'on_submit',
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -117,6 +117,16 @@
     sighting.probe_due = lead.now + lead.policy.probe_every
 
 
+def _shun(lead: Leadership, report: TaskReport) -> None:
+    """Place nothing for a moment where an order could not be delivered."""
+    job = lead.books.register.jobs[report.key.job]
+    target = job.tasks[report.key.index].target
+    sighting = lead.sightings.get(target)
+    if sighting:
+        sighting.shunned = lead.now + _SHUN_UNREACHABLE
+        lead.books.workers.touched.add(target)
+
+
 def on_report(lead: Leadership, report: TaskReport, entry: str) -> None:
     """Take what an entry saw of an attempt.
 
@@ -128,11 +138,7 @@
     ordered = lead.orders.get(report.key)
     if ordered is None or ordered.attempt != report.attempt:
         return
-    job = lead.books.register.jobs[report.key.job]
-    target = job.tasks[report.key.index].target
-    sighting = lead.sightings.get(target)
-    if sighting:
-        sighting.shunned = lead.now + _SHUN_UNREACHABLE
-        lead.books.workers.touched.add(target)
+    if lead.holders.get(report.key.job):
+        _shun(lead, report)
     if ordered.entries == {entry} and not ordered.inherited:
         settle(lead, report.key, report.attempt, report.code)
--- a/daisygw/zones/_turns.py
+++ b/daisygw/zones/_turns.py
@@ -8,9 +8,11 @@
     Drain,
     Job,
     JobForgotten,
+    LetGo,
     RefusalsTallied,
     ResultCode,
     TaskKey,
+    TaskReport,
     TaskState,
 )
 from daisygw.machines import TargetDrained
@@ -24,6 +26,7 @@
 from daisygw.zones._orders import give_stop
 from daisygw.zones._placing import place_waiting
 from daisygw.zones._queue import end_queued, park, wait
+from daisygw.zones._settle import on_report
 from daisygw.zones._watch import adopt_orders, sweep_leases
 
 _SWEEP_EVERY = 0.25
@@ -132,6 +135,16 @@
     tell(lead, entry, Answer(drain.seq, ResultCode.ACCEPTED))
 
 
+def on_let_go(lead: Leadership, let_go: LetGo, entry: str) -> None:
+    """Give a job's orders to this entry no more; its order never left."""
+    name = let_go.key.job
+    lead.holders.get(name, set()).discard(entry)
+    report = TaskReport(let_go.key, let_go.attempt, ResultCode.NOT_STARTED)
+    on_report(lead, report, entry)
+    if not lead.holders.get(name) and name in lead.lanes.where:
+        park(lead, name)
+
+
 def entry_up(lead: Leadership, entry: str) -> None:
     """Note an entry that is connected to this leader."""
     lead.entries[entry] = None
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -34,6 +34,11 @@
     When 1000 tasks are placed on 24, 290 and 2900 workers
     Then as many candidates are looked at in a decision, whatever the workers
 
+  Scenario: An entry that has let a job go gets no more orders for it
+    When an order is given, and its entry has let the job go
+    Then the capacity is free again, and no further order is given
+    And the job ends as not run once it was parked long enough
+
   Scenario: Urgent work takes the place of work that can checkpoint
     When a full cell of checkpointing work gets an urgent request
     Then one task is told to stop, and the urgent one is placed when it has
--- a/tests/steps/decisions_steps.py
+++ b/tests/steps/decisions_steps.py
@@ -16,13 +16,15 @@
 )
 from daisygw.contracts import (
     Kind,
+    LetGo,
+    Order,
     Priority,
     ResultCode,
     Size,
     StopOrder,
     TaskReport,
 )
-from daisygw.zones import finish_turn, on_report, take
+from daisygw.zones import finish_turn, on_let_go, on_report, take
 
 
 @cache
@@ -107,3 +109,31 @@
     on_report(context.core.lead, report, ENTRY)
     orders = [getattr(one, 'key', None) for one in _messages(context.core)]
     assert context.urgent.id in [key.job for key in orders if key], orders
+
+
+@when('an order is given, and its entry has let the job go')
+def let_go(context):
+    """Submit, take the order, and let go."""
+    context.core = Core(Scale(2, 0, 1), waits.PRESENT)
+    submit(context.core, contract_of(context.core))
+    orders = [one for one in _messages(context.core) if isinstance(one, Order)]
+    assert len(orders) == 1
+    order = orders[0]
+    on_let_go(context.core.lead, LetGo(order.key, order.attempt), ENTRY)
+
+
+@then('the capacity is free again, and no further order is given')
+def check_let_go(context):
+    """Look at the books and the next turn."""
+    told = _messages(context.core)
+    assert not any(isinstance(one, Order) for one in told), told
+    assert context.core.lead.books.held.slots == 0
+
+
+@then('the job ends as not run once it was parked long enough')
+def check_parked(context):
+    """Let the time pass."""
+    core = context.core
+    turn(core, core.lead.policy.park + 1)
+    ended = core.lead.books.register.ended
+    assert ended == {ResultCode.CALLER_GONE: 1}, ended
