Draw the benches; say once what stood several times

Cause: eight resources had the same constructor, two answers of followers the same beginning; results had no picture; pip resolved pinned packages again for minutes. Change: one Resource, one _heard_peer, bench.plot, an install without resolving.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -r requirements-dev.txt -c constraints.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps -r constraints.txt
 	touch $(STAMP)
 
 install: $(STAMP)  ## Install what the checkout needs, pinned
@@ -36,10 +36,14 @@
 	sh standins/build.sh $(BIN)
 
 bench: $(STAMP)  ## Measure whole cells at the users' sizes
-	$(BIN)/python -m bench.cells
+	mkdir -p run
+	$(BIN)/python -m bench.cells > run/cells.jsonl
+	$(BIN)/python -m bench.plot run/cells.jsonl run/cells.png
+	cat run/cells.jsonl
 
 bench-decisions: $(STAMP)  ## Measure the decisions alone
 	$(BIN)/python -m bench.decisions
+	$(BIN)/python -m bench.waits
 
 slopes: $(STAMP)  ## Measure the slopes of docs/CAPACITY.md
 	$(BIN)/python -m bench.slopes
--- a/bench/cells.py
+++ b/bench/cells.py
@@ -1,8 +1,8 @@
 """Whole cells at the users' sizes: real processes, stand-in targets.
 
-``python -m bench.cells [latas|obrapase]`` prints JSON lines and draws a
-plot under ``run/``; each figure stands beside its bound, which comes from
-the stated target.
+``python -m bench.cells [latas|obrapase]`` prints JSON lines; each figure
+stands beside its bound, which comes from the stated target.  ``make bench``
+keeps and draws them.
 """
 
 import asyncio
--- a/daisygw/links/_announce_http.py
+++ b/daisygw/links/_announce_http.py
@@ -8,19 +8,15 @@
 
 from daisygw.contracts import ContractError, ResultCode
 from daisygw.links._entry import Entry, tell_leader
-from daisygw.links._entry_http import put_refusal
+from daisygw.links._entry_http import Resource, put_refusal
 from daisygw.machines import Announced, Announcement, AnnouncementTaken
 
 _ANNOUNCE_WAIT = 2.0
 
 
-class Announcements:
+class Announcements(Resource):
     """``/v1/targets/{name}/announcements``: a target's heartbeats."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_post(
         self,
         req: falcon.asgi.Request,
--- a/daisygw/links/_config_http.py
+++ b/daisygw/links/_config_http.py
@@ -10,21 +10,22 @@
 
 from daisygw.contracts import Change, ContractError, ResultCode
 from daisygw.links._config_machine import CONFIGURATION
-from daisygw.links._entry import Entry, ask_leader
-from daisygw.links._entry_http import put_answer, put_refusal, read_json
+from daisygw.links._entry import ask_leader
+from daisygw.links._entry_http import (
+    Resource,
+    put_answer,
+    put_refusal,
+    read_json,
+)
 
 _MS = 1000
 _TOKEN_BYTES = 8
 _CHANGE_WAIT = 12.0
 
 
-class Configurations:
+class Configurations(Resource):
     """``/v1/configuration``: the configuration in force, and changes."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
--- a/daisygw/links/_dump_http.py
+++ b/daisygw/links/_dump_http.py
@@ -11,17 +11,14 @@
 from daisygw.contracts import Answer, Query
 from daisygw.links._dump import describe_link, usage
 from daisygw.links._entry import Entry, post_about
+from daisygw.links._entry_http import Resource
 
 _VIEW_WAIT = 2.0
 
 
-class Dump:
+class Dump(Resource):
     """``/v1/dump``: the state of this host's two processes."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
@@ -70,13 +67,9 @@
     }
 
 
-class Health:
+class Health(Resource):
     """``/v1/health``: for the balancer in front of the entries."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
@@ -92,13 +85,9 @@
             resp.status = falcon.HTTP_503
 
 
-class Metrics:
+class Metrics(Resource):
     """``/metrics``: of this host's two processes."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
--- a/daisygw/links/_entry_http.py
+++ b/daisygw/links/_entry_http.py
@@ -123,13 +123,17 @@
         entry.in_progress -= 1
 
 
-class Requests:
-    """``/v1/requests``: submissions."""
+class Resource:
+    """What serves one path for an entry."""
 
     def __init__(self, entry: Entry) -> None:
         """Serve for ``entry``."""
         self.entry = entry
 
+
+class Requests(Resource):
+    """``/v1/requests``: submissions."""
+
     async def on_post(
         self,
         req: falcon.asgi.Request,
--- a/daisygw/links/_operator_http.py
+++ b/daisygw/links/_operator_http.py
@@ -21,7 +21,12 @@
     ask_leader,
     home,
 )
-from daisygw.links._entry_http import put_answer, put_refusal, read_json
+from daisygw.links._entry_http import (
+    Resource,
+    put_answer,
+    put_refusal,
+    read_json,
+)
 
 CONFIGURATION = 'configuration'
 _MS = 1000
@@ -42,13 +47,9 @@
     return answer
 
 
-class OneRequest:
+class OneRequest(Resource):
     """``/v1/requests/{name}``: status and cancellation of one request."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
@@ -98,13 +99,9 @@
     return Cancel(seq, jobs)
 
 
-class Cancellations:
+class Cancellations(Resource):
     """``/v1/cancellations``: a wave of cancellations at once."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_post(
         self,
         req: falcon.asgi.Request,
@@ -123,13 +120,9 @@
         await _cancel(self.entry, resp, [str(name) for name in names])
 
 
-class Views:
+class Views(Resource):
     """``/v1/views/{view}``: the books of every failure domain."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_get(
         self,
         req: falcon.asgi.Request,
@@ -159,13 +152,9 @@
     return Drain(seq, target, drained)
 
 
-class Drains:
+class Drains(Resource):
     """``/v1/targets/{name}/drain``: close a target to new work."""
 
-    def __init__(self, entry: Entry) -> None:
-        """Serve for ``entry``."""
-        self.entry = entry
-
     async def on_put(
         self,
         req: falcon.asgi.Request,
--- a/daisygw/zones/_replication.py
+++ b/daisygw/zones/_replication.py
@@ -186,22 +186,32 @@
     send(replica, reply)
 
 
-def on_append_reply(
+def _heard_peer(
     replica: Replica,
-    reply: AppendReply,
+    reply: AppendReply | SnapshotReply,
     now: float,
-) -> None:
-    """Note what a peer holds, or step back where its log differs."""
+) -> Peer | None:
+    """Return the peer that answered its leader, None for any other reply."""
     if reply.term > replica.term:
         step_down(replica, reply.term, now)
-        return
     peer = replica.peers.get(reply.sender)
-    if replica.role is not Role.LEADER or peer is None:
-        return
-    if reply.term < replica.term:
-        return
+    leading = replica.role is Role.LEADER and reply.term == replica.term
+    if peer is None or not leading:
+        return None
     peer.heard = now
     peer.acked = max(peer.acked, reply.stamp)
+    return peer
+
+
+def on_append_reply(
+    replica: Replica,
+    reply: AppendReply,
+    now: float,
+) -> None:
+    """Note what a peer holds, or step back where its log differs."""
+    peer = _heard_peer(replica, reply, now)
+    if peer is None:
+        return
     peer.commit = max(peer.commit, reply.commit)
     if reply.taken:
         peer.match = max(peer.match, reply.match)
@@ -268,14 +278,9 @@
     now: float,
 ) -> None:
     """Send the next part, or the entries after the snapshot."""
-    if reply.term > replica.term:
-        step_down(replica, reply.term, now)
-        return
-    peer = replica.peers.get(reply.sender)
-    if replica.role is not Role.LEADER or peer is None:
+    peer = _heard_peer(replica, reply, now)
+    if peer is None:
         return
-    peer.heard = now
-    peer.acked = max(peer.acked, reply.stamp)
     peer.waiting = False
     if reply.index != replica.base.index:
         peer.snapshot_offset = 0
