Pass a cancellation on while a link's work ends

The end of a link waited for its tasks and suppressed every CancelledError, its own too, so that a link that broke in the same moment connected again and was waited for without end. Ruled out: the handover (it is bounded) and the server's end. Change: wait for the tasks without raising what they raise.

--- a/daisygw/links/__init__.py
+++ b/daisygw/links/__init__.py
@@ -4,6 +4,7 @@
 from daisygw.links import _codec as codec
 from daisygw.links import _journal as journal_files
 from daisygw.links._logs import log, log_error, set_up_logs
+from daisygw.links._stream import running
 
 __all__ = (
     'books_file',
@@ -11,5 +12,6 @@
     'journal_files',
     'log',
     'log_error',
+    'running',
     'set_up_logs',
 )
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -115,16 +115,25 @@
         _set_up(link, on_change, up=False)
 
 
+async def _end(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.wait([task])
+    if not task.cancelled():
+        task.exception()
+
+
 @asynccontextmanager
 async def running(work: Any) -> AsyncGenerator[asyncio.Task, None]:
-    """Run a coroutine beside the body, and cancel it at the end."""
+    """Run a coroutine beside the body, and cancel it at the end.
+
+    A cancellation of the body itself is passed on, also while it waits for
+    the coroutine's end.
+    """
     task = asyncio.ensure_future(work)
     try:
         yield task
     finally:
-        task.cancel()
-        with suppress(asyncio.CancelledError, *_BROKEN):
-            await task
+        await _end(task)
 
 
 async def _exchange(
