Give a failing target enough work to be judged by

At 20 requests a second the other target's 8 slots held all of them, and the tightest fit left the failing one with fewer than 3 tasks, as it should. Ruled out: the judging; it counts distinct tasks and had too few. Change: the same 60 requests come at 150 a second, more than the sound target holds; the checks are as before.

--- a/tests/steps/trouble_steps.py
+++ b/tests/steps/trouble_steps.py
@@ -90,7 +90,7 @@
     call(address, '/v1/control', 'POST', b'{"fails": true}')
     arrivals = [
         Arrival(
-            number / 20,
+            number / 150,
             {'team': 'patio', 'id': f'f{number}'},
             b'{"ms": 100}',
         )
