--- a/daisygw/links/_config_http.py
+++ b/daisygw/links/_config_http.py
@@ -11,7 +11,7 @@
 from daisygw.contracts import Change, ContractError, ResultCode
 from daisygw.links._config_machine import CONFIGURATION
 from daisygw.links._entry import ask_leader
-from daisygw.links._entry_http import (
+from daisygw.links._http import (
     Resource,
     put_answer,
     put_refusal,
--- a/daisygw/links/_dump_http.py
+++ b/daisygw/links/_dump_http.py
@@ -11,7 +11,7 @@
 from daisygw.contracts import Answer, Query
 from daisygw.links._dump import describe_link, usage
 from daisygw.links._entry import Entry, post_about
-from daisygw.links._entry_http import Resource
+from daisygw.links._http import Resource
 
 _VIEW_WAIT = 2.0
 
--- a/daisygw/links/_entry_process.py
+++ b/daisygw/links/_entry_process.py
@@ -30,7 +30,8 @@
 from daisygw.links._driving import on_order, on_settled, on_stop, resubmit
 from daisygw.links._dump_http import Dump, Health, Metrics, describe_entry
 from daisygw.links._entry import Entry
-from daisygw.links._entry_http import Requests, on_crash, on_error
+from daisygw.links._entry_http import Requests
+from daisygw.links._http import on_crash, on_error
 from daisygw.links._logs import log
 from daisygw.links._operator_http import (
     Cancellations,
--- a/daisygw/links/_operator_http.py
+++ b/daisygw/links/_operator_http.py
@@ -21,7 +21,7 @@
     ask_leader,
     home,
 )
-from daisygw.links._entry_http import (
+from daisygw.links._http import (
     Resource,
     put_answer,
     put_refusal,
