Wait for the whole repair before the second loss

The step took a learner beside its stale voter for a repaired host. Ruled out: the replacement itself; losing a second host during a repair is more than three voters bear, and GUARANTEES.md does not promise it. Change: a host with a seat counts as repaired when its own replica votes; the check is stricter than before.

--- a/tests/steps/guarantee_steps.py
+++ b/tests/steps/guarantee_steps.py
@@ -311,9 +311,12 @@
 
 
 def _is_whole(group) -> bool:
+    """Tell whether a replica is a voter, where its host has a seat."""
     voters = [one.partition('#')[0] for one in group['voters']]
-    mine = group['replica'] in {*group['voters'], *group['learners']}
-    return mine and len(voters) == 3 and len(set(voters)) == 3
+    replica = group['replica']
+    seated = replica.partition('#')[0] in voters
+    members = group['voters'] if seated else group['learners']
+    return replica in members and len(voters) == 3 and len(set(voters)) == 3
 
 
 def _wipe(context, number):
