--- /dev/null
+++ b/daisygw/cell/__init__.py
@@ -0,0 +1,59 @@
+"""The cell: what is shared by all customers, and its leader's decisions."""
+
+from daisygw.cell._advice import on_advice
+from daisygw.cell._jobs import forget_old, on_config_ask, on_job_ask
+from daisygw.cell._lead import (
+    HERE,
+    LEASE,
+    Decided,
+    EndsCommitted,
+    Lead,
+    StartOrder,
+    StopOrder,
+    begin,
+    enqueue_job,
+    take,
+)
+from daisygw.cell._placing import place_waiting
+from daisygw.cell._state import Cell, Run, TargetState, apply, snapshot
+from daisygw.cell._targets import (
+    OrderOutcome,
+    StartDone,
+    on_holding,
+    on_report,
+    on_silence,
+    on_started,
+    on_stopped,
+    pass_time,
+)
+
+__all__ = (
+    'HERE',
+    'LEASE',
+    'Cell',
+    'Decided',
+    'EndsCommitted',
+    'Lead',
+    'OrderOutcome',
+    'Run',
+    'StartDone',
+    'StartOrder',
+    'StopOrder',
+    'TargetState',
+    'apply',
+    'begin',
+    'enqueue_job',
+    'forget_old',
+    'on_advice',
+    'on_config_ask',
+    'on_holding',
+    'on_job_ask',
+    'on_report',
+    'on_silence',
+    'on_started',
+    'on_stopped',
+    'pass_time',
+    'place_waiting',
+    'snapshot',
+    'take',
+)
--- /dev/null
+++ b/daisygw/cell/_admission.py
@@ -0,0 +1,38 @@
+"""Admission: what is refused before it is accepted, and until when."""
+
+from daisygw.cell._lead import Lead
+from daisygw.cell._state import TargetState, room_of
+from daisygw.contracts import JobSpec, Queue, ResultCode, Step, fits, room_for
+
+# A refusal: its code, when to come back (s) and the reason.
+Refusal = tuple[ResultCode, float, str]
+
+
+def could_hold(
+    lead: Lead, target: TargetState, step: Step, queue: Queue
+) -> int:
+    """Return how many tasks of a step an empty target could hold."""
+    life = target.life
+    if life.service != queue.service:
+        return 0
+    if step.label and step.label not in {life.kind, life.rack}:
+        return 0
+    need = room_of(step)
+    if not fits(need, life.capacity):
+        return 0
+    most = room_for(need, life.capacity) or step.count
+    return min(most, step.spread) if step.spread else most
+
+
+def verdict(lead: Lead, job: JobSpec, queue: Queue) -> Refusal | None:
+    """Return why a job is refused, none where it is accepted."""
+    targets = [one for one in lead.cell.targets.values() if one.open]
+    if not targets:
+        return (ResultCode.NO_WORKERS, 1, 'no target is known')
+    for number, step in enumerate(job.steps):
+        room = sum(could_hold(lead, one, step, queue) for one in targets)
+        least = step.count if step.gang else 1
+        if room < least and not step.lasting:
+            reason = f'step {number}: room for {room} of {least} tasks'
+            return (ResultCode.NEVER_FITS, 0, reason)
+    return None
--- /dev/null
+++ b/daisygw/cell/_jobs.py
@@ -0,0 +1,162 @@
+"""Decisions about jobs: accept, refuse, cancel, show; and configurations."""
+
+from daisygw.cell._admission import verdict
+from daisygw.cell._lead import (
+    Lead,
+    enqueue_job,
+    job_over,
+)
+from daisygw.cell._state import JobRecord
+from daisygw.contracts import (
+    CellAnswer,
+    ConfigAsk,
+    ConfigStored,
+    JobAsk,
+    JobEntered,
+    JobsForgotten,
+    JobState,
+    JobVerb,
+    JobWithdrawn,
+    Queue,
+    ResultCode,
+    queue_for,
+)
+
+# How long an ended job can still be asked for, s; the platform asks for 120.
+KEEP = 300.0
+
+
+def on_job_ask(lead: Lead, ask: JobAsk, entry: str) -> None:
+    """Decide on a caller's request."""
+    cfg = lead.cell.cfg
+    if cfg is None:
+        _refuse(lead, ask, entry, ResultCode.NOT_CONFIGURED, retry=1)
+        return
+    queue = queue_for(cfg, ask.host, ask.path)
+    if queue is None:
+        _refuse(lead, ask, entry, ResultCode.UNKNOWN_QUEUE)
+        return
+    name = ask.path[len(queue.prefix) :]
+    if ask.verb is JobVerb.COUNT or not name:
+        answer = CellAnswer(
+            ask.seq, ResultCode.ANSWERED, pending=_count(lead, queue)
+        )
+        lead.answer(entry, answer)
+    elif ask.verb is JobVerb.SUBMIT:
+        _submit(lead, ask, entry, queue)
+    else:
+        _about_job(lead, ask, entry, name)
+
+
+def _refuse(
+    lead: Lead,
+    ask: JobAsk,
+    entry: str,
+    code: ResultCode,
+    retry: float = 0,
+    reason: str = '',
+) -> None:
+    cfg = lead.cell.cfg
+    lead.say(
+        'refused',
+        id=ask.path,
+        code=code,
+        reason=reason,
+        retry_after_s=retry,
+        config=cfg.version if cfg else 0,
+        waiting=len(lead.waiting),
+    )
+    lead.answer(
+        entry,
+        CellAnswer(ask.seq, code, retry_after=retry, reason=reason),
+    )
+
+
+def _count(lead: Lead, queue: Queue) -> int:
+    return sum(
+        job.state is JobState.QUEUED
+        and job.entered.host == queue.host
+        and job.entered.prefix == queue.prefix
+        for job in lead.cell.jobs.values()
+    )
+
+
+def _submit(lead: Lead, ask: JobAsk, entry: str, queue: Queue) -> None:
+    known = lead.cell.jobs.get(ask.job.id)
+    if known is None:
+        refusal = verdict(lead, ask.job, queue)
+        if refusal:
+            _refuse(lead, ask, entry, *refusal)
+            return
+        _accept(lead, ask, queue)
+    lead.answer(entry, CellAnswer(ask.seq, ResultCode.ACCEPTED))
+
+
+def _accept(lead: Lead, ask: JobAsk, queue: Queue) -> None:
+    lead.record(JobEntered(ask.job, queue.host, queue.prefix, lead.wall))
+    lead.say(
+        'accepted',
+        id=ask.job.id,
+        queue=queue.name,
+        steps=len(ask.job.steps),
+        waiting=len(lead.waiting),
+        config=lead.cell.cfg.version,
+    )
+    enqueue_job(lead, lead.cell.jobs[ask.job.id])
+
+
+def _about_job(lead: Lead, ask: JobAsk, entry: str, name: str) -> None:
+    job = lead.cell.jobs.get(name)
+    if job is None:
+        _refuse(lead, ask, entry, ResultCode.UNKNOWN_JOB)
+        return
+    if ask.verb is JobVerb.CANCEL:
+        _cancel(lead, job)
+    answer = CellAnswer(ask.seq, ResultCode.ANSWERED, state=job.state)
+    lead.answer(entry, answer)
+
+
+def _cancel(lead: Lead, job: JobRecord) -> None:
+    if not job.over:
+        lead.record(JobWithdrawn(job.spec.id))
+        lead.say('cancelled', id=job.spec.id)
+        job_over(lead, job)
+
+
+def on_config_ask(lead: Lead, ask: ConfigAsk, entry: str) -> None:
+    """Store a newer configuration; acknowledge one that is not newer."""
+    current = lead.cell.cfg
+    if ask.cfg is not None and (
+        current is None or ask.cfg.version > current.version
+    ):
+        lead.record(ConfigStored(ask.cfg))
+        lead.say(
+            'configuration',
+            version=ask.cfg.version,
+            before=current.version if current else 0,
+            queues=len(ask.cfg.queues),
+        )
+        for job in lead.cell.jobs.values():
+            enqueue_job(lead, job)
+    current = lead.cell.cfg
+    if current is None:
+        answer = CellAnswer(ask.seq, ResultCode.NOT_CONFIGURED)
+    else:
+        answer = CellAnswer(
+            ask.seq, ResultCode.ANSWERED, document=current.document
+        )
+    lead.answer(entry, answer)
+
+
+def forget_old(lead: Lead) -> None:
+    """Forget jobs that ended long ago and hold nothing."""
+    gone = []
+    while lead.ended and lead.now - lead.ended[0][0] > KEEP:
+        _, name = lead.ended.popleft()
+        job = lead.cell.jobs.get(name)
+        if job and any(state.runs for state in job.steps.values()):
+            lead.ended.append((lead.now, name))
+        elif job:
+            gone.append(name)
+    if gone:
+        lead.record(JobsForgotten(tuple(gone)))
--- /dev/null
+++ b/daisygw/cell/_lead.py
@@ -0,0 +1,282 @@
+"""What a cell's leader keeps besides the replicated state.
+
+All of it is built anew when a leader is elected.  A decision is a plain
+function over ``Lead``: it appends records for the log and effects that are
+let out once those records are committed and while the leader's lease holds.
+"""
+
+import itertools
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from daisygw.cell._state import Cell, JobRecord, Run, StepState, apply
+from daisygw.contracts import (
+    CellAnswer,
+    JobState,
+    Queue,
+    StepKey,
+    longest_chain,
+)
+from daisygw.machines import Contact
+from daisygw.zones import Tell
+
+# How long a target may run on without hearing from the leader, s: longer
+# than an election and a first round of renewals, under the platform's bound.
+LEASE = 5.0
+# An earlier leader's grants end this long after an election at the latest, s:
+# its lease, the drift of a target's clock and the margin of a reading.
+INHERITED = LEASE * 1.05 + 0.5
+# The name under which an effect is carried out by the leader's own process.
+HERE = ''
+# Older entries of a job's age come from clocks that jumped, s.
+_OLDEST = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Effect: tell a target to start a run."""
+
+    run: Run
+    payload: str
+    saved: str
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Effect: tell a target to stop a run, or never to start it."""
+
+    run: Run
+
+
+@dataclass(frozen=True, slots=True)
+class EndsCommitted:
+    """Effect: a target's ends up to ``position`` are durable."""
+
+    life: str
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """Effect: a line for the log about a decision."""
+
+    event: str
+    fields: tuple[tuple[str, Any], ...]
+
+
+class Ordered:
+    """An order given in this term, until its run is over.
+
+    Times are the leader's own (s) but for ``deadline``, which is the
+    target's (ms): a copy that arrives later is refused there.
+    """
+
+    def __init__(self, run: Run, at: float) -> None:
+        """Begin unsent."""
+        self.run = run
+        self.at = at
+        self.deadline = 0
+        self.answered = float('inf')
+        self.unanswered = 0
+        self.listed = False
+        self.stop_due = float('inf')
+        self.barred = float('inf')
+        self.percent = 0
+        self.moved = at
+
+
+class Approval:
+    """What the placement advisor has said of a step."""
+
+    def __init__(self) -> None:
+        """Begin unasked."""
+        self.tickets: dict[str, tuple[str, float]] = {}
+        self.denied: set[str] = set()
+        self.asking = False
+        self.retry_at = float('-inf')
+
+
+class WaitingStep:
+    """A step with tasks to start.  ``due`` is its latest useful start (s)."""
+
+    def __init__(
+        self,
+        job: JobRecord,
+        state: StepState,
+        queue: Queue,
+        times: tuple[float, float],
+    ) -> None:
+        """Wait for room; ``times`` are ``due`` and when it earns nothing."""
+        self.job = job
+        self.state = state
+        self.queue = queue
+        self.due, self.worthless = times
+        self.avoid: dict[int, set[str]] = {}
+
+
+class Lead:
+    """The leader's working state over its cell."""
+
+    def __init__(self, cell: Cell, term: int, now: float, wall: float) -> None:
+        """Begin in ``term``; ``begin`` takes up what waits."""
+        self.cell = cell
+        self.term = term
+        self.now = now
+        self.wall = wall
+        self.elected = now
+        self.records: list[Any] = []
+        self.tells: list[Tell] = []
+        self.waiting: dict[StepKey, WaitingStep] = {}
+        self.approvals: dict[StepKey, Approval] = {}
+        self.asks: dict[int, tuple[StepKey, tuple[str, ...], float]] = {}
+        self.contacts: dict[str, Contact] = {}
+        self.orders: dict[tuple[StepKey, int], Ordered] = {}
+        self.stretch: dict[str, float] = {}
+        self.pace: dict[str, float] = {}
+        self.suspects: dict[str, set[str]] = {}
+        self.ended: deque[tuple[float, str]] = deque()
+        self.numbers = itertools.count(1)
+        self.changed = True
+
+    def record(self, record: Any) -> None:
+        """Append a record, and see its effect at once."""
+        apply(self.cell, record)
+        self.records.append(record)
+        self.changed = True
+
+    def tell(self, entry: str, message: Any) -> None:
+        """Leave an effect for after the commit."""
+        self.tells.append(Tell(entry, message))
+
+    def answer(self, entry: str, answer: CellAnswer) -> None:
+        """Answer a question of a process."""
+        self.tell(entry, answer)
+
+    def say(self, event: str, **fields: Any) -> None:
+        """Leave a line for the log."""
+        self.tell(HERE, Decided(event, tuple(fields.items())))
+
+
+def take(lead: Lead) -> tuple[list[Any], list[Tell]]:
+    """Return the records and effects since the last call."""
+    records, lead.records = lead.records, []
+    tells, lead.tells = lead.tells, []
+    return records, tells
+
+
+def queue_of(lead: Lead, job: JobRecord) -> Queue | None:
+    """Return the queue that a job was handed to, if it still stands."""
+    cfg = lead.cell.cfg
+    for queue in cfg.queues if cfg else ():
+        if (queue.host, queue.prefix) == (
+            job.entered.host,
+            job.entered.prefix,
+        ):
+            return queue
+    return None
+
+
+def entered_at(lead: Lead, job: JobRecord) -> float:
+    """Return when a job was accepted, on the leader's clock."""
+    age = min(max(lead.wall - job.entered.at, 0), _OLDEST)
+    return lead.now - age
+
+
+def _is_due(lead: Lead, job: JobRecord, occurrence: int) -> bool:
+    spec = job.spec
+    if not spec.repeats:
+        return True
+    return lead.wall >= spec.first_due + occurrence * spec.interval
+
+
+def pending_indexes(state: StepState) -> list[int]:
+    """Return the tasks of a step that may start now."""
+    if state.complete or (state.step.gang and state.runs):
+        return []
+    return [
+        index
+        for index in range(state.step.count)
+        if index not in state.done and index not in state.runs
+    ]
+
+
+def is_ready(lead: Lead, job: JobRecord, state: StepState) -> bool:
+    """Tell whether the turn of a step has come."""
+    key = state.key
+    if job.over or not _is_due(lead, job, key.occurrence):
+        return False
+    return all(
+        job.steps[key.occurrence, earlier].complete
+        for earlier in state.step.after
+    )
+
+
+def _times(
+    lead: Lead,
+    job: JobRecord,
+    queue: Queue,
+    step: int,
+) -> tuple[float, float]:
+    entered = entered_at(lead, job)
+    stretch = lead.stretch.get(queue.name, 1.0)
+    objective = queue.slack * longest_chain(job.spec.steps) + queue.latency
+    rest = longest_chain(job.spec.steps, step) * stretch
+    return entered + objective - rest, entered + 3 * objective - rest
+
+
+def enqueue_job(lead: Lead, job: JobRecord) -> None:
+    """Let the ready steps of a job wait for room."""
+    queue = queue_of(lead, job)
+    if queue is None:
+        return
+    for state in job.steps.values():
+        key = state.key
+        if key in lead.waiting or not pending_indexes(state):
+            continue
+        if is_ready(lead, job, state):
+            times = _times(lead, job, queue, key.step)
+            lead.waiting[key] = WaitingStep(job, state, queue, times)
+            lead.changed = True
+
+
+def begin(lead: Lead) -> None:
+    """Take up what the log says is to be done."""
+    for target in lead.cell.targets.values():
+        lead.contacts[target.key] = Contact(lead.elected + INHERITED)
+    for job in lead.cell.jobs.values():
+        if job.over:
+            lead.ended.append((lead.now, job.spec.id))
+            stop_runs(lead, job)
+        else:
+            enqueue_job(lead, job)
+
+
+def stop_runs(lead: Lead, job: JobRecord) -> None:
+    """Stop all that still runs of a job."""
+    for state in job.steps.values():
+        lead.waiting.pop(state.key, None)
+        for run in list(state.runs.values()):
+            want_stop(lead, run)
+
+
+def want_stop(lead: Lead, run: Run) -> None:
+    """Stop a run; the order is repeated until its end is listed."""
+    ordered = lead.orders.get((run.step, run.index))
+    if ordered is None:
+        ordered = Ordered(run, lead.now)
+        lead.orders[run.step, run.index] = ordered
+        ordered.answered = lead.elected
+    ordered.stop_due = lead.now
+
+
+def job_over(lead: Lead, job: JobRecord) -> None:
+    """Clean up after a job that is over."""
+    stop_runs(lead, job)
+    for state in job.steps.values():
+        lead.approvals.pop(state.key, None)
+    lead.ended.append((lead.now, job.spec.id))
+    if job.state is not JobState.CANCELLED:
+        age = round(lead.wall - job.entered.at, 3)
+        lead.say('job over', id=job.spec.id, state=job.state, age_s=age)
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -56,6 +56,16 @@
         'daisygw.cli._processes:scheduler',
         options=_PROCESS,
     ),
+    Definition(
+        'platform entry',
+        "Run the entry process of a cell on the users' platform",
+        'daisygw.cli._processes:platform_entry',
+    ),
+    Definition(
+        'platform scheduler',
+        "Run the scheduler process of a cell on the users' platform",
+        'daisygw.cli._processes:platform_scheduler',
+    ),
     Definition(
         'submit',
         'Submit a request and print its whole answer',
--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -70,3 +70,15 @@
     """Run a scheduler."""
     run = _load('daisygw.links._scheduler', 'run_scheduler')
     return _run(given, 'scheduler', run)
+
+
+def platform_entry(given: Given, ctx: Context) -> ExitStatus:
+    """Run an entry of a cell on the users' platform."""
+    spare_collector()
+    return _load('daisygw.platform', 'run')('entry', ctx)
+
+
+def platform_scheduler(given: Given, ctx: Context) -> ExitStatus:
+    """Run a scheduler of a cell on the users' platform."""
+    spare_collector()
+    return _load('daisygw.platform', 'run')('scheduler', ctx)
--- a/daisygw/contracts/_codes.py
+++ b/daisygw/contracts/_codes.py
@@ -28,6 +28,7 @@
     UNKNOWN_KIND = 207
     ID_REUSED = 208
     BAD_VALUE = 209
+    UNKNOWN_QUEUE = 210
     NEVER_FITS = 301
     QUOTA_EXCEEDED = 302
     OVERLOADED = 303
@@ -39,6 +40,8 @@
     NOT_STARTED = 309
     CALLER_GONE = 310
     NO_WORKERS = 311
+    NOT_CONFIGURED = 312
+    NEVER_IN_TIME = 313
     TASK_FAILED = 401
     WORKER_LOST = 402
     CANCELLED_RUNNING = 403
@@ -88,6 +91,8 @@
     ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.OVERLOADED: 429,
     ResultCode.ID_REUSED: 409,
+    ResultCode.UNKNOWN_QUEUE: 404,
+    ResultCode.NEVER_IN_TIME: 429,
     ResultCode.UNKNOWN_JOB: 404,
     ResultCode.UNKNOWN_TARGET: 404,
     ResultCode.CONFIG_INVALID: 400,
--- a/daisygw/links/_entry_process.py
+++ b/daisygw/links/_entry_process.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import signal
-import socket
-from collections.abc import AsyncGenerator, Generator
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 from types import MappingProxyType
 from typing import Any
 
 import falcon.asgi
-import uvicorn
 
 from daisygw.contracts import (
     Answer,
@@ -18,7 +16,6 @@
     ConfigChanged,
     DaisygwError,
     LeaderIs,
-    LinkError,
     Order,
     ResultCode,
     StopOrder,
@@ -39,13 +36,13 @@
     OneRequest,
     Views,
 )
+from daisygw.links._serving import listen, serving_http
 from daisygw.links._stream import Link, keep_connected, running
 from daisygw.links._target_client import open_session
 from daisygw.links._views import to_json
 from daisygw.machines import AnnouncementTaken
 from daisygw.settings import Settings, configuration_of
 
-_BACKLOG = 2048
 _DRAIN_LOOK = 0.05
 
 
@@ -147,56 +144,6 @@
     }
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the process."""
-
-    @contextmanager
-    def capture_signals(self) -> Generator[None, None, None]:
-        """Capture none."""
-        yield
-
-
-def listen(address: str) -> socket.socket:
-    """Listen at an address, or raise with PORT_TAKEN."""
-    host, _, port = address.rpartition(':')
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, int(port)))
-    except OSError as exc:
-        sock.close()
-        raise LinkError(
-            ResultCode.PORT_TAKEN,
-            f'{address}: {exc.strerror}',
-        ) from exc
-    sock.setblocking(False)
-    return sock
-
-
-@asynccontextmanager
-async def _serving(
-    entry: Entry, sock: socket.socket
-) -> AsyncGenerator[None, None]:
-    config = uvicorn.Config(
-        make_app(entry),
-        loop='asyncio',
-        http='httptools',
-        ws='none',
-        lifespan='off',
-        log_config=None,
-        access_log=False,
-        backlog=_BACKLOG,
-        timeout_graceful_shutdown=int(entry.boot.process.grace),
-    )
-    server = _Server(config)
-    task = asyncio.ensure_future(server.serve(sockets=[sock]))
-    try:
-        yield
-    finally:
-        server.should_exit = True
-        await task
-
-
 @asynccontextmanager
 async def _linked(entry: Entry) -> AsyncGenerator[None, None]:
     async with AsyncExitStack() as stack:
@@ -241,7 +188,9 @@
     address = settings.hosts[host].entry
     sock = listen(address)
     _on_signals(entry)
-    async with _linked(entry), _serving(entry, sock):
+    grace = entry.boot.process.grace
+    serving = serving_http(make_app(entry), sock, grace)
+    async with _linked(entry), serving:
         log('entry up', host=host, address=address)
         await entry.stopped.wait()
         await _drain(entry)
--- a/daisygw/links/_logs.py
+++ b/daisygw/links/_logs.py
@@ -2,7 +2,10 @@
 
 import json
 import logging as std_logging
+import os
 import sys
+import time
+from collections import Counter
 from types import MappingProxyType
 from typing import Any
 
@@ -16,6 +19,8 @@
     'warning': logging.WARNING,
     'error': logging.ERROR,
 })
+# Lines of one event in a second: several times what a busy day brings.
+MOST_LINES = 200
 _FIELDS = 'daisygw_fields'
 
 
@@ -35,8 +40,45 @@
         return json.dumps(line, default=str)
 
 
-def set_up_logs(level: str, process: str) -> None:
-    """Send log lines of ``level`` and above to standard error."""
+class _Gate:
+    """Counts lines by event, so that a flood of one is cut off."""
+
+    def __init__(self) -> None:
+        self.second = 0
+        self.lines: Counter[str] = Counter()
+
+
+class BoundedStream:
+    """A stream that drops lines rather than wait for its reader."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Write to an open file descriptor without blocking."""
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a line, or count it as dropped."""
+        line = text.encode('utf-8', 'replace')
+        if self.dropped:
+            note = {'event': 'lines dropped', 'count': self.dropped}
+            line = json.dumps(note).encode('utf-8') + b'\n' + line
+        try:
+            os.write(self.descriptor, line)
+        except BlockingIOError:
+            self.dropped += 1
+        else:
+            self.dropped = 0
+
+    def flush(self) -> None:
+        """Do nothing: nothing is kept back."""
+
+
+_gate = _Gate()
+
+
+def set_up_logs(level: str, process: str, stream: Any = None) -> None:
+    """Send log lines of ``level`` and above to a stream (standard error)."""
     if level not in _LEVELS:
         known = ', '.join(_LEVELS)
         reason = f'process.log_level: {level!r} is not one of {known}'
@@ -45,14 +87,33 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.use_absl_log_file = False
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     handler.setFormatter(_JsonFormatter())
     logging.set_verbosity(_LEVELS[level])
     log('start', process=process)
 
 
+def _is_over(event: str) -> bool:
+    """Tell whether an event has had its lines in this second."""
+    second = int(time.monotonic())
+    if second != _gate.second:
+        over = {
+            name: count - MOST_LINES
+            for name, count in _gate.lines.items()
+            if count > MOST_LINES
+        }
+        _gate.second = second
+        _gate.lines.clear()
+        if over:
+            log('lines left out', events=over)
+    _gate.lines[event] += 1
+    return _gate.lines[event] > MOST_LINES
+
+
 def log(event: str, **fields: Any) -> None:
-    """Write one line about ``event`` with its fields."""
+    """Write one line about ``event`` with its fields, within a bound."""
+    if _is_over(event):
+        return
     logging.get_absl_logger().info(event, extra={_FIELDS: fields})
 
 
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -25,6 +25,9 @@
 _PULSE = 1.0
 _SILENCE = 2.5
 _MOST_WAITING = 100_000
+# A connection attempt into a partition is given up and begun anew, s: the
+# kernel alone would try again only after ever longer pauses.
+_CONNECT_WAIT = 1.0
 _BROKEN = (
     OSError,
     GRPCError,
@@ -180,8 +183,9 @@
     on_change: OnChange,
 ) -> None:
     async with method.open(metadata={_PEER: me}) as stream:
-        await stream.send_request()
-        await stream.recv_initial_metadata()
+        async with asyncio.timeout(_CONNECT_WAIT):
+            await stream.send_request()
+            await stream.recv_initial_metadata()
         async with _connected(link, on_change):
             await _exchange(link, stream, on_message)
             await stream.cancel()
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -6,6 +6,19 @@
     refresh,
     set_speed,
 )
+from daisygw.machines._life import (
+    MS,
+    ActiveRun,
+    Contact,
+    Holding,
+    LifeListed,
+    ListedEnd,
+    TargetLife,
+    TargetReport,
+    grant,
+    life_key,
+    note_clock,
+)
 from daisygw.machines._scoring import SCORINGS, Score
 from daisygw.machines._target import (
     Announced,
@@ -32,17 +45,25 @@
 )
 
 __all__ = (
-    'SCORINGS',
+    'ActiveRun',
     'Announced',
     'Announcement',
     'AnnouncementTaken',
+    'Contact',
     'EndedAttempt',
     'FreeIndex',
+    'Holding',
+    'LifeListed',
+    'ListedEnd',
+    'MS',
     'RunningAttempt',
+    'SCORINGS',
     'Score',
     'TargetDrained',
     'TargetDropped',
+    'TargetLife',
     'TargetListed',
+    'TargetReport',
     'TargetSetAside',
     'TargetSpec',
     'Worker',
@@ -51,8 +72,11 @@
     'drain_target',
     'drop_target',
     'enter',
+    'grant',
     'hold',
+    'life_key',
     'list_target',
+    'note_clock',
     'refresh',
     'release',
     'set_aside',
--- /dev/null
+++ b/daisygw/machines/_life.py
@@ -0,0 +1,130 @@
+"""Targets under leases: one life of a target, and what a leader knows of it.
+
+A target's clock is its own and may run slow; all that runs there is over
+once that clock has passed the latest time the target was ever given.
+"""
+
+from dataclasses import dataclass
+
+from daisygw.contracts import Size, StepKey
+
+MS = 1000
+# The platform's targets may measure a second as up to 2 % longer.
+CLOCK_DRIFT = 0.02
+# Covers the way back of an answer and the rounding of both clocks, s.
+CLOCK_MARGIN = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLife:
+    """One life of a target: its name and the time of its start (ms)."""
+
+    name: str
+    born: int
+    service: str
+    address: str
+    domain: str
+    capacity: Size
+    kind: str = ''
+    rack: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class LifeListed:
+    """Record: a target has announced a new life."""
+
+    life: TargetLife
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target says of itself; ``number`` grows within a life.
+
+    ``left`` means that it ends now; its ``life`` may then be unknown.
+    """
+
+    seq: int
+    name: str
+    life: TargetLife | None
+    number: int = 0
+    draining: bool = False
+    left: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveRun:
+    """A run that a target lists: its newest checkpoint and progress (%)."""
+
+    step: StepKey
+    index: int
+    number: int
+    saved: str
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListedEnd:
+    """An end that a target lists until the leader has noted ``position``."""
+
+    position: int
+    step: StepKey
+    index: int
+    number: int
+    how: str
+    saved: str
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A target's answer to a renewal: its clock (ms), runs and ends."""
+
+    born: int
+    clock: int
+    active: tuple[ActiveRun, ...]
+    ended: tuple[ListedEnd, ...]
+
+
+def life_key(life: TargetLife) -> str:
+    """Return the name of one life of a target."""
+    return f'{life.name}@{life.born}'
+
+
+class Contact:
+    """What a leader knows of one target's life; times on its own clock."""
+
+    def __init__(self, over_at: float) -> None:
+        """Begin unseen; earlier grants are over at ``over_at`` (s)."""
+        self.inherited = over_at
+        self.read_at = 0.0
+        self.clock = 0
+        self.granted = 0
+        self.over_at = over_at
+        self.seen = float('-inf')
+        self.reached = False
+        self.noted = 0
+        self.failures = 0
+        self.barred_until = float('-inf')
+
+
+def note_clock(contact: Contact, received: float, clock: int) -> None:
+    """Take a reading of the target's clock (ms) received just now."""
+    contact.read_at = received
+    contact.clock = clock
+    contact.seen = received
+    _note_over(contact)
+
+
+def grant(contact: Contact, now: float, lease: float) -> int:
+    """Return a time on the target's clock (ms), ``lease`` s from now."""
+    passed = max(now - contact.read_at, 0) * (1 - CLOCK_DRIFT)
+    until = contact.clock + int((passed + lease) * MS)
+    contact.granted = max(contact.granted, until)
+    _note_over(contact)
+    return until
+
+
+def _note_over(contact: Contact) -> None:
+    """Work out when the target's clock has surely passed all grants."""
+    left = max(contact.granted - contact.clock, 0) / MS
+    passed = contact.read_at + left * (1 + 2 * CLOCK_DRIFT) + CLOCK_MARGIN
+    contact.over_at = max(passed, contact.inherited)
--- /dev/null
+++ b/daisygw/nodes/__init__.py
@@ -0,0 +1,26 @@
+"""Nodes: the two processes of a cell that spans a region."""
+
+from daisygw.nodes._entry import EntryNode, is_ready, running_entry
+from daisygw.nodes._orders import carrying_out
+from daisygw.nodes._peers import Peers, ask_leader, know
+from daisygw.nodes._scheduler import (
+    SchedulerNode,
+    hand_over,
+    running_scheduler,
+)
+from daisygw.nodes._settings import NodeSettings, TargetCalls
+
+__all__ = (
+    'EntryNode',
+    'NodeSettings',
+    'Peers',
+    'SchedulerNode',
+    'TargetCalls',
+    'ask_leader',
+    'carrying_out',
+    'hand_over',
+    'is_ready',
+    'know',
+    'running_entry',
+    'running_scheduler',
+)
--- /dev/null
+++ b/daisygw/nodes/_entry.py
@@ -0,0 +1,92 @@
+"""The entry process of a cell: it passes callers' requests to the leader.
+
+It keeps no state that must survive, and decides nothing about jobs.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any
+
+from daisygw.contracts import (
+    AdviceAnswer,
+    AdviceAsk,
+    CellAnswer,
+    LinkError,
+    Roster,
+)
+from daisygw.links import log
+from daisygw.links.processes import Link, post
+from daisygw.nodes._peers import Peers, follow, linked, on_answer
+from daisygw.nodes._settings import NodeSettings, TargetCalls
+
+# A call to the advisor may wait behind others of this host for so long, s.
+ADVICE_PATIENCE = 2.0
+
+
+class EntryNode:
+    """The state of an entry process."""
+
+    def __init__(self, cfg: NodeSettings, calls: TargetCalls) -> None:
+        """Begin with no links."""
+        self.cfg = cfg
+        self.calls = calls
+        self.peers = Peers(f'entry/{cfg.host}', cfg.host, cfg.port)
+        self.stopping = False
+        self.stopped = asyncio.Event()
+        self.errands: set[asyncio.Task] = set()
+
+
+async def give_advice(
+    calls: TargetCalls,
+    ask: AdviceAsk,
+) -> AdviceAnswer:
+    """Call the placement advisor for the leader."""
+    try:
+        tickets = await calls.advise(
+            ask.step, ask.targets, ask.work + ADVICE_PATIENCE
+        )
+    except LinkError as exc:
+        log('advisor failed', id=ask.step.job, reason=exc.reason)
+        return AdviceAnswer(ask.seq, answered=False)
+    return AdviceAnswer(ask.seq, answered=True, tickets=tickets)
+
+
+async def _advise(node: EntryNode, link: Link, ask: AdviceAsk) -> None:
+    post(link, await give_advice(node.calls, ask))
+
+
+def _on_message(node: EntryNode, link: Link, message: Any) -> None:
+    match message:
+        case CellAnswer():
+            on_answer(node.peers, message)
+        case Roster():
+            follow(node.peers, message)
+        case AdviceAsk():
+            task = asyncio.ensure_future(_advise(node, link, message))
+            node.errands.add(task)
+            task.add_done_callback(node.errands.discard)
+
+
+def is_ready(node: EntryNode) -> bool:
+    """Tell whether new callers should come here.
+
+    A change of leader does not count: it is over sooner than a balancer
+    notices.
+    """
+    linked_now = any(link.up for link in node.peers.links.values())
+    return linked_now and not node.stopping
+
+
+@asynccontextmanager
+async def running_entry(
+    cfg: NodeSettings,
+    calls: TargetCalls,
+) -> AsyncGenerator[EntryNode, None]:
+    """Run an entry while the body serves callers."""
+    node = EntryNode(cfg, calls)
+    async with linked(node.peers, cfg.seeds, partial(_on_message, node)):
+        yield node
+    for task in node.errands:
+        task.cancel()
--- /dev/null
+++ b/daisygw/nodes/_orders.py
@@ -0,0 +1,278 @@
+"""Carrying out a leader's effects: renewals, orders and advice."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+from types import MappingProxyType
+from typing import Any
+
+from daisygw.cell import (
+    LEASE,
+    Decided,
+    EndsCommitted,
+    Lead,
+    OrderOutcome,
+    StartDone,
+    StartOrder,
+    StopOrder,
+    TargetState,
+    on_advice,
+    on_holding,
+    on_silence,
+    on_started,
+    on_stopped,
+)
+from daisygw.contracts import AdviceAnswer, AdviceAsk, LinkError
+from daisygw.links import log
+from daisygw.links.processes import Link, post, running
+from daisygw.machines import grant
+from daisygw.nodes import _clock
+from daisygw.nodes._entry import ADVICE_PATIENCE, give_advice
+from daisygw.nodes._scheduler import SchedulerNode, fence_of
+from daisygw.zones import has_authority
+
+# The longest wait that a target's renewal may ask for, s.
+HOLD_WAIT = 2.0
+# The pause after a renewal that brought no answer, s.
+_SILENCE_PAUSE = 0.2
+# How often the set of targets is looked at, s.
+_LOOK = 0.1
+# How long the commit of listed ends is waited for before the next look, s.
+_COMMIT_WAIT = 0.5
+# How much longer than its caller the leader waits for advice, s.
+_ADVICE_SLACK = 0.5
+
+
+class Orders:
+    """What the leader's process has under way."""
+
+    def __init__(self, node: SchedulerNode) -> None:
+        """Begin with nothing under way."""
+        self.node = node
+        self.holds: dict[str, asyncio.Task] = {}
+        self.noted = asyncio.Event()
+        self.busy: dict[str, float] = {}
+
+
+def _lead(orders: Orders) -> Lead | None:
+    """Return the leader's state, if this process surely leads now."""
+    node = orders.node
+    lead = node.state.lead
+    if lead is None or not has_authority(node.group.replica, _clock.now()):
+        return None
+    lead.now = _clock.now()
+    return lead
+
+
+def _still_leads(orders: Orders, lead: Lead) -> bool:
+    """Tell whether an answer may still be taken in the same term."""
+    if orders.node.state.lead is not lead:
+        return False
+    lead.now = _clock.now()
+    orders.node.wake.set()
+    return True
+
+
+def _spawn(orders: Orders, work: Any) -> None:
+    task = asyncio.ensure_future(work)
+    errands = orders.node.errands
+    errands.add(task)
+    task.add_done_callback(partial(_done, errands))
+
+
+def _done(errands: set[asyncio.Task], task: asyncio.Task) -> None:
+    errands.discard(task)
+    if not task.cancelled() and task.exception():
+        log('errand failed', error=repr(task.exception()))
+
+
+async def _hold_once(orders: Orders, lead: Lead, target: TargetState) -> None:
+    contact = lead.contacts[target.key]
+    known = contact.reached and contact.failures == 0
+    deadline = grant(contact, _clock.now(), LEASE) if known else None
+    wait = HOLD_WAIT if known else 0
+    sent = _clock.now()
+    fence = fence_of(orders.node)
+    try:
+        holding = await orders.node.calls.hold(
+            target.life, fence, contact.noted, deadline, wait
+        )
+    except LinkError as exc:
+        if _still_leads(orders, lead) and target.key in lead.contacts:
+            on_silence(lead, target)
+            log('renewal failed', target=target.key, reason=exc.reason)
+        await asyncio.sleep(_SILENCE_PAUSE)
+        return
+    if _still_leads(orders, lead) and target.key in lead.contacts:
+        on_holding(lead, target, holding, sent)
+        await _until_noted(orders, lead, target)
+
+
+async def _until_noted(orders: Orders, lead: Lead, target: TargetState) -> None:
+    """Wait until the ends that were listed are durable."""
+    until = _clock.now() + _COMMIT_WAIT
+    contact = lead.contacts.get(target.key)
+    while contact and contact.noted < target.position:
+        left = until - _clock.now()
+        if left <= 0:
+            return
+        with suppress(TimeoutError):
+            await asyncio.wait_for(orders.noted.wait(), left)
+
+
+async def _hold(orders: Orders, lead: Lead, target: TargetState) -> None:
+    """Renew a target's lease for as long as this process leads."""
+    while orders.node.state.lead is lead and target.key in lead.contacts:
+        if _lead(orders) is None:
+            await asyncio.sleep(_LOOK)
+            continue
+        await _hold_once(orders, lead, target)
+
+
+async def _watch_targets(orders: Orders) -> None:
+    lead = None
+    while True:
+        if orders.node.state.lead is not lead:
+            for task in orders.holds.values():
+                task.cancel()
+            orders.holds.clear()
+            lead = orders.node.state.lead
+        if lead:
+            _hold_all(orders, lead)
+        await asyncio.sleep(_LOOK)
+
+
+def _hold_all(orders: Orders, lead: Lead) -> None:
+    for key, target in lead.cell.targets.items():
+        task = orders.holds.get(key)
+        if task is not None and task.done() and not task.cancelled():
+            exc = task.exception()
+            if exc:
+                log('renewal ended', target=key, error=repr(exc))
+        if (task is None or task.done()) and key in lead.contacts:
+            hold = _hold(orders, lead, target)
+            orders.holds[key] = asyncio.ensure_future(hold)
+    for key in set(orders.holds) - set(lead.cell.targets):
+        orders.holds.pop(key).cancel()
+
+
+async def _start(orders: Orders, order: StartOrder) -> None:
+    lead = _lead(orders)
+    target = lead.cell.targets.get(order.run.life) if lead else None
+    ordered = (
+        lead.orders.get((order.run.step, order.run.index)) if lead else None
+    )
+    if target is None or ordered is None or ordered.run != order.run:
+        return
+    contact = lead.contacts[target.key]
+    if not ordered.deadline:
+        ordered.deadline = grant(contact, _clock.now(), LEASE)
+    sent = _clock.now()
+    fence = fence_of(orders.node)
+    try:
+        outcome, reason = await orders.node.calls.start(
+            target.life, order, ordered.deadline, fence
+        )
+    except LinkError as exc:
+        outcome, reason = OrderOutcome.NO_ANSWER, exc.reason
+    if _still_leads(orders, lead):
+        on_started(lead, StartDone(order, outcome, sent, reason))
+
+
+async def _stop(orders: Orders, order: StopOrder) -> None:
+    lead = _lead(orders)
+    target = lead.cell.targets.get(order.run.life) if lead else None
+    if target is None:
+        return
+    fence = fence_of(orders.node)
+    try:
+        outcome = await orders.node.calls.stop(target.life, order.run, fence)
+    except LinkError as exc:
+        log('stop failed', id=order.run.step.job, reason=exc.reason)
+        return
+    if _still_leads(orders, lead):
+        on_stopped(lead, order.run, outcome)
+
+
+def _advisers(node: SchedulerNode) -> dict[str, Link | None]:
+    """Return who may call the advisor: links by peer, none for itself."""
+    found: dict[str, Link | None] = {
+        name: link for name, link in node.sessions.items() if link.up
+    }
+    found[node.cfg.host] = None
+    return found
+
+
+def _ask_advice(orders: Orders, ask: AdviceAsk) -> None:
+    """Let the process call that is free first."""
+    now = _clock.now()
+    advisers = _advisers(orders.node)
+    best = min(
+        advisers,
+        key=lambda name: (max(orders.busy.get(name, 0), now), name),
+    )
+    orders.busy[best] = max(orders.busy.get(best, 0), now) + ask.work
+    link = advisers[best]
+    if link is None:
+        _spawn(orders, _advise_here(orders, ask))
+    else:
+        post(link, ask)
+    _spawn(orders, _expire(orders, ask))
+
+
+async def _advise_here(orders: Orders, ask: AdviceAsk) -> None:
+    _take_advice(orders, await give_advice(orders.node.calls, ask))
+
+
+async def _expire(orders: Orders, ask: AdviceAsk) -> None:
+    await asyncio.sleep(ask.work + ADVICE_PATIENCE + _ADVICE_SLACK)
+    _take_advice(orders, AdviceAnswer(ask.seq, answered=False))
+
+
+def _take_advice(orders: Orders, answer: AdviceAnswer) -> None:
+    lead = orders.node.state.lead
+    if lead and _still_leads(orders, lead):
+        on_advice(lead, answer)
+
+
+async def _advise_for(orders: Orders, link: Link, ask: AdviceAsk) -> None:
+    post(link, await give_advice(orders.node.calls, ask))
+
+
+def _note(orders: Orders, ends: EndsCommitted) -> None:
+    lead = orders.node.state.lead
+    contact = lead.contacts.get(ends.life) if lead else None
+    if contact:
+        contact.noted = max(contact.noted, ends.position)
+        orders.noted.set()
+        orders.noted = asyncio.Event()
+
+
+def _log_decision(orders: Orders, decided: Decided) -> None:
+    log(decided.event, **dict(decided.fields))
+
+
+_EFFECTS = MappingProxyType({
+    AdviceAsk: _ask_advice,
+    Decided: _log_decision,
+    EndsCommitted: _note,
+    StartOrder: lambda orders, order: _spawn(orders, _start(orders, order)),
+    StopOrder: lambda orders, order: _spawn(orders, _stop(orders, order)),
+    tuple: lambda orders, asked: _spawn(orders, _advise_for(orders, *asked)),
+})
+
+
+def _carry_out(orders: Orders, effect: Any) -> None:
+    _EFFECTS[type(effect)](orders, effect)
+
+
+@asynccontextmanager
+async def carrying_out(node: SchedulerNode) -> AsyncGenerator[Orders, None]:
+    """Carry out the leader's effects while the body runs."""
+    orders = Orders(node)
+    node.effects = partial(_carry_out, orders)
+    async with running(_watch_targets(orders)):
+        yield orders
+    for task in (*orders.holds.values(), *node.errands):
+        task.cancel()
--- /dev/null
+++ b/daisygw/nodes/_peers.py
@@ -0,0 +1,164 @@
+"""Links to the schedulers of the cell, and questions to their leader.
+
+Questions may be repeated: a question that was on its way when the leader
+changed is sent to the next one.
+"""
+
+import asyncio
+import itertools
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from daisygw.contracts import CellAnswer, ResultCode, Roster
+from daisygw.links import log
+from daisygw.links.processes import Link, keep_connected, post
+
+# How long a question waits for a leader to be known, s: most elections are
+# longer, and a caller is better told at once when to come back.
+NO_LEADER_WAIT = 0.5
+# When to come back while there is no leader, s: an election's time.
+NO_LEADER_RETRY = 1.0
+
+
+class _Question:
+    """A question that is not answered yet."""
+
+    def __init__(self, message: Any) -> None:
+        self.message = message
+        self.sent = False
+        self.fut = asyncio.get_running_loop().create_future()
+
+
+class Peers:
+    """The schedulers that a process knows, and its open questions."""
+
+    def __init__(self, me: str, host: str, port: int) -> None:
+        """Know nobody yet; ``me`` names this process to the others."""
+        self.me = me
+        self.host = host
+        self.port = port
+        self.links: dict[str, Link] = {}
+        self.leader = ''
+        self.term = 0
+        self.numbers = itertools.count(1)
+        self.open: dict[int, _Question] = {}
+        self.decide_here: Callable[[Any], None] | None = None
+        self.on_message: Callable[[Link, Any], None] = _ignore
+        self.tasks: dict[str, asyncio.Task] = {}
+
+
+def _ignore(link: Link, message: Any) -> None:
+    """Take no message."""
+
+
+def know(peers: Peers, hosts: tuple[str, ...]) -> None:
+    """Open links to schedulers that were not known."""
+    for host in hosts:
+        if host in peers.links or host == peers.host:
+            continue
+        link = Link(host)
+        peers.links[host] = link
+        connecting = keep_connected(
+            link,
+            peers.me,
+            f'{host}:{peers.port}',
+            peers.on_message,
+            lambda one: _on_link(peers, one),
+        )
+        peers.tasks[host] = asyncio.ensure_future(connecting)
+
+
+def _on_link(peers: Peers, link: Link) -> None:
+    event = 'link up' if link.up else 'link lost'
+    log(event, peer=link.peer, leader=peers.leader, term=peers.term)
+    if link.up and link.peer == peers.leader:
+        _send_open(peers)
+
+
+def follow(peers: Peers, roster: Roster) -> None:
+    """Take news of who leads, and send it what is not answered."""
+    know(peers, roster.hosts)
+    if roster.term < peers.term or not roster.leader:
+        return
+    changed = roster.leader != peers.leader
+    peers.term = roster.term
+    peers.leader = roster.leader
+    if changed:
+        log('leader', host=roster.leader, term=roster.term)
+        _send_open(peers)
+
+
+def _send_open(peers: Peers) -> None:
+    for question in list(peers.open.values()):
+        _send(peers, question)
+
+
+def _send(peers: Peers, question: _Question) -> None:
+    if peers.leader == peers.host and peers.decide_here:
+        question.sent = True
+        peers.decide_here(question.message)
+        return
+    link = peers.links.get(peers.leader)
+    if link and link.up:
+        question.sent = True
+        post(link, question.message)
+
+
+def on_answer(peers: Peers, answer: CellAnswer) -> None:
+    """Take the leader's answer to a question."""
+    question = peers.open.get(answer.seq)
+    if question and not question.fut.done():
+        question.fut.set_result(answer)
+
+
+async def ask_leader(
+    peers: Peers,
+    make: Callable[[int], Any],
+    patience: float,
+) -> CellAnswer:
+    """Ask the leader, for at most ``patience`` s.
+
+    Without a leader in reach the answer is NO_LEADER (not passed on); if
+    none comes after it was passed on, OUTCOME_UNKNOWN.
+    """
+    seq = next(peers.numbers)
+    question = _Question(make(seq))
+    peers.open[seq] = question
+    _send(peers, question)
+    try:
+        return await _wait_for(question, seq, patience)
+    finally:
+        peers.open.pop(seq)
+
+
+async def _wait_for(
+    question: _Question, seq: int, patience: float
+) -> CellAnswer:
+    first = min(NO_LEADER_WAIT, patience)
+    await asyncio.wait([question.fut], timeout=first)
+    if not question.sent:
+        return CellAnswer(
+            seq, ResultCode.NO_LEADER, retry_after=NO_LEADER_RETRY
+        )
+    await asyncio.wait([question.fut], timeout=max(patience - first, 0))
+    if question.fut.done():
+        return question.fut.result()
+    return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=1)
+
+
+@asynccontextmanager
+async def linked(
+    peers: Peers,
+    hosts: tuple[str, ...],
+    on_message: Callable[[Link, Any], None],
+) -> AsyncGenerator[None, None]:
+    """Hold links to all schedulers known while the body runs."""
+    peers.on_message = on_message
+    know(peers, hosts)
+    try:
+        yield
+    finally:
+        for task in peers.tasks.values():
+            task.cancel()
+        await asyncio.gather(*peers.tasks.values(), return_exceptions=True)
--- /dev/null
+++ b/daisygw/nodes/_scheduler.py
@@ -0,0 +1,311 @@
+"""The scheduler process of a cell: a replica of its log, and its leader.
+
+Messages change the leader's state as they arrive; one turn then places what
+waits, appends, makes durable, sends and lets effects out, in a batch.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any
+
+import xxhash
+
+from daisygw.cell import (
+    HERE,
+    forget_old,
+    on_advice,
+    on_config_ask,
+    on_job_ask,
+    on_report,
+    pass_time,
+)
+from daisygw.contracts import (
+    AdviceAnswer,
+    AdviceAsk,
+    CellAnswer,
+    ConfigAsk,
+    JobAsk,
+    JournalError,
+    Roster,
+)
+from daisygw.links import log
+from daisygw.links.processes import (
+    Group,
+    Journal,
+    Link,
+    Outlet,
+    carry_out,
+    close,
+    create,
+    keep_short,
+    leads,
+    load,
+    post,
+    running,
+    serving,
+)
+from daisygw.machines import TargetReport
+from daisygw.nodes import _clock
+from daisygw.nodes._machine import CellState, machine_of
+from daisygw.nodes._peers import Peers, follow, know, linked, on_answer
+from daisygw.nodes._settings import NodeSettings, TargetCalls
+from daisygw.zones import (
+    Hello,
+    Replica,
+    Role,
+    Tell,
+    Timing,
+    host_of,
+    receive,
+    reload,
+    resign,
+    tick,
+)
+
+GROUP = 'cell'
+# A heartbeat is several times the way between two hosts and a sync of a
+# disk; an election waits for several lost ones, s.
+TIMING = Timing(heartbeat=0.2, election=1.0, drift=0.1, hello=0.3)
+# How often time passes for a process without messages, s.
+_TICK = 0.05
+# A snapshot takes the place of so many log entries.
+_LOG_ENTRIES = 4000
+# How long a stopping leader tries to hand over, s.
+_RESIGN_WAIT = 1.5
+# The time for the last messages to leave, s.
+_FLUSH = 0.2
+_ENTRY_PREFIX = 'entry/'
+_DECISIONS = {
+    JobAsk: on_job_ask,
+    ConfigAsk: on_config_ask,
+    TargetReport: on_report,
+}
+
+
+class SchedulerNode:
+    """The state of a scheduler process."""
+
+    def __init__(self, cfg: NodeSettings, calls: TargetCalls) -> None:
+        """Open the journal, and take up what an earlier process left."""
+        self.cfg = cfg
+        self.calls = calls
+        self.state = CellState()
+        self.peers = Peers(cfg.host, cfg.host, cfg.port)
+        self.peers.decide_here = partial(_decide, self, cfg.host)
+        self.wake = asyncio.Event()
+        self.stopped = asyncio.Event()
+        self.stopping = False
+        self.sessions: dict[str, Link] = {}
+        self.roster = Roster((), '', 0)
+        self.errands: set[asyncio.Task] = set()
+        self.effects: Callable[[Any], None] = _ignore
+        replica, journal = _open(cfg)
+        machine = machine_of(self.state, partial(_on_leading, self))
+        self.group = Group(replica, journal, machine)
+        self.outlet = Outlet(partial(_send, self), partial(_tell, self))
+
+
+def _ignore(message: Any) -> None:
+    """Carry out no effect."""
+
+
+def _open(cfg: NodeSettings) -> tuple[Replica, Journal | None]:
+    fresh = f'{cfg.host}#{int(_clock.wall() * 1e9):x}'
+    journal, saved = (None, None)
+    if cfg.data:
+        journal, saved = _open_journal(cfg, fresh)
+        fresh = journal.name
+    founding = cfg.first_start and saved is None and cfg.host in cfg.seeds
+    replica = Replica(
+        GROUP,
+        fresh,
+        tuple(sorted(cfg.seeds)) if founding else (),
+        TIMING,
+        xxhash.xxh32_intdigest(fresh.encode('ascii')),
+        open_to_hosts=True,
+    )
+    replica.contacts.update(cfg.seeds)
+    if saved:
+        reload(replica, saved, _clock.now())
+    log(
+        'replica',
+        name=fresh,
+        founding=founding,
+        term=replica.term,
+        entries=len(replica.log),
+        commit=replica.commit,
+    )
+    return replica, journal
+
+
+def _open_journal(cfg: NodeSettings, fresh: str) -> tuple[Journal, Any]:
+    folder = cfg.data / GROUP
+    try:
+        loaded = load(folder)
+    except JournalError as exc:
+        log('journal damaged', code=exc.code, reason=exc.reason)
+        loaded = None
+    return loaded or (create(folder, fresh), None)
+
+
+def _on_leading(node: SchedulerNode, term: int) -> None:
+    log('leading' if term else 'not leading', term=node.group.replica.term)
+    node.wake.set()
+
+
+def _decide(node: SchedulerNode, entry: str, message: Any) -> None:
+    lead = node.state.lead
+    if lead:
+        lead.now = _clock.now()
+        lead.wall = _clock.wall()
+        _DECISIONS[type(message)](lead, message, entry)
+        node.wake.set()
+
+
+def _on_message(node: SchedulerNode, link: Link, message: Any) -> None:
+    match message:
+        case CellAnswer():
+            on_answer(node.peers, message)
+        case Roster():
+            know(node.peers, message.hosts)
+        case AdviceAsk():
+            node.effects((link, message))
+        case AdviceAnswer():
+            if node.state.lead:
+                node.state.lead.now = _clock.now()
+                on_advice(node.state.lead, message)
+        case JobAsk() | ConfigAsk() | TargetReport():
+            _decide(node, link.peer, message)
+        case _:
+            _on_replica_message(node, message)
+    node.wake.set()
+
+
+def _on_replica_message(node: SchedulerNode, message: Any) -> None:
+    if isinstance(message, Hello):
+        host = host_of(message.sender)
+        know(node.peers, (host,))
+        node.group.replica.contacts.add(host)
+    receive(node.group.replica, message, _clock.now())
+
+
+def _send(node: SchedulerNode, message: Any) -> None:
+    link = node.peers.links.get(host_of(message.to))
+    if link:
+        post(link, message)
+
+
+def _tell(node: SchedulerNode, tell: Tell) -> None:
+    if tell.entry == HERE:
+        node.effects(tell.message)
+    elif tell.entry == node.cfg.host:
+        on_answer(node.peers, tell.message)
+    else:
+        link = node.sessions.get(tell.entry) or node.peers.links.get(tell.entry)
+        if link:
+            post(link, tell.message)
+
+
+def _on_session(node: SchedulerNode, link: Link) -> None:
+    if link.up:
+        node.sessions[link.peer] = link
+        post(link, node.roster)
+        if not link.peer.startswith(_ENTRY_PREFIX):
+            know(node.peers, (link.peer,))
+    elif node.sessions.get(link.peer) is link:
+        node.sessions.pop(link.peer)
+    node.wake.set()
+
+
+def _publish(node: SchedulerNode) -> None:
+    """Tell every process that is linked who leads now."""
+    replica = node.group.replica
+    leader = host_of(replica.leader)
+    if leads(node.group) and node.stopping:
+        leader = ''
+    members = replica.members
+    hosts = {host_of(one) for one in (*members.voters, *members.learners)}
+    for host in sorted(hosts - {node.cfg.host}):
+        know(node.peers, (host,))
+    replica.contacts.update(hosts)
+    roster = Roster(tuple(sorted(hosts)), leader, replica.term)
+    if roster == node.roster:
+        return
+    node.roster = roster
+    follow(node.peers, roster)
+    for link in node.sessions.values():
+        post(link, roster)
+
+
+def take_turn(node: SchedulerNode) -> None:
+    """Let time pass, and carry out what was decided."""
+    now = _clock.now()
+    if node.state.lead:
+        pass_time(node.state.lead, now, _clock.wall())
+        forget_old(node.state.lead)
+    tick(node.group.replica, now)
+    carry_out(node.group, _clock.now(), node.outlet)
+    keep_short(node.group, _LOG_ENTRIES)
+    _publish(node)
+
+
+async def _turns(node: SchedulerNode) -> None:
+    while True:
+        await node.wake.wait()
+        await asyncio.sleep(0)
+        node.wake.clear()
+        take_turn(node)
+
+
+async def _ticks(node: SchedulerNode) -> None:
+    while True:
+        node.wake.set()
+        await asyncio.sleep(_TICK)
+
+
+async def hand_over(node: SchedulerNode) -> None:
+    """As the leader, let another voter lead before this process ends."""
+    node.stopping = True
+    until = _clock.now() + _RESIGN_WAIT
+    while leads(node.group) and _clock.now() < until:
+        resign(node.group.replica, _clock.now())
+        carry_out(node.group, _clock.now(), node.outlet)
+        await asyncio.sleep(_TICK)
+    await asyncio.sleep(_FLUSH)
+
+
+def fence_of(node: SchedulerNode) -> int:
+    """Return the fence of the orders given now."""
+    return node.group.replica.term
+
+
+def is_leading(node: SchedulerNode) -> bool:
+    """Tell whether this process leads, as far as it knows."""
+    return node.group.replica.role is Role.LEADER
+
+
+@asynccontextmanager
+async def running_scheduler(
+    cfg: NodeSettings,
+    calls: TargetCalls,
+) -> AsyncGenerator[SchedulerNode, None]:
+    """Run a scheduler while the body serves targets and operators."""
+    node = SchedulerNode(cfg, calls)
+    on_message = partial(_on_message, node)
+    accepting = serving(
+        f'{cfg.host}:{cfg.port}', on_message, partial(_on_session, node)
+    )
+    async with (
+        accepting,
+        linked(node.peers, cfg.seeds, on_message),
+        running(_turns(node)) as turns,
+        running(_ticks(node)),
+    ):
+        turns.add_done_callback(lambda _: node.stopped.set())
+        yield node
+        if turns.done():
+            turns.result()
+    if node.group.journal:
+        close(node.group.journal)
--- /dev/null
+++ b/daisygw/nodes/_settings.py
@@ -0,0 +1,55 @@
+"""What a process of a cell is told at its start."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from daisygw.cell import OrderOutcome, Run, StartOrder
+from daisygw.contracts import StepKey
+from daisygw.machines import Holding, TargetLife
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """One process: where it stands, and how it finds the others.
+
+    ``host`` is its IP number; schedulers listen for links at ``port`` on
+    every host.  ``first_start`` is true only when the whole cell is new.
+    ``data`` is the folder on disk (none without a disk); ``grace`` (s) is
+    how long it may take to stop; ``metrics_port`` serves metrics.
+    """
+
+    name: str
+    host: str
+    domain: str
+    port: int
+    seeds: tuple[str, ...]
+    first_start: bool
+    data: Path | None
+    grace: float
+    metrics_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCalls:
+    """Calls to targets and the placement advisor; each may raise LinkError.
+
+    ``start`` and ``stop`` take the target's life, the order, (a deadline on
+    the target's clock, ms) and the fence; ``hold`` the life, fence, noted
+    position, deadline (none: do not renew) and longest wait (s); ``advise``
+    a step, names of targets and a patience (s).
+    """
+
+    start: Callable[
+        [TargetLife, StartOrder, int, int],
+        Awaitable[tuple[OrderOutcome, str]],
+    ]
+    stop: Callable[[TargetLife, Run, int], Awaitable[OrderOutcome]]
+    hold: Callable[
+        [TargetLife, int, int, int | None, float],
+        Awaitable[Holding],
+    ]
+    advise: Callable[
+        [StepKey, tuple[str, ...], float],
+        Awaitable[tuple[tuple[str, str], ...]],
+    ]
--- /dev/null
+++ b/daisygw/platform/_run.py
@@ -0,0 +1,122 @@
+"""Running the two processes of a cell on the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from daisygw.context import Context
+from daisygw.contracts import DaisygwError, ResultCode, SettingsError
+from daisygw.links import BoundedStream, log, log_error, set_up_logs
+from daisygw.links.processes import listen, serving_http
+from daisygw.nodes import (
+    carrying_out,
+    hand_over,
+    know,
+    running_entry,
+    running_scheduler,
+)
+from daisygw.platform._calls import open_calls
+from daisygw.platform._faces import callers_app, control_app, readiness_app
+from daisygw.platform._settings import (
+    BOOT_VARIABLE,
+    PlatformSettings,
+    load_settings,
+)
+from daisygw.status import ExitStatus
+
+# The part of the grace in which an entry goes on serving open connections:
+# callers learn that it is not ready within three checks a second apart.
+_SERVE_ON_SHARE = 0.55
+# The part of the grace that answers in progress then have.
+_ANSWER_SHARE = 0.3
+
+
+def _path(ctx: Context) -> Path:
+    path = ctx.env.get(BOOT_VARIABLE)
+    if not path:
+        reason = f'{BOOT_VARIABLE}: names no settings file'
+        raise SettingsError(ResultCode.SETTINGS_INVALID, reason)
+    return Path(path)
+
+
+def _on_signals(stopped: asyncio.Event, reload_settings) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings)
+
+
+async def run_entry(cfg: PlatformSettings, path: Path) -> None:
+    """Run an entry until it is told to stop."""
+    grace = cfg.node.grace
+    async with AsyncExitStack() as stack:
+        calls = await stack.enter_async_context(open_calls(cfg.advisor))
+        node = await stack.enter_async_context(running_entry(cfg.node, calls))
+        _on_signals(node.stopped, lambda: _reload(node.peers, path))
+        for app, address in (
+            (readiness_app(node), cfg.readiness),
+            (callers_app(node), cfg.callers),
+        ):
+            serving = serving_http(app, listen(address), grace * _ANSWER_SHARE)
+            await stack.enter_async_context(serving)
+        log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
+        await node.stopped.wait()
+        node.stopping = True
+        log('entry stopping', open=len(node.peers.open))
+        await asyncio.sleep(grace * _SERVE_ON_SHARE)
+    log('entry stopped', host=cfg.node.host)
+
+
+async def run_scheduler(cfg: PlatformSettings, path: Path) -> None:
+    """Run a scheduler until it is told to stop."""
+    grace = cfg.node.grace
+    async with AsyncExitStack() as stack:
+        calls = await stack.enter_async_context(open_calls(cfg.advisor))
+        node = await stack.enter_async_context(
+            running_scheduler(cfg.node, calls)
+        )
+        _on_signals(node.stopped, lambda: _reload(node.peers, path))
+        await stack.enter_async_context(carrying_out(node))
+        serving = serving_http(
+            control_app(node), listen(cfg.control), grace * _ANSWER_SHARE
+        )
+        await stack.enter_async_context(serving)
+        log('scheduler up', host=cfg.node.host, seeds=cfg.node.seeds)
+        await node.stopped.wait()
+        log('scheduler stopping', term=node.group.replica.term)
+        await hand_over(node)
+    log('scheduler stopped', host=cfg.node.host)
+
+
+def _reload(peers, path: Path) -> None:
+    """Read the seeds anew; a file that can't be read changes nothing."""
+    try:
+        cfg = load_settings(path)
+    except SettingsError as exc:
+        log('settings refused', code=exc.code, reason=exc.reason)
+        return
+    know(peers, cfg.node.seeds)
+    log('settings reloaded', seeds=cfg.node.seeds)
+
+
+def run(role: str, ctx: Context) -> ExitStatus:
+    """Run the process called ``role`` with the settings it is told."""
+    stream = BoundedStream(sys.stdout.fileno())
+    set_up_logs('info', role, stream)
+    try:
+        path = _path(ctx)
+        cfg = load_settings(path)
+        running = run_entry if role == 'entry' else run_scheduler
+        asyncio.run(running(cfg, path))
+    except DaisygwError as exc:
+        log('failed', code=exc.code, reason=exc.reason)
+        raise
+    except Exception as exc:
+        log_error('crashed', exc)
+        return ExitStatus.ERROR
+    finally:
+        log('end', role=role, process=os.getpid())
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/daisygw/platform/_settings.py
@@ -0,0 +1,102 @@
+"""The platform's settings file: lines of ``name=value``."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from daisygw.contracts import ResultCode, SettingsError
+from daisygw.nodes import NodeSettings
+
+BOOT_VARIABLE = 'DAISYGW_BOOT'
+_TRUTHS = frozenset({'true', 'false'})
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """One process on the platform.
+
+    ``callers``, ``readiness`` and ``control`` are the addresses to serve,
+    empty where the process does not serve them; ``advisor`` is the
+    placement advisor's.
+    """
+
+    node: NodeSettings
+    callers: str
+    readiness: str
+    control: str
+    advisor: str
+
+
+def _fault(key: str, reason: str) -> SettingsError:
+    return SettingsError(ResultCode.SETTINGS_INVALID, f'{key}: {reason}')
+
+
+def _read(path: Path) -> Mapping[str, str]:
+    try:
+        lines = path.read_text('utf-8').splitlines()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _fault(str(path), str(exc)) from exc
+    pairs = (line.partition('=') for line in lines if '=' in line)
+    return {name.strip(): text.strip() for name, _, text in pairs}
+
+
+def _need(raw: Mapping[str, str], key: str) -> str:
+    if not raw.get(key):
+        raise _fault(key, 'missing')
+    return raw[key]
+
+
+def _truth(raw: Mapping[str, str], key: str) -> bool:
+    given = raw.get(key, 'false')
+    if given not in _TRUTHS:
+        raise _fault(key, f'{given!r} is neither true nor false')
+    return given == 'true'
+
+
+def _seconds(raw: Mapping[str, str], key: str, default: str) -> float:
+    given = raw.get(key) or default
+    try:
+        return float(given)
+    except ValueError as exc:
+        raise _fault(key, f'{given!r} is not a number') from exc
+
+
+def _port(raw: Mapping[str, str], position: int) -> int:
+    given = _need(raw, 'internalPorts').split(',')
+    try:
+        return int(given[position])
+    except (ValueError, IndexError) as exc:
+        raise _fault('internalPorts', 'not two port numbers') from exc
+
+
+def _seeds(raw: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the hosts of the seeds; links have a port of their own."""
+    given = raw.get('seedNodes', '').split(',')
+    return tuple(one.rpartition(':')[0] for one in given if ':' in one)
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read and check the settings file.
+
+    Raises ``SettingsError`` (SETTINGS_INVALID); unknown fields are ignored.
+    """
+    raw = _read(path)
+    data = raw.get('dataDir', '')
+    node = NodeSettings(
+        name=_need(raw, 'nodeName'),
+        host=_need(raw, 'ip'),
+        domain=_need(raw, 'zone'),
+        port=_port(raw, 0),
+        seeds=_seeds(raw),
+        first_start=_truth(raw, 'bootstrap'),
+        data=Path(data) if data else None,
+        grace=_seconds(raw, 'bounds.graceS', '6'),
+        metrics_port=_port(raw, 1),
+    )
+    return PlatformSettings(
+        node=node,
+        callers=raw.get('listenAddrs.frontend', ''),
+        readiness=raw.get('listenAddrs.ready', ''),
+        control=raw.get('listenAddrs.controlPlane', ''),
+        advisor=raw.get('placementAdvisor', ''),
+    )
--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -24,12 +24,24 @@
 )
 from daisygw.zones._replication import propose
 
+# A newcomer that has not asked again for this long is forgotten, s: some
+# of its greetings may be lost.
+_NEWCOMER_AGE = 2.0
+# A voter that was not heard for this long may be replaced, s: longer than
+# an election, shorter than a successor is given to catch up.
+_GONE = 3.0
+# A learner is live if it was heard this lately, s: a few heartbeats.
+_LIVE = 1.0
+# How many voters an open group wants, by the least number of its hosts.
+_FEW_VOTERS = 3
+_MANY_VOTERS = 5
+
 
 def say_hello(replica: Replica, now: float) -> None:
     """As a new replica, ask every seat whether the group is formed."""
     replica.hello_due = now + replica.timing.hello
     _form_if_new(replica, now)
-    for host in replica.seats:
+    for host in {*replica.seats, *replica.contacts}:
         if host != host_of(replica.name):
             formed = is_formed(replica)
             hello = Hello(replica.group, replica.name, host, formed)
@@ -38,7 +50,7 @@
 
 def on_hello(replica: Replica, hello: Hello, now: float) -> None:
     """Answer a newcomer, and remember it."""
-    replica.newcomers[host_of(hello.sender)] = hello.sender
+    replica.newcomers[host_of(hello.sender)] = (hello.sender, now)
     _note_formed(replica, hello.sender, formed=hello.formed)
     reply = HelloReply(
         replica.group,
@@ -63,6 +75,8 @@
 
 
 def _form_if_new(replica: Replica, now: float) -> None:
+    if not replica.seats:
+        return
     names = {**replica.unformed, host_of(replica.name): replica.name}
     first = replica.seats[0] == host_of(replica.name)
     known = all(host in names for host in replica.seats)
@@ -95,11 +109,11 @@
     return not any(entry.members for entry in pending)
 
 
-def _welcome(replica: Replica) -> Members | None:
+def _welcome(replica: Replica, now: float) -> Members | None:
     members = replica.members
     known = {*members.voters, *members.learners}
-    for name in replica.newcomers.values():
-        if name not in known:
+    for name, asked in replica.newcomers.values():
+        if name not in known and now - asked < _NEWCOMER_AGE:
             stale = host_of(name)
             learners = tuple(
                 other for other in members.learners if host_of(other) != stale
@@ -117,12 +131,52 @@
     return None if kept == voters else Members(kept, replica.members.learners)
 
 
-def _promote(replica: Replica) -> Members | None:
+def _voters_wanted(replica: Replica) -> int:
+    members = replica.members
+    hosts = {host_of(one) for one in (*members.voters, *members.learners)}
+    return _FEW_VOTERS if len(hosts) < _MANY_VOTERS else _MANY_VOTERS
+
+
+def _gone(replica: Replica, now: float) -> list[str]:
+    """Return the voters that this leader has not heard for long."""
+    return [
+        name
+        for name in replica.members.voters
+        if name != replica.name and now - replica.peers[name].heard > _GONE
+    ]
+
+
+def _remove_gone(replica: Replica, now: float) -> Members | None:
+    """Remove a voter that is gone, once others vote in its place."""
+    members = replica.members
+    gone = _gone(replica, now)
+    wanted = _voters_wanted(replica)
+    if not replica.open_to_hosts or not gone or len(members.voters) <= wanted:
+        return None
+    kept = tuple(one for one in members.voters if one != gone[0])
+    return Members(kept, members.learners)
+
+
+def _may_vote(replica: Replica, name: str, now: float) -> bool:
+    """Tell whether a learner is to become a voter."""
+    if not replica.open_to_hosts:
+        return host_of(name) in replica.seats
+    voters = replica.members.voters
+    if now - replica.peers[name].heard > _LIVE:
+        return False
+    if host_of(name) in {host_of(one) for one in voters}:
+        return True
+    wanted = _voters_wanted(replica)
+    lacking = len(voters) < wanted
+    return lacking or (len(voters) == wanted and bool(_gone(replica, now)))
+
+
+def _promote(replica: Replica, now: float) -> Members | None:
     members = replica.members
     for name in members.learners:
         peer = replica.peers.get(name)
         ready = peer is not None and peer.match >= replica.commit
-        if ready and host_of(name) in replica.seats:
+        if ready and _may_vote(replica, name, now):
             learners = tuple(one for one in members.learners if one != name)
             return Members((*members.voters, name), learners)
     return None
@@ -132,7 +186,12 @@
     """As the leader, take the next step of a replacement, if any."""
     if not _settled(replica):
         return
-    change = _remove_stale(replica) or _promote(replica) or _welcome(replica)
+    change = (
+        _remove_stale(replica)
+        or _remove_gone(replica, now)
+        or _promote(replica, now)
+        or _welcome(replica, now)
+    )
     if change is None:
         return
     propose(replica, b'', change)
@@ -144,7 +203,7 @@
     for gone in set(replica.peers) - everyone:
         replica.peers.pop(gone)
     replica.newcomers = {
-        host: name
-        for host, name in replica.newcomers.items()
+        host: (name, asked)
+        for host, (name, asked) in replica.newcomers.items()
         if name not in everyone
     }
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -58,6 +58,7 @@
         *,
         away: bool = False,
         tells_commits: bool = False,
+        open_to_hosts: bool = False,
     ) -> None:
         """Begin new: in no group, with an empty log.
 
@@ -65,7 +66,12 @@
         election timer; ``away`` marks the tie-breaker, which lives in
         another failure domain; where it ``tells_commits``, a new commit
         index is sent and made durable at once, not with the next entries.
+        A group that is ``open_to_hosts`` takes in hosts beside its seats,
+        and lets them vote in the place of voters that are gone; a replica
+        without seats never forms a group.
         """
+        self.open_to_hosts = open_to_hosts
+        self.contacts: set[str] = set()
         self.away = away
         self.tells_commits = tells_commits
         self.group = group
@@ -85,7 +91,7 @@
         self.peers: dict[str, Peer] = {}
         self.votes: set[str] = set()
         self.trial = False
-        self.newcomers: dict[str, str] = {}
+        self.newcomers: dict[str, tuple[str, float]] = {}
         self.unformed: dict[str, str] = {}
         self.incoming = bytearray()
         self.heard = float('-inf')
--- a/daisygw/zones/_step.py
+++ b/daisygw/zones/_step.py
@@ -67,7 +67,7 @@
 
 def tick(replica: Replica, now: float) -> None:
     """Let time pass: heartbeats, elections, greetings."""
-    if not belongs(replica) and now >= replica.hello_due:
+    if now >= replica.hello_due and _seeks_group(replica, now):
         say_hello(replica, now)
     if replica.role is Role.LEADER:
         _tick_leader(replica, now)
@@ -76,6 +76,15 @@
     flush(replica, now)
 
 
+def _seeks_group(replica: Replica, now: float) -> bool:
+    """Tell whether a replica has no group, or may have been removed."""
+    if not belongs(replica):
+        return True
+    unheard = now - replica.heard > 2 * replica.timing.election
+    follows = replica.role is not Role.LEADER
+    return replica.open_to_hosts and follows and unheard
+
+
 def _tick_leader(replica: Replica, now: float) -> None:
     check_quorum(replica, now)
     if replica.role is Role.LEADER and now >= replica.heartbeat_due:
