Notice silent targets, links and leaders sooner

Cause: a target that is cut off was given work until its renewal timed out (2.7 s); a dead leader's link stayed up for 3.5 s and an election took up to 2 s; entries of a failure domain that is cut off stayed ready. Ruled out: shorter renewals alone; they cost a look at each target a time. Change: a start without an answer puts its target in doubt until it answers again; links between the cell's processes pulse every 0.25 s; elections after 0.5 to 1 s; a lease of 4 s renewed each second; an entry is ready while it hears the leader; appends to a peer that lags are bounded.

--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -23,7 +23,7 @@
 
 # How long a target may run on without hearing from the leader, s: longer
 # than an election and a first round of renewals, under the platform's bound.
-LEASE = 5.0
+LEASE = 4.0
 # An earlier leader's grants end this long after an election at the latest, s:
 # its lease, the drift of a target's clock and the margin of a reading.
 INHERITED = LEASE * 1.05 + 0.5
@@ -50,6 +50,13 @@
     run: Run
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Effect: look at once whether a target still answers."""
+
+    life: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndsCommitted:
     """Effect: a target's ends up to ``position`` are durable."""
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -51,6 +51,7 @@
         and target.open
         and contact.reached
         and contact.failures == 0
+        and contact.seen > contact.doubted
         and lead.now - contact.seen < SILENCE
         and lead.now >= contact.barred_until
     )
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -13,6 +13,7 @@
     EndsCommitted,
     Lead,
     Ordered,
+    Probe,
     StartOrder,
     StopOrder,
     enqueue_job,
@@ -320,6 +321,9 @@
     ordered = lead.orders.get((run.step, run.index))
     if ordered is None or ordered.run != run:
         return
+    contact = lead.contacts.get(run.life)
+    if contact and done.outcome is not OrderOutcome.NO_ANSWER:
+        contact.seen = lead.now
     if done.outcome is OrderOutcome.TAKEN:
         ordered.answered = min(ordered.answered, lead.now)
         return
@@ -359,9 +363,18 @@
     stopping = ordered.stop_due < float('inf')
     if contact is None or stopping:
         return
+    if contact.seen < done.sent:
+        _doubt(lead, contact, done)
     lead.tell(HERE, done.order)
 
 
+def _doubt(lead: Lead, contact: Contact, done: StartDone) -> None:
+    """Give a target nothing new until it has answered again."""
+    if contact.seen > contact.doubted:
+        lead.tell(HERE, Probe(done.order.run.life))
+    contact.doubted = max(contact.doubted, done.sent)
+
+
 def on_stopped(lead: Lead, run: Run, outcome: OrderOutcome) -> None:
     """Take the outcome of a stop."""
     ordered = lead.orders.get((run.step, run.index))
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import AsyncGenerator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 from grpclib.client import Channel, StreamStreamMethod
@@ -22,8 +23,6 @@
 _EXCHANGE = '/daisygw.Links/Exchange'
 _PEER = 'daisygw-peer'
 _RETRY = 0.2
-_PULSE = 1.0
-_SILENCE = 2.5
 _MOST_WAITING = 100_000
 # A connection attempt into a partition is given up and begun anew, s: the
 # kernel alone would try again only after ever longer pauses.
@@ -36,6 +35,18 @@
     asyncio.TimeoutError,
 )
 
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How a link notices silence, in seconds.
+
+    It sends at least every ``pulse``, and is broken after ``silence``.
+    """
+
+    pulse: float = 1.0
+    silence: float = 2.5
+
+
 OnMessage: TypeAlias = Callable[['Link', Any], None]
 OnChange: TypeAlias = Callable[['Link'], None]
 
@@ -66,12 +77,12 @@
     link.ready.set()
 
 
-async def _watch(link: Link) -> None:
+async def _watch(link: Link, pace: Pace) -> None:
     """Send a pulse (an empty batch) now and then; end when it falls silent."""
     loop = asyncio.get_running_loop()
     link.heard = loop.time()
-    while loop.time() - link.heard < _SILENCE:
-        await asyncio.sleep(_PULSE)
+    while loop.time() - link.heard < pace.silence:
+        await asyncio.sleep(pace.pulse)
         link.ready.set()
 
 
@@ -143,11 +154,12 @@
     link: Link,
     stream: Any,
     on_message: OnMessage,
+    pace: Pace,
 ) -> None:
     work = (
         _send_batches(link, stream),
         _receive_batches(link, stream, on_message),
-        _watch(link),
+        _watch(link, pace),
     )
     async with AsyncExitStack() as stack:
         tasks = [await stack.enter_async_context(running(one)) for one in work]
@@ -160,6 +172,7 @@
     address: str,
     on_message: OnMessage,
     on_change: OnChange,
+    pace: Pace = Pace(),
 ) -> None:
     """Hold a link to ``address`` open, again and again until cancelled."""
     host, _, port = address.rpartition(':')
@@ -167,7 +180,7 @@
         channel = Channel(host, int(port), codec=BatchCodec())
         method = StreamStreamMethod(channel, _EXCHANGE, list, list)
         try:
-            await _connect(link, me, method, on_message, on_change)
+            await _connect(link, me, method, (on_message, on_change), pace)
         except _BROKEN:
             link.up = False
         finally:
@@ -179,24 +192,31 @@
     link: Link,
     me: str,
     method: StreamStreamMethod,
-    on_message: OnMessage,
-    on_change: OnChange,
+    callbacks: tuple[OnMessage, OnChange],
+    pace: Pace,
 ) -> None:
+    on_message, on_change = callbacks
     async with method.open(metadata={_PEER: me}) as stream:
         async with asyncio.timeout(_CONNECT_WAIT):
             await stream.send_request()
             await stream.recv_initial_metadata()
         async with _connected(link, on_change):
-            await _exchange(link, stream, on_message)
+            await _exchange(link, stream, on_message, pace)
             await stream.cancel()
 
 
 class _Acceptor:
     """Serves the links that other processes open."""
 
-    def __init__(self, on_message: OnMessage, on_change: OnChange) -> None:
+    def __init__(
+        self,
+        on_message: OnMessage,
+        on_change: OnChange,
+        pace: Pace,
+    ) -> None:
         self.on_message = on_message
         self.on_change = on_change
+        self.pace = pace
 
     async def accept(self, stream: Stream) -> None:
         """Serve one link until it ends."""
@@ -204,7 +224,7 @@
         await stream.send_initial_metadata()
         async with _connected(link, self.on_change):
             with suppress(*_BROKEN):
-                await _exchange(link, stream, self.on_message)
+                await _exchange(link, stream, self.on_message, self.pace)
 
     def __mapping__(self) -> dict[str, Handler]:
         """Name the one method that is served, for grpclib."""
@@ -222,10 +242,12 @@
     address: str,
     on_message: OnMessage,
     on_change: OnChange,
+    pace: Pace = Pace(),
 ) -> AsyncGenerator[None, None]:
     """Accept links at ``address`` while the body runs."""
     host, _, port = address.rpartition(':')
-    server = Server([_Acceptor(on_message, on_change)], codec=BatchCodec())
+    acceptor = _Acceptor(on_message, on_change, pace)
+    server = Server([acceptor], codec=BatchCodec())
     await server.start(host, int(port))
     try:
         yield
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -13,6 +13,7 @@
 from daisygw.links._serving import listen, serving_http
 from daisygw.links._stream import (
     Link,
+    Pace,
     keep_connected,
     post,
     running,
@@ -25,6 +26,7 @@
     'Link',
     'Machine',
     'Outlet',
+    'Pace',
     'carry_out',
     'close',
     'create',
--- a/daisygw/machines/_life.py
+++ b/daisygw/machines/_life.py
@@ -103,6 +103,7 @@
         self.reached = False
         self.noted = 0
         self.failures = 0
+        self.doubted = float('-inf')
         self.barred_until = float('-inf')
 
 
--- a/daisygw/nodes/_entry.py
+++ b/daisygw/nodes/_entry.py
@@ -18,12 +18,22 @@
 )
 from daisygw.links import log
 from daisygw.links.processes import Link, post
-from daisygw.nodes._peers import Peers, follow, linked, on_answer
+from daisygw.nodes._peers import (
+    Peers,
+    follow,
+    leader_heard,
+    linked,
+    on_answer,
+)
 from daisygw.nodes._settings import NodeSettings, TargetCalls
 
 # A call to the advisor may wait behind others of this host for so long, s.
 ADVICE_PATIENCE = 2.0
 
+# An entry that has not heard the leader for this long sends callers
+# elsewhere, s: an election and the first news of it.
+_LEADER_AGE = 1.5
+
 
 class EntryNode:
     """The state of an entry process."""
@@ -75,8 +85,9 @@
     A change of leader does not count: it is over sooner than a balancer
     notices.
     """
-    linked_now = any(link.up for link in node.peers.links.values())
-    return linked_now and not node.stopping
+    heard = leader_heard(node.peers)
+    now = asyncio.get_running_loop().time()
+    return not node.stopping and now - heard < _LEADER_AGE
 
 
 @asynccontextmanager
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -13,6 +13,7 @@
     EndsCommitted,
     Lead,
     OrderOutcome,
+    Probe,
     StartDone,
     StartOrder,
     StopOrder,
@@ -33,7 +34,7 @@
 from daisygw.zones import has_authority
 
 # The longest wait that a target's renewal may ask for, s.
-HOLD_WAIT = 2.0
+HOLD_WAIT = 1.0
 # The pause after a renewal that brought no answer, s.
 _SILENCE_PAUSE = 0.2
 # How often the set of targets is looked at, s.
@@ -90,8 +91,9 @@
 async def _hold_once(orders: Orders, lead: Lead, target: TargetState) -> None:
     contact = lead.contacts[target.key]
     known = contact.reached and contact.failures == 0
-    deadline = grant(contact, _clock.now(), LEASE) if known else None
-    wait = HOLD_WAIT if known else 0
+    sure = known and contact.seen > contact.doubted
+    deadline = grant(contact, _clock.now(), LEASE) if sure else None
+    wait = HOLD_WAIT if sure else 0
     sent = _clock.now()
     fence = fence_of(orders.node)
     try:
@@ -249,6 +251,13 @@
         orders.noted = asyncio.Event()
 
 
+async def _probe(orders: Orders, probe: Probe) -> None:
+    lead = _lead(orders)
+    target = lead.cell.targets.get(probe.life) if lead else None
+    if target and target.key in lead.contacts:
+        await _hold_once(orders, lead, target)
+
+
 def _log_decision(orders: Orders, decided: Decided) -> None:
     log(decided.event, **dict(decided.fields))
 
@@ -256,6 +265,7 @@
 _EFFECTS = MappingProxyType({
     AdviceAsk: _ask_advice,
     Decided: _log_decision,
+    Probe: lambda orders, probe: _spawn(orders, _probe(orders, probe)),
     EndsCommitted: _note,
     StartOrder: lambda orders, order: _spawn(orders, _start(orders, order)),
     StopOrder: lambda orders, order: _spawn(orders, _stop(orders, order)),
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -12,14 +12,25 @@
 
 from daisygw.contracts import CellAnswer, ResultCode, Roster
 from daisygw.links import log
-from daisygw.links.processes import Link, keep_connected, post
+from daisygw.links.processes import Link, Pace, keep_connected, post
 
 # How long a question waits for a leader to be known, s: most elections are
 # longer, and a caller is better told at once when to come back.
 NO_LEADER_WAIT = 0.5
+# A question that was passed on waits for so long for the next leader, s:
+# an election and its first turns; after that its outcome is unknown.
+UNKNOWN_WAIT = 1.3
 # When to come back while there is no leader, s: an election's time.
 NO_LEADER_RETRY = 1.0
 
+# A link is broken after several pulses that did not come.
+PACE = Pace(pulse=0.25, silence=1.2)
+# A question is passed on only over a link heard this lately, s: what went
+# out over a link that is broken already can't be answered truthfully.
+_FRESH = 0.7
+# How often an open question looks for a leader, s.
+_LOOK = 0.1
+
 
 class _Question:
     """A question that is not answered yet."""
@@ -65,6 +76,7 @@
             f'{host}:{peers.port}',
             peers.on_message,
             lambda one: _on_link(peers, one),
+            PACE,
         )
         peers.tasks[host] = asyncio.ensure_future(connecting)
 
@@ -99,10 +111,9 @@
         question.sent = True
         peers.decide_here(question.message)
         return
-    link = peers.links.get(peers.leader)
-    if link and link.up:
+    if _reaches_leader(peers):
         question.sent = True
-        post(link, question.message)
+        post(peers.links[peers.leader], question.message)
 
 
 def on_answer(peers: Peers, answer: CellAnswer) -> None:
@@ -127,24 +138,51 @@
     peers.open[seq] = question
     _send(peers, question)
     try:
-        return await _wait_for(question, seq, patience)
+        return await _wait_for(peers, question, seq, patience)
     finally:
         peers.open.pop(seq)
 
 
+def leader_heard(peers: Peers) -> float:
+    """Return when the leader was heard last, on the loop's clock (s)."""
+    link = peers.links.get(peers.leader)
+    return link.heard if link else float('-inf')
+
+
+def _reaches_leader(peers: Peers) -> bool:
+    """Tell whether the leader was heard lately."""
+    if peers.leader == peers.host and peers.decide_here:
+        return True
+    link = peers.links.get(peers.leader)
+    now = asyncio.get_running_loop().time()
+    return link is not None and link.up and now - link.heard < _FRESH
+
+
 async def _wait_for(
-    question: _Question, seq: int, patience: float
+    peers: Peers,
+    question: _Question,
+    seq: int,
+    patience: float,
 ) -> CellAnswer:
-    first = min(NO_LEADER_WAIT, patience)
-    await asyncio.wait([question.fut], timeout=first)
-    if not question.sent:
-        return CellAnswer(
-            seq, ResultCode.NO_LEADER, retry_after=NO_LEADER_RETRY
-        )
-    await asyncio.wait([question.fut], timeout=max(patience - first, 0))
+    loop = asyncio.get_running_loop()
+    until = loop.time() + patience
+    reached = loop.time()
+    while not question.fut.done() and loop.time() < until:
+        now = loop.time()
+        if _reaches_leader(peers):
+            reached = now
+        wait = UNKNOWN_WAIT if question.sent else NO_LEADER_WAIT
+        if now - reached > wait:
+            break
+        await asyncio.wait([question.fut], timeout=min(_LOOK, until - now))
+        if not question.sent:
+            _send(peers, question)
     if question.fut.done():
         return question.fut.result()
-    return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=1)
+    if question.sent:
+        return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=1)
+    code = ResultCode.NO_LEADER
+    return CellAnswer(seq, code, retry_after=NO_LEADER_RETRY)
 
 
 @asynccontextmanager
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -49,7 +49,14 @@
 from daisygw.machines import TargetReport
 from daisygw.nodes import _clock
 from daisygw.nodes._machine import CellState, machine_of
-from daisygw.nodes._peers import Peers, follow, know, linked, on_answer
+from daisygw.nodes._peers import (
+    PACE,
+    Peers,
+    follow,
+    know,
+    linked,
+    on_answer,
+)
 from daisygw.nodes._settings import NodeSettings, TargetCalls
 from daisygw.zones import (
     Hello,
@@ -67,7 +74,7 @@
 GROUP = 'cell'
 # A heartbeat is several times the way between two hosts and a sync of a
 # disk; an election waits for several lost ones, s.
-TIMING = Timing(heartbeat=0.2, election=1.0, drift=0.1, hello=0.3)
+TIMING = Timing(heartbeat=0.1, election=0.5, drift=0.1, hello=0.3)
 # How often time passes for a process without messages, s.
 _TICK = 0.05
 # A snapshot takes the place of so many log entries.
@@ -295,7 +302,10 @@
     node = SchedulerNode(cfg, calls)
     on_message = partial(_on_message, node)
     accepting = serving(
-        f'{cfg.host}:{cfg.port}', on_message, partial(_on_session, node)
+        f'{cfg.host}:{cfg.port}',
+        on_message,
+        partial(_on_session, node),
+        PACE,
     )
     async with (
         accepting,
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -14,12 +14,13 @@
 from daisygw.nodes import TargetCalls
 from daisygw.platform import _codec
 
-# A start or stop is answered in a few ms; one that takes longer was lost, s.
-_ORDER_WAIT = 0.5
+# A start is answered in a few ms; a repeat of one that was lost or is late
+# does no harm, s.
+_ORDER_WAIT = 0.2
 # A stop may be answered once the task has stopped (``stopTimeoutMs``), s.
 _STOP_WAIT = 1.0
 # What a renewal may take beyond the wait that it asked for, s.
-_HOLD_SLACK = 0.7
+_HOLD_SLACK = 0.5
 # Idle connections to workers are kept for this long, s.
 _KEEP_ALIVE = 60.0
 # Connections to one worker: a renewal and orders beside it, of 64 allowed.
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -43,6 +43,8 @@
         self.heard = float('-inf')
         self.snapshot_offset = 0
         self.waiting = False
+        self.probing = False
+        self.probed = float('-inf')
 
 
 class Replica:
@@ -130,9 +132,15 @@
     return -1
 
 
-def entries_from(replica: Replica, index: int) -> tuple[LogEntry, ...]:
-    """Return the entries from ``index`` to the end."""
-    return tuple(replica.log[index - replica.base.index - 1 :])
+def entries_from(
+    replica: Replica,
+    index: int,
+    most: int | None = None,
+) -> tuple[LogEntry, ...]:
+    """Return the entries from ``index`` on, ``most`` of them or all."""
+    first = index - replica.base.index - 1
+    last = None if most is None else first + most
+    return tuple(replica.log[first:last])
 
 
 def entry_at(replica: Replica, index: int) -> LogEntry:
--- a/daisygw/zones/_replication.py
+++ b/daisygw/zones/_replication.py
@@ -28,6 +28,9 @@
     term_at,
 )
 
+# Entries sent at once; a peer that lags gets the next ones when it answers.
+MOST_ENTRIES = 256
+
 
 def propose(
     replica: Replica,
@@ -49,6 +52,8 @@
         return
     advance(replica)
     for name, peer in replica.peers.items():
+        if peer.probing:
+            continue
         behind = replica.tells_commits and peer.told < replica.commit
         if behind or peer.next_index <= last_index(replica):
             _send_next(replica, name, peer, now)
@@ -67,7 +72,7 @@
         _send_snapshot(replica, name, peer, now)
         return
     prev = peer.next_index - 1
-    entries = entries_from(replica, peer.next_index)
+    entries = entries_from(replica, peer.next_index, MOST_ENTRIES)
     message = Append(
         replica.group,
         replica.name,
@@ -79,7 +84,8 @@
         now,
         entries,
     )
-    peer.next_index += len(entries)
+    if not peer.probing:
+        peer.next_index += len(entries)
     peer.told = replica.commit
     send(replica, message)
 
@@ -214,11 +220,31 @@
         return
     peer.commit = max(peer.commit, reply.commit)
     if reply.taken:
+        peer.probing = False
         peer.match = max(peer.match, reply.match)
         peer.next_index = max(peer.next_index, peer.match + 1)
         advance(replica)
     else:
-        peer.next_index = max(reply.match, peer.match) + 1
+        _probe(replica, reply, peer, now)
+
+
+def _probe(
+    replica: Replica,
+    reply: AppendReply,
+    peer: Peer,
+    now: float,
+) -> None:
+    """Find out where a peer's log joins on, one message at a time.
+
+    Entries that were under way when its log was found to differ are all
+    answered so; only one answer within a heartbeat leads to a message.
+    """
+    following = max(reply.match, peer.match) + 1
+    again = now - peer.probed >= replica.timing.heartbeat
+    if not peer.probing or again or following < peer.next_index:
+        peer.probing = True
+        peer.probed = now
+        peer.next_index = following
         _send_next(replica, reply.sender, peer, now)
 
 
