Tell askers when a process does not lead; refuse sooner without a leader

Ruled out: longer holds; they keep callers from coming back. Change: a process that does not lead answers NO_LEADER; an entry counts the copies that are unresolved; it refuses after 0.3 s without a leader in reach, and says 1 s, later 2 s, as the time to come back.

--- a/daisygw/nodes/_entry.py
+++ b/daisygw/nodes/_entry.py
@@ -72,7 +72,7 @@
         case CellAnswer():
             on_answer(node.peers, message)
         case Roster():
-            follow(node.peers, message)
+            follow(node.peers, message, link.peer)
         case AdviceAsk():
             task = asyncio.ensure_future(_advise(node, link, message))
             node.errands.add(task)
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -14,14 +14,16 @@
 from daisygw.links import log
 from daisygw.links.processes import Link, Pace, keep_connected, post
 
-# How long a question waits for a leader to be known, s: most elections are
-# longer, and a caller is better told at once when to come back.
-NO_LEADER_WAIT = 0.5
+# How long a question waits for a leader to be in reach, s: the end of most
+# elections; a caller is better told soon when to come back.
+NO_LEADER_WAIT = 0.3
 # A question that was passed on waits for so long for the next leader, s:
-# an election and its first turns; after that its outcome is unknown.
-UNKNOWN_WAIT = 1.3
-# When to come back while there is no leader, s: an election's time.
-NO_LEADER_RETRY = 1.0
+# what an election takes after the loss was noticed.
+UNKNOWN_WAIT = 0.6
+# When to come back while there is no leader, s: an election's time at first,
+# then that of a restart.
+_SOON = 1.0
+_LATER = 2.0
 
 # A link is broken after several pulses that did not come.
 PACE = Pace(pulse=0.25, silence=1.2)
@@ -37,7 +39,7 @@
 
     def __init__(self, message: Any) -> None:
         self.message = message
-        self.sent = False
+        self.copies = 0
         self.fut = asyncio.get_running_loop().create_future()
 
 
@@ -88,9 +90,11 @@
         _send_open(peers)
 
 
-def follow(peers: Peers, roster: Roster) -> None:
-    """Take news of who leads, and send it what is not answered."""
+def follow(peers: Peers, roster: Roster, source: str) -> None:
+    """Take news from ``source`` of who leads; ask it what is open."""
     know(peers, roster.hosts)
+    if source == peers.leader and roster.leader != source:
+        peers.leader = ''
     if roster.term < peers.term or not roster.leader:
         return
     changed = roster.leader != peers.leader
@@ -108,18 +112,22 @@
 
 def _send(peers: Peers, question: _Question) -> None:
     if peers.leader == peers.host and peers.decide_here:
-        question.sent = True
+        question.copies += 1
         peers.decide_here(question.message)
         return
     if _reaches_leader(peers):
-        question.sent = True
+        question.copies += 1
         post(peers.links[peers.leader], question.message)
 
 
 def on_answer(peers: Peers, answer: CellAnswer) -> None:
     """Take the leader's answer to a question."""
     question = peers.open.get(answer.seq)
-    if question and not question.fut.done():
+    if question is None or question.fut.done():
+        return
+    if answer.code == ResultCode.NO_LEADER:
+        question.copies -= 1
+    else:
         question.fut.set_result(answer)
 
 
@@ -171,18 +179,19 @@
         now = loop.time()
         if _reaches_leader(peers):
             reached = now
-        wait = UNKNOWN_WAIT if question.sent else NO_LEADER_WAIT
+        wait = UNKNOWN_WAIT if question.copies else NO_LEADER_WAIT
         if now - reached > wait:
             break
         await asyncio.wait([question.fut], timeout=min(_LOOK, until - now))
-        if not question.sent:
+        if not question.copies:
             _send(peers, question)
     if question.fut.done():
         return question.fut.result()
-    if question.sent:
+    if question.copies:
         return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=1)
-    code = ResultCode.NO_LEADER
-    return CellAnswer(seq, code, retry_after=NO_LEADER_RETRY)
+    lost_for = loop.time() - leader_heard(peers)
+    retry = _SOON if lost_for < _LATER else _LATER
+    return CellAnswer(seq, ResultCode.NO_LEADER, retry_after=retry)
 
 
 @asynccontextmanager
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -28,6 +28,7 @@
     ConfigAsk,
     JobAsk,
     JournalError,
+    ResultCode,
     Roster,
 )
 from daisygw.links import log
@@ -164,11 +165,14 @@
 
 def _decide(node: SchedulerNode, entry: str, message: Any) -> None:
     lead = node.state.lead
-    if lead:
-        lead.now = _clock.now()
-        lead.wall = _clock.wall()
-        _DECISIONS[type(message)](lead, message, entry)
-        node.wake.set()
+    if lead is None:
+        answer = CellAnswer(message.seq, ResultCode.NO_LEADER)
+        _tell(node, Tell(entry, answer))
+        return
+    lead.now = _clock.now()
+    lead.wall = _clock.wall()
+    _DECISIONS[type(message)](lead, message, entry)
+    node.wake.set()
 
 
 def _on_message(node: SchedulerNode, link: Link, message: Any) -> None:
@@ -241,7 +245,7 @@
     if roster == node.roster:
         return
     node.roster = roster
-    follow(node.peers, roster)
+    follow(node.peers, roster, node.cfg.host)
     for link in node.sessions.values():
         post(link, roster)
 
