--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -4,7 +4,6 @@
 from daisygw.cell._jobs import forget_old, on_config_ask, on_job_ask
 from daisygw.cell._lead import (
     HERE,
-    LEASE,
     Decided,
     EndsCommitted,
     Lead,
@@ -19,24 +18,28 @@
 from daisygw.cell._state import Cell, Run, TargetState, apply, snapshot
 from daisygw.cell._targets import (
     OrderOutcome,
+    Renewal,
     StartDone,
+    deadline_of,
+    note_committed,
     on_holding,
     on_report,
     on_silence,
     on_started,
     on_stopped,
     pass_time,
+    renewal_of,
 )
 
 __all__ = (
     'HERE',
-    'LEASE',
     'Cell',
     'Decided',
     'EndsCommitted',
     'Lead',
     'OrderOutcome',
     'Probe',
+    'Renewal',
     'Run',
     'StartDone',
     'StartOrder',
@@ -44,8 +47,10 @@
     'TargetState',
     'apply',
     'begin',
+    'deadline_of',
     'enqueue_job',
     'forget_old',
+    'note_committed',
     'on_advice',
     'on_config_ask',
     'on_holding',
@@ -56,6 +61,7 @@
     'on_stopped',
     'pass_time',
     'place_waiting',
+    'renewal_of',
     'snapshot',
     'take',
 )
--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -8,9 +8,7 @@
 Refusal = tuple[ResultCode, float, str]
 
 
-def could_hold(
-    lead: Lead, target: TargetState, step: Step, queue: Queue
-) -> int:
+def could_hold(target: TargetState, step: Step, queue: Queue) -> int:
     """Return how many tasks of a step an empty target could hold."""
     life = target.life
     if life.service != queue.service:
@@ -30,7 +28,7 @@
     if not targets:
         return (ResultCode.NO_WORKERS, 1, 'no target is known')
     for number, step in enumerate(job.steps):
-        room = sum(could_hold(lead, one, step, queue) for one in targets)
+        room = sum(could_hold(one, step, queue) for one in targets)
         least = step.count if step.gang else 1
         if room < least and not step.lasting:
             reason = f'step {number}: room for {room} of {least} tasks'
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -45,25 +45,31 @@
     lead.changed = True
     if not answer.answered:
         approval.retry_at = lead.now + RETRY_PAUSE
-        lead.say(
-            'advice failed', id=key.job, step=key.step, after_s=lead.now - at
-        )
+        lead.say('advice failed', id=key.job, step=key.step)
         return
-    waiting = lead.waiting.get(key)
-    validity = waiting.queue.advisor.validity if waiting else 0
-    until = lead.now + validity - TICKET_MARGIN
-    tickets = dict(answer.tickets)
-    for life in lives:
-        name = life.partition('@')[0]
-        if name in tickets:
-            approval.tickets[life] = (tickets[name], until)
-        else:
-            approval.denied.add(life)
+    _take_tickets(lead, approval, asked, dict(answer.tickets))
     lead.say(
         'advice',
         id=key.job,
         step=key.step,
         asked=len(lives),
-        approved=len(tickets),
+        approved=len(answer.tickets),
         took_s=round(lead.now - at, 3),
     )
+
+
+def _take_tickets(
+    lead: Lead,
+    approval: Approval,
+    asked: tuple[StepKey, tuple[str, ...], float],
+    tickets: dict[str, str],
+) -> None:
+    waiting = lead.waiting.get(asked[0])
+    validity = waiting.queue.advisor.validity if waiting else 0
+    until = lead.now + validity - TICKET_MARGIN
+    for life in asked[1]:
+        ticket = tickets.get(life.partition('@')[0])
+        if ticket is None:
+            approval.denied.add(life)
+        else:
+            approval.tickets[life] = (ticket, until)
--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -25,8 +25,9 @@
 # than an election and a first round of renewals, under the platform's bound.
 LEASE = 4.0
 # An earlier leader's grants end this long after an election at the latest, s:
-# its lease, the drift of a target's clock and the margin of a reading.
-INHERITED = LEASE * 1.05 + 0.5
+# its lease, the drift of a target's clock (2 %) and a margin for a reading.
+_INHERITED_MARGIN = 0.7
+INHERITED = LEASE + _INHERITED_MARGIN
 # The name under which an effect is carried out by the leader's own process.
 HERE = ''
 # Older entries of a job's age come from clocks that jumped, s.
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -20,6 +20,7 @@
 )
 from daisygw.cell._state import TargetState, room_of
 from daisygw.contracts import RunsPlaced, Size, fits, room_for, share_of
+from daisygw.machines import is_sure
 
 # A target that has not answered for this long gets no new work, s: one
 # renewal's longest wait, and the time-out of a call.
@@ -46,15 +47,10 @@
 def is_usable(lead: Lead, target: TargetState) -> bool:
     """Tell whether a target may be given new work now."""
     contact = lead.contacts.get(target.key)
-    return (
-        contact is not None
-        and target.open
-        and contact.reached
-        and contact.failures == 0
-        and contact.seen > contact.doubted
-        and lead.now - contact.seen < SILENCE
-        and lead.now >= contact.barred_until
-    )
+    if contact is None or not target.open or not is_sure(contact):
+        return False
+    silent = lead.now - contact.seen > SILENCE
+    return not silent and lead.now >= contact.barred_until
 
 
 def place_waiting(lead: Lead) -> None:
@@ -89,8 +85,7 @@
     return [
         one
         for one in targets
-        if one.key not in denied
-        and could_hold(lead, one, step, waiting.queue) > 0
+        if one.key not in denied and could_hold(one, step, waiting.queue) > 0
     ]
 
 
@@ -299,6 +294,6 @@
     for target in suitable[: max(most, 0)]:
         if needed <= 0:
             break
-        needed -= could_hold(lead, target, step, waiting.queue)
+        needed -= could_hold(target, step, waiting.queue)
         chosen.add(target.key)
     return chosen if needed <= 0 else set()
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -62,7 +62,7 @@
 
     @property
     def complete(self) -> bool:
-        """Tell whether all its tasks are done."""
+        """Whether all its tasks are done."""
         return len(self.done) == self.step.count
 
 
@@ -87,7 +87,7 @@
 
     @property
     def state(self) -> JobState:
-        """Return what a caller may see."""
+        """What a caller may see."""
         if self.withdrawn:
             return JobState.CANCELLED
         if self.failed:
@@ -98,7 +98,7 @@
 
     @property
     def over(self) -> bool:
-        """Tell whether nothing of it may start any more."""
+        """Whether nothing of it may start any more."""
         return self.withdrawn or self.failed or self.open_steps == 0
 
 
@@ -116,7 +116,7 @@
 
     @property
     def free(self) -> Size:
-        """Return the room that no run holds."""
+        """The room that no run holds."""
         return minus(self.life.capacity, self.used)
 
 
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -10,6 +10,7 @@
 from daisygw.cell._lead import (
     HERE,
     INHERITED,
+    LEASE,
     EndsCommitted,
     Lead,
     Ordered,
@@ -18,9 +19,9 @@
     StopOrder,
     enqueue_job,
     job_over,
-    queue_of,
     want_stop,
 )
+from daisygw.cell._learning import learn
 from daisygw.cell._state import JobRecord, Run, StepState, TargetState, step_of
 from daisygw.contracts import (
     CellAnswer,
@@ -38,22 +39,18 @@
     LifeListed,
     ListedEnd,
     TargetReport,
+    grant,
+    is_sure,
     life_key,
     note_clock,
 )
 
+# The longest wait that a renewal asks for, s: a quarter of the lease.
+HOLD_WAIT = 1.0
 # A stop that was not confirmed is sent again after this long, s.
 STOP_AGAIN = 0.5
 # A silent target's life is given up this long after nothing runs there, s.
 GIVE_UP = 20.0
-# A target on which this many jobs failed one after the other is set aside.
-FAILED_JOBS = 3
-# It is tried again after this long, s.
-SET_ASIDE = 3.0
-# How much the newest run time counts for a learned one.
-RATE = 0.2
-# A run without progress for this long is started elsewhere, s.
-STUCK = 4.0
 
 
 @enum.unique
@@ -159,7 +156,7 @@
     if state is None or job is None or was_over:
         return
     if how in {RunEnd.DONE, RunEnd.FAILED}:
-        _learn(lead, run, state, how, ordered)
+        learn(lead, run, how, ordered)
     if job.over:
         job_over(lead, job)
         return
@@ -185,33 +182,47 @@
         waiting.avoid.setdefault(run.index, set()).add(run.life)
 
 
-def _learn(
-    lead: Lead,
-    run: Run,
-    state: StepState,
-    how: RunEnd,
-    ordered: Ordered | None,
-) -> None:
-    suspects = lead.suspects.setdefault(run.life, set())
-    if how is RunEnd.FAILED:
-        suspects.add(run.step.job)
-        contact = lead.contacts.get(run.life)
-        if len(suspects) >= FAILED_JOBS and contact:
-            contact.barred_until = lead.now + SET_ASIDE
-            lead.say('target set aside', target=run.life, jobs=len(suspects))
-        return
-    suspects.clear()
-    job = lead.cell.jobs[run.step.job]
-    queue = queue_of(lead, job)
-    estimate = state.step.estimate
-    if ordered is None or queue is None or estimate <= 0 or run.number > 1:
-        return
-    ratio = (lead.now - ordered.at) / estimate
-    usual = lead.stretch.get(queue.name, 1.0)
-    lead.stretch[queue.name] = usual + RATE * (min(ratio, 2 * usual) - usual)
-    pace = lead.pace.get(run.life, 1.0)
-    fresh = min(max(ratio / usual, 1 / 4), 4)
-    lead.pace[run.life] = pace + RATE * (fresh - pace)
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """A look at a target: which ends are noted, until when it may run on.
+
+    ``deadline`` is on the target's clock (ms; none: not renewed); ``wait``
+    (s) is how long the target may wait for an end.
+    """
+
+    noted: int
+    deadline: int | None
+    wait: float
+
+
+def renewal_of(lead: Lead, target: TargetState) -> Renewal:
+    """Return the next look at a target; one in doubt is not renewed."""
+    contact = lead.contacts[target.key]
+    if not is_sure(contact):
+        return Renewal(contact.noted, None, 0)
+    deadline = grant(contact, lead.now, LEASE)
+    return Renewal(contact.noted, deadline, HOLD_WAIT)
+
+
+def deadline_of(lead: Lead, run: Run) -> int | None:
+    """Return until when a start holds, none where it is not wanted any more.
+
+    A repeat carries the time of the first copy, so that no copy outlasts it.
+    """
+    ordered = lead.orders.get((run.step, run.index))
+    contact = lead.contacts.get(run.life)
+    if ordered is None or ordered.run != run or contact is None:
+        return None
+    if not ordered.deadline:
+        ordered.deadline = grant(contact, lead.now, LEASE)
+    return ordered.deadline
+
+
+def note_committed(lead: Lead, ends: EndsCommitted) -> None:
+    """Note that a target's ends are durable, so that it may forget them."""
+    contact = lead.contacts.get(ends.life)
+    if contact:
+        contact.noted = max(contact.noted, ends.position)
 
 
 def on_holding(
@@ -326,8 +337,7 @@
         contact.seen = lead.now
     if done.outcome is OrderOutcome.TAKEN:
         ordered.answered = min(ordered.answered, lead.now)
-        return
-    if done.outcome is OrderOutcome.FENCED:
+    if done.outcome in {OrderOutcome.TAKEN, OrderOutcome.FENCED}:
         return
     lead.say(
         'start not taken',
@@ -337,6 +347,11 @@
         outcome=done.outcome,
         reason=done.reason,
     )
+    _on_not_taken(lead, done, ordered)
+
+
+def _on_not_taken(lead: Lead, done: StartDone, ordered: Ordered) -> None:
+    run = done.order.run
     target = lead.cell.targets.get(run.life)
     if done.outcome is OrderOutcome.OTHER_LIFE and target:
         end_life(lead, target, 'another life answered')
--- a/daisygw/contracts/_jobs.py
+++ b/daisygw/contracts/_jobs.py
@@ -154,7 +154,7 @@
     first: int | None = None,
 ) -> float:
     """Return the longest chain of estimated work (s), from any step or one."""
-    ends = [0.0] * len(steps)
+    ends = [0.0 for _ in steps]
     for number in range(len(steps) - 1, -1, -1):
         following = [
             ends[other]
--- a/daisygw/links/_group.py
+++ b/daisygw/links/_group.py
@@ -1,8 +1,9 @@
 """One replica of a group in a process: its log, files and state.
 
-An eager leader applies its records when it appends them, and lets their
-effects out once they are committed; when it is deposed it builds the state
-again from the committed log.
+An eager leader applies its records when it decides them, and lets their
+effects out once they are committed.  When it is deposed it builds the state
+again from the committed log: it may have decided something since that never
+came into the log.
 """
 
 from collections import deque
@@ -105,7 +106,7 @@
     group.held.clear()
     group.snapshot = None
     group.machine.deposed()
-    if group.applied > group.replica.commit:
+    if group.machine.eager:
         _rebuild(group)
 
 
--- a/daisygw/links/_logs.py
+++ b/daisygw/links/_logs.py
@@ -19,6 +19,8 @@
     'warning': logging.WARNING,
     'error': logging.ERROR,
 })
+# Libraries that log each connection or request; ours say more.
+_CHATTY = ('uvicorn', 'grpclib')
 # Lines of one event in a second: several times what a busy day brings.
 MOST_LINES = 200
 _FIELDS = 'daisygw_fields'
@@ -59,12 +61,11 @@
 
     def write(self, text: str) -> None:
         """Write a line, or count it as dropped."""
-        line = text.encode('utf-8', 'replace')
         if self.dropped:
-            note = {'event': 'lines dropped', 'count': self.dropped}
-            line = json.dumps(note).encode('utf-8') + b'\n' + line
+            note = json.dumps({'event': 'lines dropped', 'n': self.dropped})
+            text = f'{note}\n{text}'
         try:
-            os.write(self.descriptor, line)
+            os.write(self.descriptor, text.encode('utf-8', 'replace'))
         except BlockingIOError:
             self.dropped += 1
         else:
@@ -73,6 +74,9 @@
     def flush(self) -> None:
         """Do nothing: nothing is kept back."""
 
+    def close(self) -> None:
+        """Leave the descriptor open: it belongs to the process."""
+
 
 _gate = _Gate()
 
@@ -90,6 +94,8 @@
     handler.python_handler.stream = stream or sys.stderr
     handler.setFormatter(_JsonFormatter())
     logging.set_verbosity(_LEVELS[level])
+    for library in _CHATTY:
+        std_logging.getLogger(library).setLevel(std_logging.WARNING)
     log('start', process=process)
 
 
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -47,6 +47,7 @@
     silence: float = 2.5
 
 
+_USUAL_PACE = Pace()
 OnMessage: TypeAlias = Callable[['Link', Any], None]
 OnChange: TypeAlias = Callable[['Link'], None]
 
@@ -172,7 +173,7 @@
     address: str,
     on_message: OnMessage,
     on_change: OnChange,
-    pace: Pace = Pace(),
+    pace: Pace = _USUAL_PACE,
 ) -> None:
     """Hold a link to ``address`` open, again and again until cancelled."""
     host, _, port = address.rpartition(':')
@@ -242,7 +243,7 @@
     address: str,
     on_message: OnMessage,
     on_change: OnChange,
-    pace: Pace = Pace(),
+    pace: Pace = _USUAL_PACE,
 ) -> AsyncGenerator[None, None]:
     """Accept links at ``address`` while the body runs."""
     host, _, port = address.rpartition(':')
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -16,6 +16,7 @@
     TargetLife,
     TargetReport,
     grant,
+    is_sure,
     life_key,
     note_clock,
 )
@@ -74,6 +75,7 @@
     'enter',
     'grant',
     'hold',
+    'is_sure',
     'life_key',
     'list_target',
     'note_clock',
--- a/daisygw/machines/_life.py
+++ b/daisygw/machines/_life.py
@@ -107,6 +107,12 @@
         self.barred_until = float('-inf')
 
 
+def is_sure(contact: Contact) -> bool:
+    """Tell whether a target has answered all that it was asked last."""
+    answers = contact.reached and contact.failures == 0
+    return answers and contact.seen > contact.doubted
+
+
 def note_clock(contact: Contact, received: float, clock: int) -> None:
     """Take a reading of the target's clock (ms) received just now."""
     contact.read_at = received
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from daisygw.cell import (
-    LEASE,
     Decided,
     EndsCommitted,
     Lead,
@@ -18,23 +17,23 @@
     StartOrder,
     StopOrder,
     TargetState,
+    deadline_of,
+    note_committed,
     on_advice,
     on_holding,
     on_silence,
     on_started,
     on_stopped,
+    renewal_of,
 )
 from daisygw.contracts import AdviceAnswer, AdviceAsk, LinkError
 from daisygw.links import log
 from daisygw.links.processes import Link, post, running
-from daisygw.machines import grant
 from daisygw.nodes import _clock
 from daisygw.nodes._entry import ADVICE_PATIENCE, give_advice
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
 from daisygw.zones import has_authority
 
-# The longest wait that a target's renewal may ask for, s.
-HOLD_WAIT = 1.0
 # The pause after a renewal that brought no answer, s.
 _SILENCE_PAUSE = 0.2
 # How often the set of targets is looked at, s.
@@ -89,16 +88,11 @@
 
 
 async def _hold_once(orders: Orders, lead: Lead, target: TargetState) -> None:
-    contact = lead.contacts[target.key]
-    known = contact.reached and contact.failures == 0
-    sure = known and contact.seen > contact.doubted
-    deadline = grant(contact, _clock.now(), LEASE) if sure else None
-    wait = HOLD_WAIT if sure else 0
+    renewal = renewal_of(lead, target)
     sent = _clock.now()
-    fence = fence_of(orders.node)
     try:
         holding = await orders.node.calls.hold(
-            target.life, fence, contact.noted, deadline, wait
+            target.life, fence_of(orders.node), renewal
         )
     except LinkError as exc:
         if _still_leads(orders, lead) and target.key in lead.contacts:
@@ -148,33 +142,29 @@
 def _hold_all(orders: Orders, lead: Lead) -> None:
     for key, target in lead.cell.targets.items():
         task = orders.holds.get(key)
-        if task is not None and task.done() and not task.cancelled():
-            exc = task.exception()
-            if exc:
-                log('renewal ended', target=key, error=repr(exc))
         if (task is None or task.done()) and key in lead.contacts:
-            hold = _hold(orders, lead, target)
-            orders.holds[key] = asyncio.ensure_future(hold)
+            hold = asyncio.ensure_future(_hold(orders, lead, target))
+            hold.add_done_callback(partial(_hold_ended, key))
+            orders.holds[key] = hold
     for key in set(orders.holds) - set(lead.cell.targets):
         orders.holds.pop(key).cancel()
 
 
+def _hold_ended(key: str, task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception():
+        log('renewal ended', target=key, error=repr(task.exception()))
+
+
 async def _start(orders: Orders, order: StartOrder) -> None:
     lead = _lead(orders)
     target = lead.cell.targets.get(order.run.life) if lead else None
-    ordered = (
-        lead.orders.get((order.run.step, order.run.index)) if lead else None
-    )
-    if target is None or ordered is None or ordered.run != order.run:
+    deadline = deadline_of(lead, order.run) if target else None
+    if deadline is None:
         return
-    contact = lead.contacts[target.key]
-    if not ordered.deadline:
-        ordered.deadline = grant(contact, _clock.now(), LEASE)
     sent = _clock.now()
-    fence = fence_of(orders.node)
     try:
         outcome, reason = await orders.node.calls.start(
-            target.life, order, ordered.deadline, fence
+            target.life, order, deadline, fence_of(orders.node)
         )
     except LinkError as exc:
         outcome, reason = OrderOutcome.NO_ANSWER, exc.reason
@@ -243,10 +233,8 @@
 
 
 def _note(orders: Orders, ends: EndsCommitted) -> None:
-    lead = orders.node.state.lead
-    contact = lead.contacts.get(ends.life) if lead else None
-    if contact:
-        contact.noted = max(contact.noted, ends.position)
+    if orders.node.state.lead:
+        note_committed(orders.node.state.lead, ends)
         orders.noted.set()
         orders.noted = asyncio.Event()
 
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -8,6 +8,7 @@
 import itertools
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any
 
 from daisygw.contracts import CellAnswer, ResultCode, Roster
@@ -26,7 +27,9 @@
 _LATER = 2.0
 
 # A link is broken after several pulses that did not come.
-PACE = Pace(pulse=0.25, silence=1.2)
+_PULSE = 0.25
+_SILENCE = 1.2
+PACE = Pace(_PULSE, _SILENCE)
 # A question is passed on only over a link heard this lately, s: what went
 # out over a link that is broken already can't be answered truthfully.
 _FRESH = 0.7
@@ -77,7 +80,7 @@
             peers.me,
             f'{host}:{peers.port}',
             peers.on_message,
-            lambda one: _on_link(peers, one),
+            partial(_on_link, peers),
             PACE,
         )
         peers.tasks[host] = asyncio.ensure_future(connecting)
@@ -173,23 +176,31 @@
     patience: float,
 ) -> CellAnswer:
     loop = asyncio.get_running_loop()
-    until = loop.time() + patience
     reached = loop.time()
+    until = reached + patience
     while not question.fut.done() and loop.time() < until:
-        now = loop.time()
         if _reaches_leader(peers):
-            reached = now
-        wait = UNKNOWN_WAIT if question.copies else NO_LEADER_WAIT
-        if now - reached > wait:
+            reached = loop.time()
+        elif loop.time() - reached > _longest_wait(question):
             break
-        await asyncio.wait([question.fut], timeout=min(_LOOK, until - now))
         if not question.copies:
             _send(peers, question)
+        left = max(until - loop.time(), 0)
+        await asyncio.wait([question.fut], timeout=min(_LOOK, left))
     if question.fut.done():
         return question.fut.result()
+    return _no_answer(peers, question, seq)
+
+
+def _longest_wait(question: _Question) -> float:
+    """Return how long a question waits for a leader in reach (s)."""
+    return UNKNOWN_WAIT if question.copies else NO_LEADER_WAIT
+
+
+def _no_answer(peers: Peers, question: _Question, seq: int) -> CellAnswer:
     if question.copies:
-        return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=1)
-    lost_for = loop.time() - leader_heard(peers)
+        return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=_SOON)
+    lost_for = asyncio.get_running_loop().time() - leader_heard(peers)
     retry = _SOON if lost_for < _LATER else _LATER
     return CellAnswer(seq, ResultCode.NO_LEADER, retry_after=retry)
 
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
+from types import MappingProxyType
 from typing import Any
 
 import xxhash
@@ -75,7 +76,9 @@
 GROUP = 'cell'
 # A heartbeat is several times the way between two hosts and a sync of a
 # disk; an election waits for several lost ones, s.
-TIMING = Timing(heartbeat=0.1, election=0.5, drift=0.1, hello=0.3)
+_HEARTBEAT = 0.1
+_ELECTION = 0.5
+TIMING = Timing(heartbeat=_HEARTBEAT, election=_ELECTION, drift=_HEARTBEAT)
 # How often time passes for a process without messages, s.
 _TICK = 0.05
 # A snapshot takes the place of so many log entries.
@@ -85,11 +88,12 @@
 # The time for the last messages to leave, s.
 _FLUSH = 0.2
 _ENTRY_PREFIX = 'entry/'
-_DECISIONS = {
+_US = 1_000_000
+_DECISIONS = MappingProxyType({
     JobAsk: on_job_ask,
     ConfigAsk: on_config_ask,
     TargetReport: on_report,
-}
+})
 
 
 class SchedulerNode:
@@ -120,7 +124,7 @@
 
 
 def _open(cfg: NodeSettings) -> tuple[Replica, Journal | None]:
-    fresh = f'{cfg.host}#{int(_clock.wall() * 1e9):x}'
+    fresh = f'{cfg.host}#{int(_clock.wall() * _US):x}'
     journal, saved = (None, None)
     if cfg.data:
         journal, saved = _open_journal(cfg, fresh)
@@ -132,8 +136,8 @@
         tuple(sorted(cfg.seeds)) if founding else (),
         TIMING,
         xxhash.xxh32_intdigest(fresh.encode('ascii')),
-        open_to_hosts=True,
     )
+    replica.open_to_hosts = True
     replica.contacts.update(cfg.seeds)
     if saved:
         reload(replica, saved, _clock.now())
--- a/daisygw/nodes/_settings.py
+++ b/daisygw/nodes/_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from daisygw.cell import OrderOutcome, Run, StartOrder
+from daisygw.cell import OrderOutcome, Renewal, Run, StartOrder
 from daisygw.contracts import StepKey
 from daisygw.machines import Holding, TargetLife
 
@@ -35,9 +35,8 @@
     """Calls to targets and the placement advisor; each may raise LinkError.
 
     ``start`` and ``stop`` take the target's life, the order, (a deadline on
-    the target's clock, ms) and the fence; ``hold`` the life, fence, noted
-    position, deadline (none: do not renew) and longest wait (s); ``advise``
-    a step, names of targets and a patience (s).
+    the target's clock, ms) and the fence; ``hold`` the life, the fence and
+    the renewal; ``advise`` a step, names of targets and a patience (s).
     """
 
     start: Callable[
@@ -46,7 +45,7 @@
     ]
     stop: Callable[[TargetLife, Run, int], Awaitable[OrderOutcome]]
     hold: Callable[
-        [TargetLife, int, int, int | None, float],
+        [TargetLife, int, Renewal],
         Awaitable[Holding],
     ]
     advise: Callable[
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from daisygw.cell import OrderOutcome, Run, StartOrder
+from daisygw.cell import OrderOutcome, Renewal, Run, StartOrder
 from daisygw.contracts import LinkError, ResultCode, StepKey
 from daisygw.machines import Holding, TargetLife
 from daisygw.nodes import TargetCalls
@@ -100,17 +100,11 @@
         )
         return _outcome(status, raw)[0]
 
-    async def hold(
-        life: TargetLife,
-        fence: int,
-        noted: int,
-        deadline: int | None,
-        wait: float,
-    ) -> Holding:
-        body = _codec.encode_hold(fence, noted, deadline, wait)
+    async def hold(life: TargetLife, fence: int, renewal: Renewal) -> Holding:
+        body = _codec.encode_hold(fence, renewal)
         url = f'http://{life.address}/hold'
         status, raw = await _post(
-            session, url, body, wait + _HOLD_SLACK, _headers(life)
+            session, url, body, renewal.wait + _HOLD_SLACK, _headers(life)
         )
         return _holding(life, status, raw)
 
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -1,14 +1,13 @@
 """The platform's message formats, decoded once into the project's types.
 
-The wire types below are ``msgspec`` structs, frozen, because only those can
-carry other names on the wire than in the code.
+Here the platform's words end: nothing outside this package knows them.
 """
 
 from typing import Any
 
 import msgspec
 
-from daisygw.cell import Run, StartOrder
+from daisygw.cell import Renewal, Run, StartOrder
 from daisygw.contracts import (
     Advisor,
     CellConfig,
@@ -29,6 +28,16 @@
     TargetLife,
     TargetReport,
 )
+from daisygw.platform._wire import (
+    WireAdvice,
+    WireConfig,
+    WireHolding,
+    WireJob,
+    WireReply,
+    WireReport,
+    WireRoute,
+    WireStep,
+)
 
 _MS = 1000
 _MOST_PAYLOAD = 4000
@@ -38,116 +47,11 @@
 _STATES = frozenset({'ready', 'draining'})
 
 
-class _Wire(msgspec.Struct, frozen=True, rename='camel'):
-    """Base of all wire types: names in camel case."""
-
-
-class _WireStep(_Wire):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
-    depends_on: tuple[int, ...] = ()
-    gang: bool = False
-    same_rack: bool = False
-    required_label: str = ''
-    data_rack: str = ''
-    # The most tasks on one worker, whatever "server" suggests.
-    max_per_server: int = 0
-    speculative: bool = False
-    long_running: bool = False
-    checkpointing: bool = False
-    # The step's processors are not counted; the name speaks of its tasks.
-    fill_count: bool = False
-
-
-class _WireJob(_Wire):
-    # What the tasks get, as it is; not a specification of the job.
-    spec: str
-    steps: tuple[_WireStep, ...]
-    repeat_count: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
-
-
-class _WireAdvisor(_Wire):
-    decision_ms: float
-    per_worker_ms: float
-    validity_ms: float
-
-
-class _WireRoute(_Wire):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1
-    placement_advisor: _WireAdvisor | None = None
-
-
-class _WireService(_Wire):
-    name: str
-
-
-class _WireLimits(_Wire):
-    max_body_bytes: int = 262_144
-
-
-class _WireConfig(_Wire):
-    version: int
-    routes: tuple[_WireRoute, ...]
-    services: tuple[_WireService, ...]
-    limits: _WireLimits = _WireLimits()
-
-
-class _WireCapacity(_Wire):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
-
-
-class _WireReport(_Wire):
-    service: str
-    address: str
-    zone: str
-    state: str
-    # The time of its start; tells one life of a worker from the next.
-    born: int
-    capacity: _WireCapacity
-    labels: tuple[str, ...] = ()
-    sequence: int = 0
-
-
-class _WireHolding(_Wire):
-    clock_ms: int
-    born: int
-    active: tuple[tuple[Any, ...], ...] = ()
-    finished: tuple[tuple[Any, ...], ...] = ()
-
-
-class WireReply(_Wire):
-    """A worker's answer to an order."""
-
-    clock_ms: int = 0
-    reason: str = ''
-
-
-class WireAdvice(_Wire):
-    """The advisor's answer: rows of a worker's id and its ticket."""
-
-    approved: tuple[tuple[str, str], ...] = ()
-
-
-_BAD = (msgspec.ValidationError, msgspec.DecodeError, ValueError, TypeError)
-_job = msgspec.json.Decoder(_WireJob).decode
-_config = msgspec.json.Decoder(_WireConfig).decode
-_report = msgspec.json.Decoder(_WireReport).decode
-_holding = msgspec.json.Decoder(_WireHolding).decode
+_BAD = (msgspec.MsgspecError, ValueError, TypeError, IndexError)
+_job = msgspec.json.Decoder(WireJob).decode
+_config = msgspec.json.Decoder(WireConfig).decode
+_report = msgspec.json.Decoder(WireReport).decode
+_holding = msgspec.json.Decoder(WireHolding).decode
 decode_reply = msgspec.json.Decoder(WireReply).decode
 decode_advice = msgspec.json.Decoder(WireAdvice).decode
 encode = msgspec.json.Encoder().encode
@@ -183,7 +87,7 @@
     )
 
 
-def _step(number: int, wire: _WireStep) -> Step:
+def _step(number: int, wire: WireStep) -> Step:
     amounts = (wire.cpu, wire.mem_mb, wire.gpu, wire.max_per_server)
     if wire.count < 1 or min(amounts) < 0 or wire.estimate_ms < 0:
         raise _bad(f'steps[{number}]: a bad amount', ResultCode.BAD_SIZE)
@@ -230,7 +134,7 @@
     )
 
 
-def _queue(route: _WireRoute) -> Queue:
+def _queue(route: WireRoute) -> Queue:
     wire = route.placement_advisor
     advisor = None
     if wire:
@@ -318,17 +222,15 @@
     })
 
 
-def encode_hold(
-    fence: int, noted: int, deadline: int | None, wait: float
-) -> bytes:
-    """Encode a renewal: ``noted`` ends are forgotten by the worker."""
+def encode_hold(fence: int, renewal: Renewal) -> bytes:
+    """Encode a renewal; ends that are noted are forgotten by the worker."""
     body = {
         'fencingToken': fence,
-        'ackCursor': noted,
-        'waitMs': int(wait * _MS),
+        'ackCursor': renewal.noted,
+        'waitMs': int(renewal.wait * _MS),
     }
-    if deadline is not None:
-        body['deadlineMs'] = deadline
+    if renewal.deadline is not None:
+        body['deadlineMs'] = renewal.deadline
     return encode(body)
 
 
@@ -338,17 +240,19 @@
         wire = _holding(raw)
         active = tuple(_active(row) for row in wire.active)
         ended = tuple(_ended(row) for row in wire.finished)
-    except (*_BAD, IndexError) as exc:
+    except _BAD as exc:
         raise LinkError(ResultCode.MALFORMED, f'lists: {exc}') from exc
     return Holding(wire.born, wire.clock_ms, active, ended)
 
 
 def _active(row: tuple[Any, ...]) -> ActiveRun:
-    step, index = _decode_task(row[0])
-    return ActiveRun(step, index, int(row[1]), str(row[2]), int(row[3]))
+    # A fifth figure (usage, or the tail of a serving task) may follow.
+    name, number, saved, percent, *_ = row
+    step, index = _decode_task(name)
+    return ActiveRun(step, index, int(number), str(saved), int(percent))
 
 
 def _ended(row: tuple[Any, ...]) -> ListedEnd:
-    step, index = _decode_task(row[1])
-    how = RunEnd(row[3])
-    return ListedEnd(int(row[0]), step, index, int(row[2]), how, str(row[4]))
+    position, name, number, how, saved, *_ = row
+    step, index = _decode_task(name)
+    return ListedEnd(position, step, index, number, RunEnd(how), saved)
--- a/daisygw/platform/_faces.py
+++ b/daisygw/platform/_faces.py
@@ -1,5 +1,6 @@
 """The HTTP faces towards callers, the balancer, workers and operators."""
 
+from types import MappingProxyType
 from typing import Any
 
 import falcon
@@ -31,9 +32,16 @@
 # Heartbeats and configurations may be as large as this, bytes.
 _MOST_CONTROL = 8_388_608
 _MS = 1000
-_VERBS = {'POST': JobVerb.SUBMIT, 'GET': JobVerb.SHOW, 'DELETE': JobVerb.CANCEL}
-_STATES = {JobState.RUNNING: 'in_progress'}
-_STATUS = {
+_OK = 200
+_BAD_REQUEST = 400
+_UNAVAILABLE = 503
+_VERBS = MappingProxyType({
+    'POST': JobVerb.SUBMIT,
+    'GET': JobVerb.SHOW,
+    'DELETE': JobVerb.CANCEL,
+})
+_STATES = MappingProxyType({JobState.RUNNING: 'in_progress'})
+_STATUS = MappingProxyType({
     ResultCode.ANSWERED: 200,
     ResultCode.ACCEPTED: 200,
     ResultCode.UNKNOWN_QUEUE: 404,
@@ -47,12 +55,12 @@
     ResultCode.CONFIG_INVALID: 400,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.OUTCOME_UNKNOWN: 504,
-}
+})
 
 
 def _put(resp: falcon.asgi.Response, code: int, reason: str = '') -> None:
     named = ResultCode(code)
-    resp.status = _STATUS.get(named, 400)
+    resp.status = _STATUS.get(named, _BAD_REQUEST)
     resp.media = {'code': named.value, 'name': named.name, 'reason': reason}
 
 
@@ -158,12 +166,12 @@
     if answer.code not in {ResultCode.ANSWERED, ResultCode.ACCEPTED}:
         _put(resp, answer.code, answer.reason)
         if verb is JobVerb.SHOW and answer.code == ResultCode.OUTCOME_UNKNOWN:
-            resp.status = 503
+            resp.status = _UNAVAILABLE
         if answer.retry_after:
             seconds = str(max(round(answer.retry_after), 1))
             resp.set_header('Retry-After', seconds)
         return
-    resp.status = 200
+    resp.status = _OK
     if answer.state:
         resp.media = {'state': _STATES.get(answer.state, answer.state)}
     else:
@@ -180,7 +188,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
         """Answer for the balancer."""
-        resp.status = 200 if is_ready(self.node) else 503
+        resp.status = _OK if is_ready(self.node) else _UNAVAILABLE
 
 
 def readiness_app(node: EntryNode) -> falcon.asgi.App:
@@ -263,7 +271,7 @@
             resp.media = {}
         else:
             _put(resp, answer.code)
-            resp.status = 503
+            resp.status = _UNAVAILABLE
 
     async def on_get(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
@@ -275,7 +283,7 @@
             resp.data = answer.document
         else:
             _put(resp, answer.code)
-            resp.status = 503
+            resp.status = _UNAVAILABLE
 
 
 def control_app(node: SchedulerNode) -> falcon.asgi.App:
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -12,6 +13,8 @@
 from daisygw.links import BoundedStream, log, log_error, set_up_logs
 from daisygw.links.processes import listen, serving_http
 from daisygw.nodes import (
+    EntryNode,
+    Peers,
     carrying_out,
     hand_over,
     know,
@@ -32,6 +35,7 @@
 _SERVE_ON_SHARE = 0.55
 # The part of the grace that answers in progress then have.
 _ANSWER_SHARE = 0.3
+_Running = Callable[[PlatformSettings, Path], Awaitable[None]]
 
 
 def _path(ctx: Context) -> Path:
@@ -42,7 +46,10 @@
     return Path(path)
 
 
-def _on_signals(stopped: asyncio.Event, reload_settings) -> None:
+def _on_signals(
+    stopped: asyncio.Event,
+    reload_settings: Callable[[], None],
+) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
@@ -63,27 +70,29 @@
             serving = serving_http(app, listen(address), grace * _ANSWER_SHARE)
             await stack.enter_async_context(serving)
         log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
-        await node.stopped.wait()
-        node.stopping = True
-        log('entry stopping', open=len(node.peers.open))
-        await asyncio.sleep(grace * _SERVE_ON_SHARE)
+        await _serve_until_stopped(node, grace)
     log('entry stopped', host=cfg.node.host)
 
 
+async def _serve_until_stopped(node: EntryNode, grace: float) -> None:
+    """Wait for the order to stop, then serve on while callers leave."""
+    await node.stopped.wait()
+    node.stopping = True
+    log('entry stopping', open=len(node.peers.open))
+    await asyncio.sleep(grace * _SERVE_ON_SHARE)
+
+
 async def run_scheduler(cfg: PlatformSettings, path: Path) -> None:
     """Run a scheduler until it is told to stop."""
-    grace = cfg.node.grace
-    async with AsyncExitStack() as stack:
-        calls = await stack.enter_async_context(open_calls(cfg.advisor))
-        node = await stack.enter_async_context(
-            running_scheduler(cfg.node, calls)
-        )
+    sock = listen(cfg.control)
+    grace = cfg.node.grace * _ANSWER_SHARE
+    async with (
+        open_calls(cfg.advisor) as calls,
+        running_scheduler(cfg.node, calls) as node,
+        carrying_out(node),
+        serving_http(control_app(node), sock, grace),
+    ):
         _on_signals(node.stopped, lambda: _reload(node.peers, path))
-        await stack.enter_async_context(carrying_out(node))
-        serving = serving_http(
-            control_app(node), listen(cfg.control), grace * _ANSWER_SHARE
-        )
-        await stack.enter_async_context(serving)
         log('scheduler up', host=cfg.node.host, seeds=cfg.node.seeds)
         await node.stopped.wait()
         log('scheduler stopping', term=node.group.replica.term)
@@ -91,7 +100,7 @@
     log('scheduler stopped', host=cfg.node.host)
 
 
-def _reload(peers, path: Path) -> None:
+def _reload(peers: Peers, path: Path) -> None:
     """Read the seeds anew; a file that can't be read changes nothing."""
     try:
         cfg = load_settings(path)
@@ -102,15 +111,17 @@
     log('settings reloaded', seeds=cfg.node.seeds)
 
 
+def _run_with_settings(running: _Running, path: Path) -> None:
+    asyncio.run(running(load_settings(path), path))
+
+
 def run(role: str, ctx: Context) -> ExitStatus:
     """Run the process called ``role`` with the settings it is told."""
     stream = BoundedStream(sys.stdout.fileno())
     set_up_logs('info', role, stream)
+    running = run_entry if role == 'entry' else run_scheduler
     try:
-        path = _path(ctx)
-        cfg = load_settings(path)
-        running = run_entry if role == 'entry' else run_scheduler
-        asyncio.run(running(cfg, path))
+        _run_with_settings(running, _path(ctx))
     except DaisygwError as exc:
         log('failed', code=exc.code, reason=exc.reason)
         raise
--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -41,7 +41,8 @@
     """As a new replica, ask every seat whether the group is formed."""
     replica.hello_due = now + replica.timing.hello
     _form_if_new(replica, now)
-    for host in {*replica.seats, *replica.contacts}:
+    hosts = replica.contacts.union(replica.seats)
+    for host in sorted(hosts):
         if host != host_of(replica.name):
             formed = is_formed(replica)
             hello = Hello(replica.group, replica.name, host, formed)
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -60,7 +60,6 @@
         *,
         away: bool = False,
         tells_commits: bool = False,
-        open_to_hosts: bool = False,
     ) -> None:
         """Begin new: in no group, with an empty log.
 
@@ -68,11 +67,11 @@
         election timer; ``away`` marks the tie-breaker, which lives in
         another failure domain; where it ``tells_commits``, a new commit
         index is sent and made durable at once, not with the next entries.
-        A group that is ``open_to_hosts`` takes in hosts beside its seats,
-        and lets them vote in the place of voters that are gone; a replica
-        without seats never forms a group.
+        A replica without seats never forms a group.  A group that is
+        ``open_to_hosts`` takes in hosts beside its seats, and lets them
+        vote in the place of voters that are gone.
         """
-        self.open_to_hosts = open_to_hosts
+        self.open_to_hosts = False
         self.contacts: set[str] = set()
         self.away = away
         self.tells_commits = tells_commits
--- /dev/null
+++ b/standins/platform_cell.py
@@ -0,0 +1,240 @@
+"""A cell on this machine as the platform runs it: settings files, processes.
+
+Every host is a loopback address of its own; ports are given by the system.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess  # noqa: S404  the programs under test
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Generator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.platform_workers import ADVISOR_HOST
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEDULERS = ('127.0.10.1', '127.0.10.2', '127.0.10.3')
+ENTRIES = ('127.0.11.1', '127.0.11.2')
+QUEUE_HOST = 'jobs.example'
+PREFIX = '/q/'
+UP_S = 30
+GRACE_S = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The ports of a cell: the same on every host."""
+
+    callers: int
+    ready: int
+    control: int
+    links: int
+    metrics: int
+    workers: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformCell:
+    """A running cell: its ports, folder and processes by host."""
+
+    ports: Ports
+    folder: Path
+    running: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+
+def _free_ports() -> Ports:
+    socks = [socket.socket() for _ in range(6)]
+    for sock in socks:
+        sock.bind((SCHEDULERS[0], 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return Ports(*ports)
+
+
+def _settings(cell: PlatformCell, host: str, *, first: bool) -> Path:
+    ports = cell.ports
+    seeds = ','.join(f'{one}:{ports.control}' for one in SCHEDULERS)
+    lines = [
+        f'nodeName=n-{host}',
+        f'ip={host}',
+        'zone=santander',
+        f'internalPorts={ports.links},{ports.metrics}',
+        f'seedNodes={seeds}',
+        f'bootstrap={"true" if first else "false"}',
+        f'bounds.graceS={GRACE_S}',
+        f'placementAdvisor={ADVISOR_HOST}:{ports.workers}',
+        'a.field.of.later=7',
+    ]
+    if host in SCHEDULERS:
+        lines.append(f'dataDir={cell.folder / host}')
+        lines.append(f'listenAddrs.controlPlane={host}:{ports.control}')
+    else:
+        lines.append(f'listenAddrs.frontend={host}:{ports.callers}')
+        lines.append(f'listenAddrs.ready={host}:{ports.ready}')
+    path = cell.folder / f'{host}.conf'
+    path.write_text('\n'.join(lines))
+    return path
+
+
+def start(cell: PlatformCell, host: str, *, first: bool = False) -> None:
+    """Start the process of a host; its output goes to a file."""
+    role = 'scheduler' if host in SCHEDULERS else 'entry'
+    path = _settings(cell, host, first=first)
+    with (cell.folder / f'{host}.log').open('ab') as out:
+        cell.running[host] = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-m', 'daisygw', 'platform', role],
+            cwd=ROOT,
+            env={**os.environ, 'DAISYGW_BOOT': str(path)},
+            stdout=out,
+            stderr=subprocess.STDOUT,
+        )
+
+
+def end(cell: PlatformCell, host: str, how: int = signal.SIGKILL) -> int:
+    """End a host's process; return its exit status."""
+    process = cell.running.pop(host)
+    process.send_signal(how)
+    return process.wait(UP_S)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, Any]:
+    """Call over HTTP; status 0 where no answer came."""
+    sent = body
+    if body is not None and not isinstance(body, bytes):
+        sent = json.dumps(body).encode('utf-8')
+    req = urllib.request.Request(  # noqa: S310
+        f'http://{address}{path}',
+        data=sent,
+        method=method,
+        headers={'Content-Type': 'application/json', **(headers or {})},
+    )
+    try:
+        with urllib.request.urlopen(req, timeout=5) as resp:  # noqa: S310
+            return resp.status, _parsed(resp.read())
+    except urllib.error.HTTPError as exc:
+        return exc.code, _parsed(exc.read())
+    except OSError:
+        return 0, None
+
+
+def _parsed(raw: bytes) -> Any:
+    try:
+        return json.loads(raw)
+    except ValueError:
+        return raw
+
+
+def ask(
+    cell: PlatformCell,
+    entry: str,
+    method: str,
+    name: str,
+    body: Any = None,
+    host: str = QUEUE_HOST,
+) -> tuple[int, Any]:
+    """Ask an entry about a job as a caller."""
+    address = f'{entry}:{cell.ports.callers}'
+    return call(address, method, PREFIX + name, body, {'Host': host})
+
+
+def configuration(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration in the platform's format."""
+    route = {
+        'name': 'r-1',
+        'host': QUEUE_HOST,
+        'pathPrefix': PREFIX,
+        'kind': 'non_idempotent',
+        'timeoutMs': 3000,
+        'targetLatencyMs': 1000,
+        'priority': 0,
+        'service': 'svc',
+        'maxAttempts': 2,
+        'slackFactor': 3.0,
+        'placementAdvisor': {
+            'decisionMs': 5.0,
+            'perWorkerMs': 0.1,
+            'validityMs': 1500,
+        },
+    }
+    cfg = {
+        'version': version,
+        'routes': [{**route, **more.pop('route', {})}],
+        'services': [{'name': 'svc'}],
+        'limits': {'maxBodyBytes': 262144},
+    }
+    return {**cfg, **more}
+
+
+def job(tasks: int = 1, **spec: Any) -> dict[str, Any]:
+    """Return a job in the platform's format."""
+    step = {'count': tasks, 'cpu': 1000, 'memMb': 100, 'estimateMs': 300}
+    return {'spec': json.dumps(spec), 'steps': [step]}
+
+
+def history(cell: PlatformCell) -> list[list[Any]]:
+    """Return what ran: rows of worker, task, run number and how it ended."""
+    address = f'{ADVISOR_HOST}:{cell.ports.workers}'
+    return call(address, 'GET', '/history')[1]
+
+
+def wait_until(check: Any, what: str, seconds: float = UP_S) -> Any:
+    """Wait until ``check`` gives something true, and return it."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f'waited {seconds} s for {what}')
+
+
+def lines(cell: PlatformCell, host: str) -> list[dict[str, Any]]:
+    """Return the lines that a host's process has logged."""
+    path = cell.folder / f'{host}.log'
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def put_config(cell: PlatformCell, cfg: Any) -> int:
+    """Send a configuration to any scheduler; return the status."""
+    for host in SCHEDULERS:
+        status, _ = call(f'{host}:{cell.ports.control}', 'PUT', '/config', cfg)
+        if status not in {0, 503, 504}:
+            return status
+    return 0
+
+
+@contextmanager
+def running_cell(
+    folder: Path, workers: int = 2
+) -> Generator[PlatformCell, None, None]:
+    """Run a cell with workers, until the body ends."""
+    cell = PlatformCell(_free_ports(), folder)
+    controls = ','.join(f'{one}:{cell.ports.control}' for one in SCHEDULERS)
+    port = str(cell.ports.workers)
+    cell.running['workers'] = subprocess.Popen(  # noqa: S603
+        [sys.executable, '-m', 'standins.platform_workers']
+        + [port, controls, str(workers)],
+        cwd=ROOT,
+    )
+    try:
+        for host in (*SCHEDULERS, *ENTRIES):
+            start(cell, host, first=True)
+        yield cell
+    finally:
+        for host in list(cell.running):
+            end(cell, host)
--- /dev/null
+++ b/standins/platform_workers.py
@@ -0,0 +1,189 @@
+"""Workers and a placement advisor that speak the platform's protocol.
+
+``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT`` runs
+``COUNT`` workers and the advisor on loopback addresses, until it is ended.
+``GET /history`` at the advisor's address shows what ran.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from itertools import count
+
+import aiohttp
+from aiohttp import web
+
+from standins import worker_model as model
+
+HOST = '127.0.20.{}'
+ADVISOR_HOST = '127.0.21.1'
+CAPACITY = (8000, 8000)
+BEAT_S = 0.5
+DEFAULT_WORK_S = 0.3
+MS = 1000
+
+
+def _now() -> float:
+    return time.monotonic()
+
+
+class Worker:
+    """A worker's model, with what only the wire needs."""
+
+    def __init__(self, number: int, port: int) -> None:
+        """Start its life now."""
+        self.number = number
+        self.address = f'{HOST.format(number)}:{port}'
+        self.model = model.WorkerModel(f'i-{number:04x}', _now(), CAPACITY)
+        self.born_ms = int(time.time() * MS)
+        self.sequence = count(1)
+
+
+def _body(worker: Worker, **more) -> dict:
+    clock = model.clock_ms(worker.model, _now())
+    return {'clockMs': clock, 'born': worker.born_ms, **more}
+
+
+async def _start(worker: Worker, req: web.Request) -> web.Response:
+    if req.headers.get('X-Expected-Instance') != worker.model.name:
+        return web.json_response(_body(worker), status=421)
+    order = await req.json()
+    spec = json.loads(order['spec']) if order['spec'] else {}
+    work = spec.get('work_s', DEFAULT_WORK_S)
+    load = model.Load(spec.get('cpu', 0), 0, work, spec.get('fails', False))
+    wire = (
+        (order['task'],),
+        order['runNumber'],
+        order['deadlineMs'],
+        order['fencingToken'],
+    )
+    status, reason = model.start(worker.model, _now(), wire, load)
+    return web.json_response(_body(worker, reason=reason), status=status)
+
+
+async def _stop(worker: Worker, req: web.Request) -> web.Response:
+    order = await req.json()
+    status = model.stop(
+        worker.model,
+        _now(),
+        (order['task'],),
+        order['runNumber'],
+        order['fencingToken'],
+    )
+    return web.json_response(_body(worker), status=status)
+
+
+async def _hold(worker: Worker, req: web.Request) -> web.Response:
+    order = await req.json()
+    until = _now() + order.get('waitMs', 0) / MS
+    while True:
+        lists = model.hold(
+            worker.model,
+            _now(),
+            order['fencingToken'],
+            order['ackCursor'],
+            order.get('deadlineMs'),
+        )
+        if lists is None:
+            return web.json_response(_body(worker, reason='fence'), status=409)
+        if lists[1] or _now() >= until:
+            break
+        await asyncio.sleep(0.02)
+    active = [[task[0], number, '', 0, 0] for task, number in lists[0]]
+    ended = [
+        [position, task[0], number, how, '']
+        for position, task, number, how in lists[1]
+    ]
+    answer = _body(worker, active=active, finished=ended)
+    return web.json_response(answer)
+
+
+async def _advise(workers: list[Worker], req: web.Request) -> web.Response:
+    asked = await req.json()
+    approved = [[name, f'ticket-{name}'] for name in asked['workers']]
+    return web.json_response({'approved': approved})
+
+
+async def _history(workers: list[Worker], req: web.Request) -> web.Response:
+    rows = []
+    for worker in workers:
+        model.pass_time(worker.model, _now())
+        rows += [
+            [worker.model.name, one.task[0], one.number, one.how]
+            for one in worker.model.history
+        ]
+        rows += [
+            [worker.model.name, span.task[0], span.number, 'running']
+            for span, _ in worker.model.running.values()
+        ]
+    return web.json_response(rows)
+
+
+def _report(worker: Worker) -> dict:
+    return _body(
+        worker,
+        service='svc',
+        address=worker.address,
+        zone='santander',
+        version='v1',
+        slots=8,
+        state='ready',
+        coldRemainingMs=0,
+        capacity={'cpu': CAPACITY[0], 'memMb': CAPACITY[1], 'gpu': 0},
+        labels=['a', 'r1-1'],
+        sequence=next(worker.sequence),
+    )
+
+
+async def _beat(worker: Worker, controls: list[str]) -> None:
+    timeout = aiohttp.ClientTimeout(total=1)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        turn = worker.number
+        while True:
+            url = f'http://{controls[turn % len(controls)]}'
+            path = f'/instances/{worker.model.name}'
+            try:
+                async with session.put(url + path, json=_report(worker)) as r:
+                    turn += r.status != 200
+            except (aiohttp.ClientError, TimeoutError):
+                turn += 1
+            await asyncio.sleep(BEAT_S)
+
+
+async def _serve(routes: dict, host: str, port: int) -> None:
+    app = web.Application()
+    for (method, path), handler in routes.items():
+        app.router.add_route(method, path, handler)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port, reuse_address=True).start()
+
+
+def _bound(act, what):
+    async def handle(req: web.Request) -> web.Response:
+        return await act(what, req)
+
+    return handle
+
+
+async def run(port: int, controls: list[str], workers: int) -> None:
+    """Serve until cancelled."""
+    made = [Worker(number, port) for number in range(1, workers + 1)]
+    for worker in made:
+        routes = {
+            ('POST', '/run-start'): _bound(_start, worker),
+            ('POST', '/run-stop'): _bound(_stop, worker),
+            ('POST', '/hold'): _bound(_hold, worker),
+        }
+        await _serve(routes, HOST.format(worker.number), port)
+    advisor = {
+        ('POST', '/advise'): _bound(_advise, made),
+        ('GET', '/history'): _bound(_history, made),
+    }
+    await _serve(advisor, ADVISOR_HOST, port)
+    await asyncio.gather(*(_beat(worker, controls) for worker in made))
+
+
+if __name__ == '__main__':
+    asyncio.run(run(int(sys.argv[1]), sys.argv[2].split(','), int(sys.argv[3])))
--- /dev/null
+++ b/tests/cell_world.py
@@ -0,0 +1,561 @@
+"""A cell's decisions against worker models, with faults from a seed.
+
+Orders get lost, are carried out late, and cross a change of the leader;
+workers crash and come back, are cut off and run on, drain and leave.  Time
+is the world's own; nothing here does I/O.
+"""
+
+import heapq
+import itertools
+from collections import defaultdict
+from random import Random
+from typing import Any
+
+from daisygw.cell import (
+    HERE,
+    Cell,
+    EndsCommitted,
+    Lead,
+    OrderOutcome,
+    Probe,
+    Run,
+    StartDone,
+    StartOrder,
+    StopOrder,
+    apply,
+    begin,
+    deadline_of,
+    forget_old,
+    note_committed,
+    on_advice,
+    on_config_ask,
+    on_holding,
+    on_job_ask,
+    on_report,
+    on_silence,
+    on_started,
+    on_stopped,
+    pass_time,
+    place_waiting,
+    renewal_of,
+    snapshot,
+    take,
+)
+from daisygw.contracts import (
+    AdviceAnswer,
+    AdviceAsk,
+    Advisor,
+    CellAnswer,
+    CellConfig,
+    ConfigAsk,
+    JobAsk,
+    JobSpec,
+    JobVerb,
+    Queue,
+    RunEnd,
+    Size,
+    Step,
+    StepKey,
+)
+from daisygw.machines import (
+    ActiveRun,
+    Holding,
+    ListedEnd,
+    TargetLife,
+    TargetReport,
+    life_key,
+)
+from standins import worker_model as workers
+
+STEP = 0.02
+CPUS = 8000
+MEMORY = 8000
+WAIT = 1.0
+HOST = 'host'
+MS = 1000
+_ENDS = {
+    'fence': OrderOutcome.FENCED,
+    'old': OrderOutcome.UNSURE,
+    'late': OrderOutcome.REFUSED,
+}
+
+
+class World:
+    """Workers, a cell and its leader, and what is on its way."""
+
+    def __init__(self, seed: int, targets: int = 6) -> None:
+        """Begin at time 100 with a configuration and all workers known."""
+        self.random = Random(seed)
+        self.now = 100.0
+        self.events: list[tuple[float, int, Any]] = []
+        self.numbers = itertools.count()
+        self.workers: dict[str, workers.WorkerModel] = {}
+        self.past: list[workers.WorkerModel] = []
+        self.cut: set[str] = set()
+        self.draining: set[str] = set()
+        self.lost = 0.0
+        self.late = 0.0
+        self.faulty: set[str] = set()
+        self.cell = Cell()
+        self.lead = Lead(self.cell, 1, self.now, self.now)
+        self.answers: dict[int, CellAnswer] = {}
+        self.jobs: dict[str, JobSpec] = {}
+        self.cancelled: dict[str, float] = {}
+        self.failing: dict[tuple, int] = defaultdict(int)
+        self.holding: dict[str, float] = {}
+        self.log: list[Any] = []
+        begin(self.lead)
+        configure(self, 1)
+        for number in range(targets):
+            add_worker(self, f'w{number}')
+        self.advised = True
+
+
+def queue(prefix: str, priority: int, attempts: int = 3) -> Queue:
+    """Return a queue with an advisor."""
+    advisor = Advisor(0.02, 0.001, 1.5)
+    return Queue(
+        prefix, HOST, prefix, 'svc', 3, 1, priority, attempts, 3, advisor
+    )
+
+
+def configure(world: World, version: int, **more: Any) -> None:
+    """Put a configuration in force."""
+    queues = (queue('/a/', 0), queue('/b/', 1))
+    cfg = CellConfig(version, more.get('queues', queues), ('svc',), 9999, b'{}')
+    on_config_ask(world.lead, ConfigAsk(next(world.numbers), cfg), 'op')
+
+
+def add_worker(world: World, name: str) -> None:
+    """Start a worker's life and let it report."""
+    worker = workers.WorkerModel(name, world.now, (CPUS, MEMORY))
+    world.workers[name] = worker
+    report(world, name)
+
+
+def _life(worker: workers.WorkerModel) -> TargetLife:
+    return TargetLife(
+        worker.name,
+        int(worker.born * MS),
+        'svc',
+        f'{worker.name}:1',
+        'zone',
+        Size(CPUS, MEMORY, 0, 0),
+        'a',
+        f'r{int(worker.name[1:]) // 2}',
+    )
+
+
+def report(world: World, name: str) -> None:
+    """Let a worker send its heartbeat."""
+    if name in world.cut or name not in world.workers:
+        return
+    beat = TargetReport(
+        0, name, _life(world.workers[name]), 1, name in world.draining
+    )
+    world.lead.now = world.now
+    on_report(world.lead, beat, 'w')
+
+
+def _later(world: World, delay: float, act: Any) -> None:
+    number = next(world.numbers)
+    heapq.heappush(world.events, (world.now + delay, number, act))
+
+
+def submit(world: World, job: JobSpec, prefix: str = '/a/') -> None:
+    """Hand a job in."""
+    world.jobs[job.id] = job
+    seq = next(world.numbers)
+    ask = JobAsk(seq, JobVerb.SUBMIT, HOST, f'{prefix}{job.id}', job)
+    on_job_ask(world.lead, ask, 'e')
+
+
+def cancel(world: World, name: str) -> None:
+    """Cancel a job."""
+    seq = next(world.numbers)
+    ask = JobAsk(seq, JobVerb.CANCEL, HOST, f'/a/{name}')
+    on_job_ask(world.lead, ask, 'e')
+    world.cancelled.setdefault(name, world.now)
+
+
+def fail_over(world: World) -> None:
+    """Let another leader take over from what is in the log."""
+    _carry_out(world)
+    fresh = Cell()
+    for record in snapshot(world.cell):
+        apply(fresh, record)
+    world.cell = fresh
+    term = world.lead.term + 1
+    world.lead = Lead(fresh, term, world.now, world.now)
+    world.holding.clear()
+    begin(world.lead)
+
+
+def crash(world: World, name: str, *, reborn: bool) -> None:
+    """End a worker's life; it may come back under its name."""
+    worker = world.workers.pop(name, None)
+    if worker is None:
+        return
+    workers.pass_time(worker, world.now)
+    for task in list(worker.running):
+        span, _ = worker.running.pop(task)
+        worker.history.append(
+            workers.Span(task, span.number, span.begun, world.now, 'crash')
+        )
+    world.past.append(worker)
+    if reborn:
+        world.now += STEP
+        add_worker(world, name)
+
+
+def _load(world: World, run: Run) -> workers.Load:
+    job = world.jobs[run.step.job]
+    step = job.steps[run.step.step]
+    task = (run.step, run.index)
+    random = Random(f'{run.step}{run.index}{run.number}')
+    work = step.estimate * random.choice((0.5, 1, 1, 1.5, 3))
+    fails = job.payload == 'poison' or random.random() < 0.03
+    del task
+    return workers.Load(step.size.cpus, step.size.memory, work, fails)
+
+
+def _start(world: World, order: StartOrder) -> None:
+    lead = world.lead
+    deadline = deadline_of(lead, order.run)
+    target = lead.cell.targets.get(order.run.life)
+    if deadline is None or target is None:
+        return
+    sent = world.now
+    task = (order.run.step, order.run.index)
+    wire = (task, order.run.number, deadline, lead.term)
+
+    def arrive(answering: bool) -> None:
+        worker = world.workers.get(target.life.name)
+        if worker is None or target.life.name in world.cut:
+            return
+        if worker.born != target.life.born / MS and not _same(worker, target):
+            status, reason = 421, ''
+        else:
+            load = _load(world, order.run)
+            status, reason = workers.start(worker, world.now, wire, load)
+        if answering:
+            _later(world, 0.002, lambda: answer(status, reason))
+
+    def answer(status: int, reason: str) -> None:
+        if world.lead is not lead:
+            return
+        lead.now = world.now
+        outcome = OrderOutcome.TAKEN
+        if status == 421:
+            outcome = OrderOutcome.OTHER_LIFE
+        elif status != 200:
+            outcome = _ENDS[reason]
+        done.append(True)
+        on_started(lead, StartDone(order, outcome, sent, reason))
+
+    def give_up() -> None:
+        if world.lead is lead and not done:
+            lead.now = world.now
+            outcome = OrderOutcome.NO_ANSWER
+            on_started(lead, StartDone(order, outcome, sent))
+
+    done: list[bool] = []
+    _send(world, arrive)
+    _later(world, 0.2, give_up)
+
+
+def _same(worker: workers.WorkerModel, target: Any) -> bool:
+    return int(worker.born * MS) == target.life.born
+
+
+def _send(world: World, arrive: Any) -> None:
+    chance = world.random.random()
+    if chance < world.late:
+        delay = world.random.uniform(2, 12)
+        _later(world, delay, lambda: arrive(answering=False))
+    elif chance < world.late + world.lost:
+        _later(world, 0.002, lambda: arrive(answering=False))
+    elif chance < world.late + 2 * world.lost:
+        return
+    else:
+        delay = world.random.uniform(0.001, 0.01)
+        _later(world, delay, lambda: arrive(answering=True))
+
+
+def _stop(world: World, order: StopOrder) -> None:
+    lead = world.lead
+    target = lead.cell.targets.get(order.run.life)
+    if target is None:
+        return
+    task = (order.run.step, order.run.index)
+
+    def arrive(answering: bool) -> None:
+        worker = world.workers.get(target.life.name)
+        if worker is None or target.life.name in world.cut:
+            return
+        if not _same(worker, target):
+            return
+        status = workers.stop(
+            worker, world.now, task, order.run.number, lead.term
+        )
+        if answering and status == 200 and world.lead is lead:
+            lead.now = world.now
+            on_stopped(lead, order.run, OrderOutcome.TAKEN)
+
+    _send(world, arrive)
+
+
+def _hold(world: World, key: str) -> None:
+    lead = world.lead
+    target = lead.cell.targets.get(key)
+    if target is None or key not in lead.contacts:
+        return
+    lead.now = world.now
+    renewal = renewal_of(lead, target)
+    sent = world.now
+    answered: list[bool] = []
+
+    def arrive() -> None:
+        worker = world.workers.get(target.life.name)
+        if worker is None or target.life.name in world.cut:
+            return
+        if not _same(worker, target):
+            holding = Holding(-1, 0, (), ())
+        else:
+            holding = _lists(world, worker, lead, renewal)
+        if holding is not None:
+            _later(world, 0.002, lambda: answer(holding))
+
+    def answer(holding: Holding) -> None:
+        if world.lead is lead and key in lead.contacts:
+            answered.append(True)
+            lead.now = world.now
+            on_holding(lead, target, holding, sent)
+
+    def give_up() -> None:
+        if world.lead is lead and key in lead.contacts and not answered:
+            lead.now = world.now
+            on_silence(lead, target)
+
+    if world.random.random() >= world.lost:
+        _later(world, 0.005, arrive)
+    _later(world, 0.5, give_up)
+
+
+def _lists(
+    world: World, worker: Any, lead: Lead, renewal: Any
+) -> Holding | None:
+    lists = workers.hold(
+        worker, world.now, lead.term, renewal.noted, renewal.deadline
+    )
+    if lists is None:
+        return None
+    active = tuple(
+        ActiveRun(task[0], task[1], number, '', 0) for task, number in lists[0]
+    )
+    ended = tuple(
+        ListedEnd(position, task[0], task[1], number, RunEnd(how), '')
+        for position, task, number, how in lists[1]
+    )
+    clock = workers.clock_ms(worker, world.now)
+    return Holding(int(worker.born * MS), clock, active, ended)
+
+
+def _advise(world: World, ask: AdviceAsk) -> None:
+    lead = world.lead
+
+    def answer() -> None:
+        if world.lead is lead:
+            lead.now = world.now
+            approved = tuple(
+                (name, 't') for name in ask.targets if _approves(ask.step, name)
+            )
+            reply = AdviceAnswer(ask.seq, answered=True, tickets=approved)
+            on_advice(lead, reply)
+
+    _later(world, ask.work, answer)
+
+
+def _approves(step: StepKey, name: str) -> bool:
+    """Approve two targets of three, so that every step can run somewhere."""
+    return (int(name[1:]) + int(step.job, 16)) % 3 != 0
+
+
+def _carry_out(world: World) -> None:
+    place_waiting(world.lead)
+    _, tells = take(world.lead)
+    for tell in tells:
+        message = tell.message
+        match message:
+            case StartOrder():
+                _start(world, message)
+            case StopOrder():
+                _stop(world, message)
+            case AdviceAsk():
+                _advise(world, message)
+            case EndsCommitted():
+                note_committed(world.lead, message)
+            case Probe():
+                _hold(world, message.life)
+            case CellAnswer() if tell.entry != HERE:
+                world.answers[message.seq] = message
+
+
+def run_for(world: World, seconds: float) -> None:
+    """Let time pass."""
+    until = world.now + seconds
+    while world.now < until:
+        world.now += STEP
+        for worker in world.workers.values():
+            workers.pass_time(worker, world.now)
+        while world.events and world.events[0][0] <= world.now:
+            heapq.heappop(world.events)[2]()
+        _beat(world)
+        pass_time(world.lead, world.now, world.now)
+        forget_old(world.lead)
+        _carry_out(world)
+
+
+def _beat(world: World) -> None:
+    for name in list(world.workers):
+        key = life_key(_life(world.workers[name]))
+        if key not in world.cell.targets:
+            report(world, name)
+    for key in list(world.cell.targets):
+        if world.now >= world.holding.get(key, 0):
+            world.holding[key] = world.now + 0.25
+            _hold(world, key)
+
+
+def random_job(world: World, number: int) -> JobSpec:
+    """Return a job of one to three steps."""
+    random = world.random
+    steps = []
+    for index in range(random.choice((1, 1, 2, 3))):
+        gang = random.random() < 0.3
+        count = random.randint(1, 4)
+        cpus = random.choice((500, 2000, 4000))
+        steps.append(
+            Step(
+                count,
+                Size(cpus, random.choice((500, 3000)), 0, 0),
+                random.choice((0.3, 1, 2)),
+                (index - 1,) if index else (),
+                gang=gang,
+                spread=random.choice((0, 0, 0, 2)),
+            )
+        )
+    payload = 'poison' if random.random() < 0.03 else 'work'
+    return JobSpec(f'{number:016x}', payload, tuple(steps))
+
+
+def spans(world: World) -> dict[tuple, list[workers.Span]]:
+    """Return what ran, by task, in order of time."""
+    found: dict[tuple, list[workers.Span]] = defaultdict(list)
+    for worker in (*world.past, *world.workers.values()):
+        for span in worker.history:
+            found[span.task].append(span)
+        for span, _ in worker.running.values():
+            found[span.task].append(span)
+    for rows in found.values():
+        rows.sort(key=lambda span: span.begun)
+    return found
+
+
+def play(seed: int, seconds: float, calm: float) -> World:
+    """Play a time of random faults and then a calm one."""
+    world = World(seed)
+    random = world.random
+    run_for(world, 1)
+    until = world.now + seconds
+    number = 0
+    while world.now < until:
+        if random.random() < 0.5:
+            number += 1
+            prefix = random.choice(('/a/', '/b/'))
+            submit(world, random_job(world, number), prefix)
+        _disturb(world, random)
+        run_for(world, 0.2)
+    world.late = 0
+    world.lost = 0
+    world.cut.clear()
+    for index in range(6):
+        if f'w{index}' not in world.workers:
+            add_worker(world, f'w{index}')
+    run_for(world, calm)
+    return world
+
+
+def _disturb(world: World, random: Random) -> None:
+    chance = random.random()
+    name = f'w{random.randrange(6)}'
+    if chance < 0.02:
+        fail_over(world)
+    elif chance < 0.03:
+        crash(world, name, reborn=random.random() < 0.7)
+    elif chance < 0.05:
+        world.cut.add(name)
+        _later(world, random.uniform(0.5, 8), lambda: world.cut.discard(name))
+    elif chance < 0.07:
+        world.late = random.choice((0, 0.06))
+        world.lost = random.choice((0, 0.05))
+    elif chance < 0.08 and world.jobs:
+        cancel(world, random.choice(list(world.jobs)))
+    elif chance < 0.09 and name not in world.workers:
+        add_worker(world, name)
+
+
+def check_history(world: World) -> None:
+    """Check what must always hold; raises AssertionError."""
+    ended: dict[StepKey, float] = {}
+    found = spans(world)
+    for task, rows in found.items():
+        done = [span for span in rows if span.how == 'done']
+        for earlier, later in itertools.pairwise(rows):
+            assert earlier.ended is not None, (task, rows)
+            assert earlier.ended <= later.begun + 1e-6, ('twice', task, rows)
+        if done:
+            ended[task] = done[0].ended
+    _check_workers(world)
+    _check_order(world, found, ended)
+    _check_budget(world, found)
+    _check_cancelled(world, found)
+
+
+def _check_workers(world: World) -> None:
+    for worker in (*world.past, *world.workers.values()):
+        assert worker.most_used[0] <= CPUS, ('over capacity', worker.name)
+        assert worker.most_used[1] <= MEMORY, ('over capacity', worker.name)
+
+
+def _check_order(world: World, found: Any, ended: Any) -> None:
+    for (key, index), rows in found.items():
+        job = world.jobs[key.job]
+        for earlier in job.steps[key.step].after:
+            before = StepKey(key.job, key.occurrence, earlier)
+            step = job.steps[earlier]
+            times = [ended.get((before, other)) for other in range(step.count)]
+            known = [time for time in times if time is not None]
+            whole = step.gang or len(known) == step.count
+            assert known and whole, ('order', key, index)
+            assert rows[0].begun >= min(known), ('order', key, index)
+
+
+def _check_budget(world: World, found: Any) -> None:
+    for (key, index), rows in found.items():
+        if world.jobs[key.job].steps[key.step].gang:
+            continue
+        failed = sum(span.how == 'failed' for span in rows)
+        assert failed <= 3, ('budget', key, index, rows)
+
+
+def _check_cancelled(world: World, found: Any) -> None:
+    for (key, _), rows in found.items():
+        at = world.cancelled.get(key.job)
+        if at is not None:
+            assert rows[-1].begun <= at + 12.1, ('cancelled', key, rows)
+
+
+def all_over(world: World) -> list[str]:
+    """Return the jobs that were accepted and are not over."""
+    return [job.spec.id for job in world.cell.jobs.values() if not job.over]
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,13 +1,16 @@
 """What behave runs around the scenarios: fixtures, known red, the count."""
 
 import sys
+import tempfile
 from collections import Counter
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 from behave import fixture, use_fixture
 from behave.model import Scenario, Status
 
+from standins.platform_cell import running_cell
 from tests.utils import known_red, small_cell
 
 
@@ -19,6 +22,17 @@
         yield cell
 
 
+@fixture
+def platform_cell(context: Any) -> Iterator[Any]:
+    """Run a cell as the platform does, for a feature."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_cell(Path(folder)) as cell,
+    ):
+        context.cell = cell
+        yield cell
+
+
 def before_all(context: Any) -> None:
     """Begin the count."""
     context.counted = Counter()
@@ -29,6 +43,8 @@
     """Give a feature or scenario the fixture that its tag names."""
     if tag == 'fixture.one_cell':
         use_fixture(one_cell, context)
+    elif tag == 'fixture.platform_cell':
+        use_fixture(platform_cell, context)
 
 
 def before_scenario(context: Any, scenario: Scenario) -> None:
--- /dev/null
+++ b/tests/features/cell.feature
@@ -0,0 +1,77 @@
+Feature: A cell's decisions, with orders that get lost, late and doubled
+
+  Scenario Outline: Random faults break no promise, seed <seed>
+    When a cell is played with faults from seed <seed>
+    Then no task ran twice, out of order, over its attempts or over capacity
+    And every accepted job is over after a calm time
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
+
+  Scenario: A start without an answer is repeated and runs once
+    Given a cell whose orders are carried out without an answer
+    When a job of 3 tasks is handed in and time passes
+    Then each of its tasks ran once
+
+  Scenario: A target that leaves a start unanswered gets nothing new
+    Given a cell of one target that is cut off
+    When a job of 1 tasks is handed in and a second passes
+    Then the target is in doubt
+    And another job is not placed there
+
+  Scenario: Tasks of a target that is cut off run elsewhere after its lease
+    Given a cell of one target
+    When it is cut off with a task running and another target comes
+    Then the task runs elsewhere, after the lease
+
+  Scenario: A target that comes back under its name runs nothing of before
+    Given a cell of one target
+    When it crashes with a task running and starts again
+    Then the task runs again in the new life
+
+  Scenario: A next leader takes up what runs
+    Given a cell of one target
+    When the leader changes with a task running
+    Then the task runs on and is done once
+
+  Scenario: A report of an earlier life that comes late changes nothing
+    Given a cell of one target
+    When it crashes and starts again, and a report of before comes late
+    Then only the new life is known
+
+  Scenario: The members of a gang start in one turn or not at all
+    Given a cell of one target
+    When a gang of more than fits beside other work is handed in
+    Then all its members start in the same turn
+
+  Scenario: A job that can never fit is refused at once
+    Given a cell of one target
+    When a gang of more than the cell can hold is handed in
+    Then it is refused with NEVER_FITS
+
+  Scenario: A resend gets the answer of the first
+    Given a cell of one target
+    When a job is handed in twice
+    Then it is one job, accepted twice
+
+  Scenario: A cancelled job starts nothing more and stops what runs
+    Given a cell of one target
+    When a job is cancelled while it runs
+    Then nothing of it runs a second later
+
+  Scenario: A cell's state survives its snapshot
+    When a cell is played with faults from seed 9
+    Then its snapshot builds the same state
+
+  Scenario: A target on which jobs fail one after the other is set aside
+    Given a cell of one target
+    When jobs that fail are handed in
+    Then the target is set aside
--- /dev/null
+++ b/tests/features/group.feature
@@ -0,0 +1,27 @@
+Feature: A group's state is what its log says
+
+  Scenario: What a leader decided as it was deposed is undone
+    Given a group whose leader has committed all that it decided
+    When it hears of a next term, and decides once more before its turn
+    Then its state is that of the committed log
+
+  Scenario: A peer that lags costs a bounded number of entries
+    Given a leader with 2000 entries that a peer lacks
+    When the peer answers 100 appends that did not join on
+    Then fewer than 600 entries were sent again
+    And the peer has them all after answering each
+
+  Scenario Outline: A process that is gone is replaced, <case>
+    Given an open group of three hosts
+    When <case>
+    Then three live voters lead on, and the gone one is none of them
+
+    Examples:
+      | case                                                    |
+      | a host loses its disk and comes back                    |
+      | a host is gone for good and one at another address comes |
+
+  Scenario: A host that was removed while it was cut off joins again
+    Given an open group of three hosts
+    When a host is cut off, replaced, and reached again
+    Then it is a member again
--- /dev/null
+++ b/tests/steps/cell_steps.py
@@ -0,0 +1,286 @@
+"""Steps that drive a cell's decisions against worker models."""
+
+from behave import given, then, when
+
+from daisygw.cell import Cell, apply, snapshot
+from daisygw.contracts import JobSpec, ResultCode, Size, Step
+from daisygw.machines import is_sure
+from tests import cell_world
+from tests.cell_world import World, run_for, spans, submit
+
+_FAULTY = 40
+_CALM = 40
+
+
+def _job(number, count=1, **more):
+    size = more.pop('size', Size(1000, 500, 0, 0))
+    payload = more.pop('payload', 'work')
+    estimate = more.pop('estimate', 1)
+    step = Step(count, size, estimate, **more)
+    return JobSpec(f'{number:016x}', payload, (step,))
+
+
+def _runs(world):
+    return [run for one in world.cell.targets.values() for run in one.runs]
+
+
+@when('a cell is played with faults from seed {seed:d}')
+def play(context, seed):
+    """Play random faults, then a calm time."""
+    context.world = cell_world.play(seed, _FAULTY, _CALM)
+
+
+@then('no task ran twice, out of order, over its attempts or over capacity')
+def check_promises(context):
+    """Judge the workers' histories."""
+    cell_world.check_history(context.world)
+
+
+@then('every accepted job is over after a calm time')
+def check_over(context):
+    """Look for jobs that hang."""
+    assert not cell_world.all_over(context.world)
+
+
+@given('a cell whose orders are carried out without an answer')
+def mute_cell(context):
+    """Lose half of all answers."""
+    context.world = World(1)
+    run_for(context.world, 1)
+    context.world.lost = 0.4
+
+
+@given('a cell of one target')
+def small_cell(context):
+    """Let one target report."""
+    context.world = World(1, targets=0)
+    cell_world.add_worker(context.world, 'w1')
+    run_for(context.world, 1)
+
+
+@given('a cell of one target that is cut off')
+def cut_cell(context):
+    """Cut it off once it is known."""
+    small_cell(context)
+    context.world.cut.add('w1')
+
+
+@when('a job of {count:d} tasks is handed in and time passes')
+def hand_in(context, count):
+    """Hand it in, and wait for its end."""
+    submit(context.world, _job(1, count))
+    run_for(context.world, 30)
+
+
+@then('each of its tasks ran once')
+def check_once(context):
+    """Count the ends that are done."""
+    found = spans(context.world)
+    cell_world.check_history(context.world)
+    done = [
+        [span for span in rows if span.how == 'done'] for rows in found.values()
+    ]
+    assert [len(rows) for rows in done] == [1, 1, 1], found
+
+
+@when('a job of {count:d} tasks is handed in and a second passes')
+def hand_in_shortly(context, count):
+    """Hand it in; the first tries stay without an answer."""
+    submit(context.world, _job(1, count))
+    run_for(context.world, 0.45)
+
+
+@then('the target is in doubt')
+def check_doubt(context):
+    """Look at what the leader knows."""
+    (contact,) = context.world.lead.contacts.values()
+    assert not is_sure(contact)
+
+
+@then('another job is not placed there')
+def check_not_placed(context):
+    """Hand another one in."""
+    held = len(_runs(context.world))
+    submit(context.world, _job(3))
+    run_for(context.world, 0.3)
+    assert len(_runs(context.world)) == held
+
+
+@when('it is cut off with a task running and another target comes')
+def cut_off(context):
+    """Cut the target off; the other one is approved too."""
+    world = context.world
+    submit(world, _job(1, estimate=2))
+    run_for(world, 0.3)
+    assert _runs(world)
+    world.cut.add('w1')
+    cell_world.add_worker(world, 'w3')
+    context.cut_at = world.now
+    run_for(world, 12)
+
+
+@then('the task runs elsewhere, after the lease')
+def check_elsewhere(context):
+    """Compare the two runs."""
+    cell_world.check_history(context.world)
+    ((first, *others),) = spans(context.world).values()
+    assert others, first
+    assert others[0].begun >= first.ended
+    assert others[0].begun - context.cut_at < 6
+
+
+@when('it crashes with a task running and starts again')
+def crash(context):
+    """Crash it; the new life has the same name and address."""
+    world = context.world
+    submit(world, _job(1, estimate=2))
+    run_for(world, 0.3)
+    cell_world.crash(world, 'w1', reborn=True)
+    run_for(world, 12)
+
+
+@then('the task runs again in the new life')
+def check_reborn(context):
+    """Look for the second run's end."""
+    cell_world.check_history(context.world)
+    (rows,) = spans(context.world).values()
+    assert [span.how for span in rows][-1] == 'done', rows
+
+
+@when('it crashes and starts again, and a report of before comes late')
+def report_late(context):
+    """Let the old life report once more."""
+    world = context.world
+    old = world.workers['w1']
+    cell_world.crash(world, 'w1', reborn=True)
+    run_for(world, 1)
+    new = world.workers['w1']
+    world.workers['w1'] = old
+    cell_world.report(world, 'w1')
+    world.workers['w1'] = new
+    run_for(world, 1)
+
+
+@then('only the new life is known')
+def check_new_life(context):
+    """Look at the targets of the cell."""
+    (target,) = context.world.cell.targets.values()
+    born = int(context.world.workers['w1'].born * cell_world.MS)
+    assert target.life.born == born
+
+
+@when('the leader changes with a task running')
+def change_leader(context):
+    """Let another leader build itself from the log."""
+    world = context.world
+    submit(world, _job(1, estimate=2))
+    run_for(world, 0.3)
+    cell_world.fail_over(world)
+    run_for(world, 10)
+
+
+@then('the task runs on and is done once')
+def check_kept(context):
+    """Expect one run."""
+    (rows,) = spans(context.world).values()
+    assert [span.how for span in rows] == ['done'], rows
+
+
+@when('a gang of more than fits beside other work is handed in')
+def hand_in_gang(context):
+    """Fill most of the target with other work first."""
+    world = context.world
+    submit(world, _job(1, 3, size=Size(2000, 500, 0, 0)))
+    run_for(world, 0.3)
+    submit(world, _job(3, 3, size=Size(2000, 500, 0, 0), gang=True))
+    run_for(world, 12)
+
+
+@then('all its members start in the same turn')
+def check_gang(context):
+    """Compare the times of their starts."""
+    found = spans(context.world)
+    begun = [
+        rows[0].begun for task, rows in found.items() if task[0].job[-1] == '3'
+    ]
+    assert len(begun) == 3, found
+    assert max(begun) - min(begun) < 0.1
+
+
+@when('a gang of more than the cell can hold is handed in')
+def hand_in_too_large(context):
+    """Ask for more than one target has."""
+    gang = _job(1, 9, size=Size(1000, 500, 0, 0), gang=True)
+    submit(context.world, gang)
+    run_for(context.world, 0.1)
+
+
+@then('it is refused with NEVER_FITS')
+def check_refused(context):
+    """Look at the answer."""
+    codes = [answer.code for answer in context.world.answers.values()]
+    assert codes[-1] == ResultCode.NEVER_FITS, codes
+    assert not context.world.cell.jobs
+
+
+@when('a job is handed in twice')
+def hand_in_twice(context):
+    """Send the same id again, also over a change of the leader."""
+    submit(context.world, _job(1))
+    run_for(context.world, 0.3)
+    cell_world.fail_over(context.world)
+    submit(context.world, _job(1))
+    run_for(context.world, 5)
+
+
+@then('it is one job, accepted twice')
+def check_one_job(context):
+    """Count jobs, answers and runs."""
+    codes = [answer.code for answer in context.world.answers.values()]
+    assert codes[-2:] == [ResultCode.ACCEPTED, ResultCode.ACCEPTED]
+    assert len(context.world.cell.jobs) == 1
+    check_kept(context)
+
+
+@when('a job is cancelled while it runs')
+def cancel(context):
+    """Cancel it."""
+    submit(context.world, _job(1, 2, estimate=4))
+    run_for(context.world, 0.5)
+    cell_world.cancel(context.world, f'{1:016x}')
+    run_for(context.world, 1)
+
+
+@then('nothing of it runs a second later')
+def check_stopped(context):
+    """Look at the worker and at the leader."""
+    (worker,) = context.world.workers.values()
+    assert not worker.running
+    assert not _runs(context.world)
+
+
+@then('its snapshot builds the same state')
+def check_snapshot(context):
+    """Build it and compare the snapshots of both."""
+    records = list(snapshot(context.world.cell))
+    fresh = Cell()
+    for record in records:
+        apply(fresh, record)
+    assert list(snapshot(fresh)) == records
+    states = {name: job.state for name, job in context.world.cell.jobs.items()}
+    assert {name: job.state for name, job in fresh.jobs.items()} == states
+
+
+@when('jobs that fail are handed in')
+def hand_in_failing(context):
+    """Hand in jobs that fail everywhere."""
+    for number in (1, 3, 4):
+        submit(context.world, _job(number, estimate=0.1, payload='poison'))
+    run_for(context.world, 0.6)
+
+
+@then('the target is set aside')
+def check_aside(context):
+    """Look at what the leader knows."""
+    (contact,) = context.world.lead.contacts.values()
+    assert contact.barred_until > context.world.now
--- /dev/null
+++ b/tests/steps/group_steps.py
@@ -0,0 +1,314 @@
+"""Steps about a group's state, lagging peers and hosts that are replaced."""
+
+from collections import deque
+
+from behave import given, then, when
+
+from daisygw.contracts import EndsNoted
+from daisygw.links import codec
+from daisygw.links.processes import Group, Machine, Outlet, carry_out
+from daisygw.zones import (
+    Append,
+    AppendReply,
+    LogEntry,
+    Members,
+    Replica,
+    Role,
+    SnapshotTaken,
+    Timing,
+    VoteReply,
+    drain,
+    flush,
+    host_of,
+    last_index,
+    propose,
+    receive,
+    tick,
+)
+from daisygw.zones import Send as SendEffect
+
+_NAMES = ('a#1', 'b#1', 'c#1')
+_STEP = 0.02
+_ELECTION = 0.5
+
+
+def _leader(entries=0):
+    replica = Replica('g', 'a#1', ('a', 'b', 'c'), Timing(), 1)
+    members = Members(_NAMES)
+    replica.base = SnapshotTaken(0, 0, members, b'')
+    replica.members = members
+    replica.role = Role.FOLLOWER
+    replica.election_due = 0
+    tick(replica, 1)
+    _grant(replica, trial=True)
+    _grant(replica, trial=False)
+    assert replica.role is Role.LEADER
+    for _ in range(entries):
+        propose(replica, b'x')
+    return replica
+
+
+def _grant(replica, *, trial):
+    term = replica.term + 1 if trial else replica.term
+    reply = VoteReply('g', 'b#1', 'a#1', term, trial, granted=True)
+    receive(replica, reply, 1)
+
+
+def _machine(state):
+    """Keep a list; every record is applied as it is decided."""
+
+    def restore(encoded):
+        state.applied.clear()
+
+    def take():
+        records, state.records = state.records, []
+        return records, []
+
+    return Machine(
+        apply=state.applied.append,
+        dump=bytes,
+        restore=restore,
+        elected=lambda term: None,
+        deposed=lambda: None,
+        take=take,
+    )
+
+
+class _State:
+    def __init__(self):
+        self.applied = []
+        self.records = []
+
+
+def _decide(state, position):
+    record = EndsNoted('t', position)
+    state.applied.append(record)
+    state.records.append(record)
+
+
+@given('a group whose leader has committed all that it decided')
+def committed_group(context):
+    """Decide, replicate and commit."""
+    context.state = _State()
+    replica = _leader()
+    context.group = Group(replica, None, _machine(context.state))
+    context.outlet = Outlet(lambda message: None, lambda tell: None)
+    _decide(context.state, 1)
+    carry_out(context.group, 1, context.outlet)
+    for name in ('b#1', 'c#1'):
+        match = last_index(replica)
+        reply = AppendReply('g', name, 'a#1', replica.term, True, match, 0, 1)
+        receive(replica, reply, 1)
+    carry_out(context.group, 1, context.outlet)
+    assert replica.commit == last_index(replica)
+
+
+@when('it hears of a next term, and decides once more before its turn')
+def depose(context):
+    """Let the message arrive between two turns."""
+    replica = context.group.replica
+    last = last_index(replica)
+    append = Append(
+        'g', 'b#1', 'a#1', replica.term + 1, last, replica.term, last, 2
+    )
+    receive(replica, append, 2)
+    _decide(context.state, 2)
+    carry_out(context.group, 2, context.outlet)
+
+
+@then('its state is that of the committed log')
+def check_state(context):
+    """Compare it with the log's entries."""
+    logged = [
+        record
+        for entry in context.group.replica.log
+        if entry.body
+        for record in codec.decode_batch(entry.body)
+    ]
+    assert context.state.applied == logged, context.state.applied
+
+
+@given('a leader with {count:d} entries that a peer lacks')
+def lagging_peer(context, count):
+    """Begin to replicate; nothing has been answered."""
+    context.replica = _leader(count)
+    drain(context.replica)
+
+
+def _sent_to(replica, name):
+    return [
+        effect.message
+        for effect in drain(replica)
+        if isinstance(effect, SendEffect)
+        and isinstance(effect.message, Append)
+        and effect.message.to == name
+    ]
+
+
+@when('the peer answers {count:d} appends that did not join on')
+def reject(context, count):
+    """All of them were under way when its log was found to differ."""
+    replica = context.replica
+    flush(replica, 1)
+    drain(replica)
+    context.sent = 0
+    for _ in range(count):
+        reply = AppendReply('g', 'b#1', 'a#1', replica.term, False, 0, 0, 1)
+        receive(replica, reply, 1)
+        flush(replica, 1)
+        context.sent += sum(
+            len(one.entries) for one in _sent_to(replica, 'b#1')
+        )
+
+
+@then('fewer than {most:d} entries were sent again')
+def check_bounded(context, most):
+    """Count them."""
+    assert 0 < context.sent < most, context.sent
+
+
+@then('the peer has them all after answering each')
+def check_catches_up(context):
+    """Answer as a peer does, until it holds the whole log."""
+    replica = context.replica
+    peer = replica.peers['b#1']
+    match = 0
+    for _ in range(100):
+        last = last_index(replica)
+        match = min(max(match, peer.match) + 256, last)
+        reply = AppendReply('g', 'b#1', 'a#1', replica.term, True, match, 0, 1)
+        receive(replica, reply, 1)
+        flush(replica, 1)
+    assert peer.match == last_index(replica)
+    assert isinstance(replica.log[0], LogEntry)
+
+
+class _Hosts:
+    """Replicas by host, and the messages between them."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.replicas = {}
+        self.cut = set()
+        self.queue = deque()
+
+
+def _add(hosts, host, birth, seats):
+    timing = Timing(heartbeat=0.1, election=_ELECTION, drift=0.1)
+    name = f'{host}#{birth}'
+    seed = sum(name.encode('ascii'))
+    replica = Replica('g', name, seats, timing, seed)
+    replica.open_to_hosts = True
+    replica.contacts.update({'a', 'b', 'c'})
+    hosts.replicas[host] = replica
+
+
+def _pass_time(hosts, seconds):
+    until = hosts.now + seconds
+    while hosts.now < until:
+        hosts.now += _STEP
+        for replica in hosts.replicas.values():
+            tick(replica, hosts.now)
+        _deliver(hosts)
+
+
+def _deliver(hosts):
+    for _ in range(4):
+        for host, replica in hosts.replicas.items():
+            for effect in drain(replica):
+                if isinstance(effect, SendEffect):
+                    hosts.queue.append((host, effect.message))
+        while hosts.queue:
+            host, message = hosts.queue.popleft()
+            to = hosts.replicas.get(host_of(message.to))
+            cut = host in hosts.cut or host_of(message.to) in hosts.cut
+            if to and not cut:
+                receive(to, message, hosts.now)
+
+
+def _leading(hosts):
+    leaders = [
+        one
+        for host, one in hosts.replicas.items()
+        if one.role is Role.LEADER and host not in hosts.cut
+    ]
+    assert leaders, 'no leader'
+    return max(leaders, key=lambda one: one.term)
+
+
+@given('an open group of three hosts')
+def open_group(context):
+    """Form it, and let it lead."""
+    hosts = _Hosts()
+    for host in ('a', 'b', 'c'):
+        _add(hosts, host, 1, ('a', 'b', 'c'))
+    _pass_time(hosts, 5)
+    propose(_leading(hosts), b'x')
+    _pass_time(hosts, 1)
+    context.hosts = hosts
+
+
+def _follower(hosts):
+    leader = host_of(_leading(hosts).name)
+    return next(one for one in hosts.replicas if one != leader)
+
+
+@when('a host loses its disk and comes back')
+def wipe(context):
+    """Let it come back as a new replica that founds nothing."""
+    hosts = context.hosts
+    host = _follower(hosts)
+    context.gone = hosts.replicas[host].name
+    hosts.replicas.pop(host)
+    _pass_time(hosts, 1)
+    _add(hosts, host, 2, ())
+    _pass_time(hosts, 4)
+
+
+@when('a host is gone for good and one at another address comes')
+def replace_host(context):
+    """Let another one come a second later."""
+    hosts = context.hosts
+    host = _follower(hosts)
+    context.gone = hosts.replicas[host].name
+    hosts.replicas.pop(host)
+    _pass_time(hosts, 1)
+    _add(hosts, 'd', 1, ())
+    _pass_time(hosts, 4)
+
+
+@then('three live voters lead on, and the gone one is none of them')
+def check_voters(context):
+    """The successor is given 4 s to catch up (catchUpS)."""
+    leader = _leading(context.hosts)
+    voters = leader.members.voters
+    live = {one.name for one in context.hosts.replicas.values()}
+    assert len(voters) == 3, voters
+    assert set(voters) <= live, (voters, live)
+    assert context.gone not in voters
+
+
+@when('a host is cut off, replaced, and reached again')
+def cut_and_replace(context):
+    """A fourth host takes its vote in the meantime."""
+    hosts = context.hosts
+    context.host = _follower(hosts)
+    hosts.cut.add(context.host)
+    _add(hosts, 'd', 1, ())
+    _pass_time(hosts, 8)
+    assert context.host not in {
+        host_of(one) for one in _leading(hosts).members.voters
+    }
+    hosts.cut.clear()
+    _pass_time(hosts, 5)
+
+
+@then('it is a member again')
+def check_member(context):
+    """Look at the leader's members, and at its own log."""
+    leader = _leading(context.hosts)
+    members = leader.members
+    names = (*members.voters, *members.learners)
+    assert context.host in {host_of(one) for one in names}, members
+    replica = context.hosts.replicas[context.host]
+    assert replica.commit == leader.commit
--- /dev/null
+++ b/tests/steps/platform_steps.py
@@ -0,0 +1,329 @@
+"""Steps that run a cell's processes as the platform does."""
+
+import itertools
+import signal
+
+from behave import then, when
+
+from standins import platform_cell as cells
+from standins.platform_cell import ENTRIES, SCHEDULERS, ask, call, wait_until
+
+_ids = itertools.count(1)
+_DONE_S = 30
+
+
+def _fresh():
+    return f'{next(_ids):016x}'
+
+
+def _control(cell, host):
+    return f'{host}:{cell.ports.control}'
+
+
+def _hand_in(context, body, entry=ENTRIES[0]):
+    name = _fresh()
+
+    def accepted():
+        return ask(context.cell, entry, 'POST', name, body)[0] == 200
+
+    wait_until(accepted, 'the job to be accepted')
+    return name
+
+
+def _state(context, name, entry):
+    return (ask(context.cell, entry, 'GET', name)[1] or {}).get('state')
+
+
+@then('a job handed in is answered 503 with a time to come back')
+def check_early(context):
+    """Hand a job in as soon as an entry answers."""
+
+    def answer():
+        status = ask(context.cell, ENTRIES[0], 'POST', _fresh(), cells.job())
+        return status if status[0] else None
+
+    status, body = wait_until(answer, 'an entry')
+    assert status == 503, (status, body)
+
+
+@then('a read of the configuration is answered 503')
+def check_no_config(context):
+    """Read it before it was ever sent."""
+
+    def status():
+        address = _control(context.cell, SCHEDULERS[0])
+        return call(address, 'GET', '/config')[0]
+
+    assert wait_until(status, 'a scheduler') == 503
+
+
+_BAD = {
+    'unreadable': lambda: b'{"version": 3, ',
+    'unknown service': lambda: cells.configuration(3, route={'service': 'no'}),
+    'same place twice': lambda: cells.configuration(
+        3, routes=cells.configuration(3)['routes'] * 2
+    ),
+    'no timeout': lambda: cells.configuration(3, route={'timeoutMs': 0}),
+    'no version': lambda: cells.configuration('x'),
+}
+
+
+@then('these configurations are answered 400')
+def check_bad_configs(context):
+    """Send each once somebody answers."""
+    for row in context.table:
+        made = _BAD[row['fault']]()
+        status = wait_until(
+            lambda made=made: cells.put_config(context.cell, made),
+            'a scheduler',
+        )
+        assert status == 400, (row['fault'], status)
+
+
+@when('the configuration of version {version:d} is sent')
+def send_config(context, version):
+    """Send it until it is acknowledged."""
+    context.cfg = cells.configuration(version)
+
+    def done():
+        return cells.put_config(context.cell, context.cfg) == 200
+
+    wait_until(done, 'the acknowledgement')
+
+
+@then('every scheduler shows it as it was sent')
+def check_config(context):
+    """Read it everywhere."""
+    for host in SCHEDULERS:
+        status, body = call(_control(context.cell, host), 'GET', '/config')
+        assert (status, body) == (200, context.cfg), (host, status, body)
+
+
+@then('an older one is acknowledged and changes nothing')
+def check_older(context):
+    """Send an older version with another content."""
+    older = cells.configuration(2, route={'pathPrefix': '/other/'})
+    assert cells.put_config(context.cell, older) == 200
+    check_config(context)
+
+
+@when('a job of {count:d} tasks is handed in at one entry')
+def hand_in(context, count):
+    """Hand it in."""
+    context.job = _hand_in(context, cells.job(count))
+    context.tasks = count
+    _until_state(context, 'completed')
+
+
+def _until_state(context, state):
+    for entry in ENTRIES:
+        wait_until(
+            lambda entry=entry: _state(context, context.job, entry) == state,
+            f'{context.job} to be {state}',
+            _DONE_S,
+        )
+
+
+@then('every entry shows it as "{state}" in the end')
+@then('the job is shown as "{state}" in the end')
+def check_state(context, state):
+    """Ask every entry."""
+    _until_state(context, state)
+
+
+@then('its tasks ran once each')
+def check_runs(context):
+    """Look at the workers' histories."""
+    rows = [row for row in cells.history(context.cell) if context.job in row[1]]
+    tasks = {row[1] for row in rows if row[3] == 'done'}
+    assert len(tasks) == context.tasks, rows
+    assert len(rows) == context.tasks, rows
+
+
+def _requests(cell):
+    entry = ENTRIES[0]
+    negative = cells.job()
+    negative['steps'][0]['cpu'] = -1
+    beat = {'service': 'svc', 'address': 'a:1', 'zone': 'z', 'born': 1}
+    beat['capacity'] = {'cpu': 1, 'memMb': 1}
+    control = _control(cell, SCHEDULERS[0])
+    return {
+        'unreadable job': lambda: ask(cell, entry, 'POST', _fresh(), b'{"sp'),
+        'job without steps': lambda: ask(
+            cell, entry, 'POST', _fresh(), {'spec': '', 'steps': []}
+        ),
+        'negative size': lambda: ask(cell, entry, 'POST', _fresh(), negative),
+        'id that is no id': lambda: ask(
+            cell, entry, 'POST', 'no-id', cells.job()
+        ),
+        'unknown queue': lambda: ask(
+            cell, entry, 'POST', _fresh(), cells.job(), host='no.example'
+        ),
+        'unknown job': lambda: ask(cell, entry, 'GET', 'f' * 16),
+        'unreadable beat': lambda: call(
+            control, 'PUT', '/instances/i-9', b'\xff'
+        ),
+        'beat of no state': lambda: call(
+            control, 'PUT', '/instances/i-9', {**beat, 'state': 'odd'}
+        ),
+    }
+
+
+@then('these requests are answered with these statuses')
+def check_requests(context):
+    """Send each."""
+    requests = _requests(context.cell)
+    for row in context.table:
+        status, body = requests[row['request']]()
+        assert status == int(row['status']), (row['request'], status, body)
+
+
+@then('the entry still answers')
+def check_alive(context):
+    """Ask for a count."""
+    status, body = ask(context.cell, ENTRIES[0], 'GET', '')
+    assert status == 200 and 'pending' in body, (status, body)
+
+
+@when('a job that takes long is handed in and cancelled')
+def cancel(context):
+    """Cancel it once it runs."""
+    context.job = _hand_in(context, cells.job(2, work_s=60))
+    _until_state(context, 'in_progress')
+    status, _ = ask(context.cell, ENTRIES[1], 'DELETE', context.job)
+    assert status == 200, status
+
+
+def _running(context):
+    return [
+        row
+        for row in cells.history(context.cell)
+        if context.job in row[1] and row[3] == 'running'
+    ]
+
+
+@then('it is shown as "{state}" and none of its tasks runs')
+def check_cancelled(context, state):
+    """Look at the entries and the workers."""
+    _until_state(context, state)
+    wait_until(lambda: not _running(context), 'the tasks to stop')
+
+
+def _leader(cell):
+    """Return the host that said last that it leads."""
+    found = {}
+    for host in SCHEDULERS:
+        for line in cells.lines(cell, host):
+            if line['event'] == 'leading':
+                found[line['term']] = host
+    return found[max(found)], max(found)
+
+
+def _run_long(context, count):
+    context.tasks = count
+    context.job = _hand_in(context, cells.job(count, work_s=2))
+    wait_until(lambda: len(_running(context)) == count, 'the tasks to run')
+
+
+@when('the leader is killed while a job of {count:d} tasks runs')
+def kill_leader(context, count):
+    """Kill it, and start it again once another one leads."""
+    _run_long(context, count)
+    host, term = _leader(context.cell)
+    cells.end(context.cell, host)
+    wait_until(lambda: _leader(context.cell)[1] > term, 'another leader')
+    cells.start(context.cell, host)
+
+
+@when(
+    'all schedulers are killed while a job of {count:d} tasks runs, and '
+    'start again',
+)
+def kill_all(context, count):
+    """Kill them all, then start them."""
+    _run_long(context, count)
+    for host in SCHEDULERS:
+        cells.end(context.cell, host)
+    for host in SCHEDULERS:
+        cells.start(context.cell, host)
+
+
+@then('the configuration of version {version:d} is still in force')
+def check_kept_config(context, version):
+    """Read it everywhere."""
+    for host in SCHEDULERS:
+        wait_until(
+            lambda host=host: (
+                call(_control(context.cell, host), 'GET', '/config')[1]
+                == cells.configuration(version)
+            ),
+            'the configuration',
+        )
+
+
+@when('an entry is told to stop')
+def stop_entry(context):
+    """Send SIGTERM, and ask it in the meantime."""
+    entry = ENTRIES[1]
+    cell = context.cell
+    ready = f'{entry}:{cell.ports.ready}'
+    wait_until(
+        lambda: call(ready, 'GET', '/readyz')[0] == 200, 'it to be ready'
+    )
+    cell.running[entry].send_signal(signal.SIGTERM)
+    wait_until(
+        lambda: call(ready, 'GET', '/readyz')[0] == 503, 'it to be unready'
+    )
+    context.status = ask(cell, entry, 'GET', '')[0]
+    context.exit = cells.end(cell, entry, signal.SIGTERM)
+    cells.start(cell, entry)
+
+
+@then('it is not ready, still answers, and ends well')
+def check_stopped_entry(context):
+    """Look at the answer and the exit status."""
+    assert (context.status, context.exit) == (200, 0)
+
+
+@when('the leader is told to stop')
+def stop_leader(context):
+    """Send SIGTERM, and wait for its end."""
+    host, context.term = _leader(context.cell)
+    context.stopped = host
+    assert cells.end(context.cell, host, signal.SIGTERM) == 0
+
+
+def _logged(cell, host, event):
+    return [one for one in cells.lines(cell, host) if one['event'] == event]
+
+
+@then('another leads before its process has ended')
+def check_handover(context):
+    """Compare the times of both lines: this machine has one clock."""
+    cell = context.cell
+    wait_until(lambda: _leader(cell)[1] > context.term, 'another leader')
+    host, _ = _leader(cell)
+    leading = _logged(cell, host, 'leading')[-1]['at']
+    ended = _logged(cell, context.stopped, 'scheduler stopped')[-1]['at']
+    cells.start(cell, context.stopped)
+    assert leading < ended, (leading, ended)
+
+
+@then('the lines with its id tell of "{first}", "{second}" and "{third}"')
+def check_lines(context, first, second, third):
+    """Follow the id through the schedulers' logs."""
+    events = [
+        line['event']
+        for host in SCHEDULERS
+        for line in cells.lines(context.cell, host)
+        if line.get('id') == context.job
+    ]
+    for event in (first, second, third):
+        assert event in events, events
+
+
+@then('every line of every process is a JSON object')
+def check_json(context):
+    """Parse them all; each names its event."""
+    for host in (*SCHEDULERS, *ENTRIES):
+        assert all('event' in line for line in cells.lines(context.cell, host))
