Go on with a disk that refuses or is slow, and say nothing meanwhile

Ruled out: ending the process, as the first program does on purpose; here the same disk may write again seconds later.

--- a/daisygw/links/_group.py
+++ b/daisygw/links/_group.py
@@ -66,6 +66,7 @@
         self.machine = machine
         self.applied = 0
         self.held: deque[tuple[int, Tell]] = deque()
+        self.due: deque[Any] = deque()
         self.snapshot: tuple[int, bytes] | None = None
         self.dropped = 0
         _rebuild(self)
@@ -163,15 +164,20 @@
 
 
 def carry_out(group: Group, now: float, outlet: Outlet) -> None:
-    """Append what was decided, and carry out all effects in order."""
+    """Append what was decided, and carry out all effects in order.
+
+    Raises ``JournalError`` where the disk refuses to write; what follows
+    waits then, in order, for the next call.
+    """
     _append(group)
     flush(group.replica, now)
-    effects = drain(group.replica)
-    while effects:
-        for effect in effects:
-            _carry_out(group, effect, outlet)
+    group.due.extend(drain(group.replica))
+    while group.due:
+        while group.due:
+            _carry_out(group, group.due[0], outlet)
+            group.due.popleft()
         flush(group.replica, now)
-        effects = drain(group.replica)
+        group.due.extend(drain(group.replica))
     _release(group, now, outlet)
 
 
--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -8,6 +8,7 @@
 
 import os
 import struct
+import time
 import zlib
 from collections.abc import Generator, Iterator
 from contextlib import contextmanager
@@ -26,6 +27,8 @@
 _HARD = 1
 _ENTRY = 2
 _CUT = 3
+# How much the newest sync counts for the mean of their times.
+_SYNC_RATE = 0.3
 _encode = msgspec.msgpack.Encoder().encode
 _decode_record = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
 _decode_hard = msgspec.msgpack.Decoder(
@@ -46,6 +49,8 @@
         self.log: BinaryIO | None = None
         self.synced_bytes = 0
         self.syncs = 0
+        self.end = 0
+        self.sync_time = 0.0
 
 
 def _frame(payload: bytes) -> bytes:
@@ -124,11 +129,27 @@
         if persist.snapshot is not None:
             _save_snapshot(journal, persist)
             return
-        content = b''.join(_records(persist))
-        _write(journal.log, content)
-        os.fdatasync(journal.log.fileno())
-        journal.syncs += 1
-        journal.synced_bytes += len(content)
+        _append(journal, b''.join(_records(persist)))
+
+
+def _append(journal: Journal, content: bytes) -> None:
+    """Write and sync; what an earlier try left behind is cut off first."""
+    log = journal.log
+    if log.tell() != journal.end:
+        log.truncate(journal.end)
+        log.seek(journal.end)
+    begun = time.monotonic()
+    try:
+        _write(log, content)
+        os.fdatasync(log.fileno())
+    except OSError:
+        log.seek(0, os.SEEK_END)
+        raise
+    journal.end += len(content)
+    journal.syncs += 1
+    journal.synced_bytes += len(content)
+    took = time.monotonic() - begun
+    journal.sync_time += _SYNC_RATE * (took - journal.sync_time)
 
 
 def _write(log: BinaryIO, content: bytes) -> None:
@@ -144,7 +165,12 @@
     if journal.log:
         journal.log.close()
     _replace(journal.folder / _LOG, b''.join(_records(persist)))
+    _open(journal)
+
+
+def _open(journal: Journal) -> None:
     journal.log = _open_log(journal.folder)
+    journal.end = journal.log.seek(0, os.SEEK_END)
 
 
 def _open_log(folder: Path) -> BinaryIO:
@@ -237,7 +263,7 @@
         _set_aside(folder)
         raise JournalError(ResultCode.JOURNAL_CORRUPT, str(exc)) from exc
     journal = Journal(folder, name.read_text('ascii'))
-    journal.log = _open_log(folder)
+    _open(journal)
     return journal, saved
 
 
@@ -248,7 +274,7 @@
         _replace(folder / _LOG, b'')
         _replace(folder / _NAME, name.encode('ascii'))
     journal = Journal(folder, name)
-    journal.log = _open_log(folder)
+    _open(journal)
     return journal
 
 
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -9,7 +9,7 @@
     keep_short,
     leads,
 )
-from daisygw.links._journal import Journal, close, create, load
+from daisygw.links._journal import Journal, close, create, describe, load
 from daisygw.links._serving import listen, serving_http
 from daisygw.links._stream import (
     Link,
@@ -30,6 +30,7 @@
     'carry_out',
     'close',
     'create',
+    'describe',
     'describe_group',
     'keep_connected',
     'keep_short',
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -41,6 +41,7 @@
     carry_out,
     close,
     create,
+    describe,
     keep_short,
     leads,
     load,
@@ -85,6 +86,13 @@
 _LOG_ENTRIES = 4000
 # How long a stopping leader tries to hand over, s.
 _RESIGN_WAIT = 1.5
+# A leader whose syncs take this long lets another one lead, s: several
+# times the slowest disk that these deployments name.
+_SLOW_SYNC = 0.08
+# It tries again after this long, s: the other disks may be slow too.
+_RESIGN_PAUSE = 5.0
+# How many entries its successor may lack: those of a few turns.
+_SOME_BEHIND = 64
 # The time for the last messages to leave, s.
 _FLUSH = 0.2
 _ENTRY_PREFIX = 'entry/'
@@ -109,6 +117,8 @@
         self.wake = asyncio.Event()
         self.stopped = asyncio.Event()
         self.stopping = False
+        self.disk_failed = False
+        self.resign_due = 0.0
         self.sessions: dict[str, Link] = {}
         self.roster = Roster((), '', 0)
         self.errands: set[asyncio.Task] = set()
@@ -261,11 +271,41 @@
         pass_time(node.state.lead, now, _clock.wall())
         forget_old(node.state.lead)
     tick(node.group.replica, now)
-    carry_out(node.group, _clock.now(), node.outlet)
-    keep_short(node.group, _LOG_ENTRIES)
+    _carry_out(node)
     _publish(node)
 
 
+def _carry_out(node: SchedulerNode) -> None:
+    """Carry effects out; with a disk that refuses, wait and say nothing.
+
+    Nothing may leave that is not durable, so another host leads meanwhile.
+    """
+    try:
+        carry_out(node.group, _clock.now(), node.outlet)
+        keep_short(node.group, _LOG_ENTRIES)
+    except JournalError as exc:
+        if not node.disk_failed:
+            log('disk refuses', code=exc.code, reason=exc.reason)
+        node.disk_failed = True
+        return
+    if node.disk_failed:
+        log('disk writes again', journal=describe(node.group.journal))
+    node.disk_failed = False
+    _leave_to_faster_disk(node)
+
+
+def _leave_to_faster_disk(node: SchedulerNode) -> None:
+    """As a leader whose disk is slow, let another voter lead."""
+    journal = node.group.journal
+    slow = journal is not None and journal.sync_time > _SLOW_SYNC
+    now = _clock.now()
+    if slow and leads(node.group) and now >= node.resign_due:
+        log('disk is slow', sync_s=round(journal.sync_time, 3))
+        node.resign_due = now + _RESIGN_PAUSE
+        resign(node.group.replica, now, _SOME_BEHIND)
+        carry_out(node.group, now, node.outlet)
+
+
 async def _turns(node: SchedulerNode) -> None:
     while True:
         await node.wake.wait()
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -5,6 +5,12 @@
     When it hears of a next term, and decides once more before its turn
     Then its state is that of the committed log
 
+  Scenario: A disk that refuses to write lets nothing out until it writes
+    Given a follower whose disk refuses the next 2 writes
+    When it is sent entries and takes 3 turns
+    Then it answers only after the third, once
+    And its journal holds each entry once
+
   Scenario: A peer that lags costs a bounded number of entries
     Given a leader with 2000 entries that a peer lacks
     When the peer answers 100 appends that did not join on
--- a/tests/steps/group_steps.py
+++ b/tests/steps/group_steps.py
@@ -1,12 +1,23 @@
 """Steps about a group's state, lagging peers and hosts that are replaced."""
 
+import tempfile
 from collections import deque
+from contextlib import suppress
+from pathlib import Path
 
 from behave import given, then, when
 
-from daisygw.contracts import EndsNoted
+from daisygw.contracts import EndsNoted, JournalError
 from daisygw.links import codec
-from daisygw.links.processes import Group, Machine, Outlet, carry_out
+from daisygw.links.processes import (
+    Group,
+    Machine,
+    Outlet,
+    carry_out,
+    close,
+    create,
+    load,
+)
 from daisygw.zones import (
     Append,
     AppendReply,
@@ -183,6 +194,66 @@
     assert isinstance(replica.log[0], LogEntry)
 
 
+class _RefusingLog:
+    """A log file that takes a part of the next writes, then refuses."""
+
+    def __init__(self, log, refusals):
+        self._log = log
+        self.refusals = refusals
+
+    def __getattr__(self, name):
+        return getattr(self._log, name)
+
+    def write(self, content):
+        if self.refusals:
+            self.refusals -= 1
+            return self._log.write(content[: len(content) // 2])
+        return self._log.write(content)
+
+
+@given('a follower whose disk refuses the next {count:d} writes')
+def refusing_disk(context, count):
+    """Open a real journal with a log file that refuses."""
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    journal = create(Path(context.folder.name) / 'g', 'b#1')
+    journal.log = _RefusingLog(journal.log, count)
+    replica = Replica('g', 'b#1', (), Timing(), 1)
+    replica.base = SnapshotTaken(0, 0, Members(_NAMES), b'')
+    replica.members = replica.base.members
+    replica.role = Role.FOLLOWER
+    context.sent = []
+    context.outlet = Outlet(context.sent.append, lambda tell: None)
+    context.group = Group(replica, journal, _machine(_State()))
+
+
+@when('it is sent entries and takes {count:d} turns')
+def take_turns(context, count):
+    """Note how much it had said after each turn."""
+    entries = tuple(LogEntry(index, 1) for index in (1, 2, 3))
+    append = Append('g', 'a#1', 'b#1', 1, 0, 0, 0, 1, entries)
+    receive(context.group.replica, append, 1)
+    context.said = []
+    for _ in range(count):
+        with suppress(JournalError):
+            carry_out(context.group, 1, context.outlet)
+        context.said.append(len(context.sent))
+
+
+@then('it answers only after the third, once')
+def check_silent(context):
+    """Compare what it said after each turn."""
+    assert context.said == [0, 0, 1], context.said
+
+
+@then('its journal holds each entry once')
+def check_journal(context):
+    """Read it again, as the next process does."""
+    close(context.group.journal)
+    _, saved = load(context.group.journal.folder)
+    assert [entry.index for entry in saved.entries] == [1, 2, 3], saved
+
+
 class _Hosts:
     """Replicas by host, and the messages between them."""
 
