Show metrics on an address of their own

Cause: on-call has logs and metrics only; the cell's processes had no metrics. Change: counters of events by outcome, histograms of waits, answers and advice, gauges of beliefs, fed by the lines for the log.

--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -4,6 +4,9 @@
 from daisygw.cell._state import TargetState, room_of
 from daisygw.contracts import JobSpec, Queue, ResultCode, Step, fits, room_for
 
+# When to hand in again what no target known now could hold, s: targets that
+# were lost or moved are back by then, or never.
+COME_BACK = 10.0
 # A refusal: its code, when to come back (s) and the reason.
 Refusal = tuple[ResultCode, float, str]
 
@@ -32,5 +35,5 @@
         least = step.count if step.gang else 1
         if room < least and not step.lasting:
             reason = f'step {number}: room for {room} of {least} tasks'
-            return (ResultCode.NEVER_FITS, 0, reason)
+            return (ResultCode.NEVER_FITS, COME_BACK, reason)
     return None
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -221,6 +221,7 @@
         id=state.key.job,
         step=state.key.step,
         rows=placed,
+        age_s=round(lead.wall - waiting.job.entered.at, 3),
         slack_s=round(waiting.due - lead.now, 3),
     )
     for index, _, life in placed:
--- a/daisygw/links/_logs.py
+++ b/daisygw/links/_logs.py
@@ -22,7 +22,7 @@
 # Libraries that log each connection or request; ours say more.
 _CHATTY = ('uvicorn', 'grpclib')
 # Lines of one event in a second: several times what a busy day brings.
-MOST_LINES = 200
+MOST_LINES = 400
 _FIELDS = 'daisygw_fields'
 
 
--- a/daisygw/nodes/__init__.py
+++ b/daisygw/nodes/__init__.py
@@ -1,6 +1,7 @@
 """Nodes: the two processes of a cell that spans a region."""
 
 from daisygw.nodes._entry import EntryNode, is_ready, running_entry
+from daisygw.nodes._meters import Meters, show
 from daisygw.nodes._orders import carrying_out
 from daisygw.nodes._peers import Peers, ask_leader, know
 from daisygw.nodes._scheduler import (
@@ -12,6 +13,7 @@
 
 __all__ = (
     'EntryNode',
+    'Meters',
     'NodeSettings',
     'Peers',
     'SchedulerNode',
@@ -23,4 +25,5 @@
     'know',
     'running_entry',
     'running_scheduler',
+    'show',
 )
--- a/daisygw/nodes/_entry.py
+++ b/daisygw/nodes/_entry.py
@@ -18,6 +18,7 @@
 )
 from daisygw.links import log
 from daisygw.links.processes import Link, post
+from daisygw.nodes._meters import Meters, watch
 from daisygw.nodes._peers import (
     Peers,
     follow,
@@ -43,6 +44,13 @@
         self.cfg = cfg
         self.calls = calls
         self.peers = Peers(f'entry/{cfg.host}', cfg.host, cfg.port)
+        self.meters = Meters()
+        watch(
+            self.meters,
+            'questions_open',
+            'Questions to the leader without an answer',
+            lambda: len(self.peers.open),
+        )
         self.stopping = False
         self.stopped = asyncio.Event()
         self.errands: set[asyncio.Task] = set()
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -31,6 +31,7 @@
 from daisygw.links.processes import Link, post, running
 from daisygw.nodes import _clock
 from daisygw.nodes._entry import ADVICE_PATIENCE, give_advice
+from daisygw.nodes._meters import count
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
 from daisygw.zones import has_authority
 
@@ -247,7 +248,9 @@
 
 
 def _log_decision(orders: Orders, decided: Decided) -> None:
-    log(decided.event, **dict(decided.fields))
+    fields = dict(decided.fields)
+    log(decided.event, **fields)
+    count(orders.node.meters, decided.event, fields)
 
 
 _EFFECTS = MappingProxyType({
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -52,6 +52,7 @@
 from daisygw.machines import TargetReport
 from daisygw.nodes import _clock
 from daisygw.nodes._machine import CellState, machine_of
+from daisygw.nodes._meters import Meters, watch
 from daisygw.nodes._peers import (
     PACE,
     Peers,
@@ -123,10 +124,45 @@
         self.roster = Roster((), '', 0)
         self.errands: set[asyncio.Task] = set()
         self.effects: Callable[[Any], None] = _ignore
+        self.meters = Meters()
         replica, journal = _open(cfg)
         machine = machine_of(self.state, partial(_on_leading, self))
         self.group = Group(replica, journal, machine)
         self.outlet = Outlet(partial(_send, self), partial(_tell, self))
+        _watch_beliefs(self)
+
+
+def _watch_beliefs(node: SchedulerNode) -> None:
+    """Show what the process believes as gauges."""
+    replica = node.group.replica
+    readings = (
+        ('leading', 'Whether this process leads', lambda: is_leading(node)),
+        ('term', 'Term of the log', lambda: replica.term),
+        ('commit_index', 'Committed entries', lambda: replica.commit),
+        ('log_entries', 'Entries kept', lambda: len(replica.log)),
+        ('config_version', 'Configuration', lambda: _version(node)),
+        ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
+        ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
+        ('steps_waiting', 'Steps that wait', lambda: _waiting(node)),
+        ('sync_seconds', 'Mean time of a sync', lambda: _sync_time(node)),
+        ('sessions', 'Links to this process', lambda: len(node.sessions)),
+    )
+    for name, text, read in readings:
+        watch(node.meters, name, text, read)
+
+
+def _version(node: SchedulerNode) -> int:
+    cfg = node.state.cell.cfg
+    return cfg.version if cfg else 0
+
+
+def _waiting(node: SchedulerNode) -> int:
+    return len(node.state.lead.waiting) if node.state.lead else 0
+
+
+def _sync_time(node: SchedulerNode) -> float:
+    journal = node.group.journal
+    return journal.sync_time if journal else 0
 
 
 def _ignore(message: Any) -> None:
--- a/daisygw/nodes/_settings.py
+++ b/daisygw/nodes/_settings.py
@@ -16,7 +16,7 @@
     ``host`` is its IP number; schedulers listen for links at ``port`` on
     every host.  ``first_start`` is true only when the whole cell is new.
     ``data`` is the folder on disk (none without a disk); ``grace`` (s) is
-    how long it may take to stop; ``metrics_port`` serves metrics.
+    how long it may take to stop.
     """
 
     name: str
@@ -27,7 +27,6 @@
     first_start: bool
     data: Path | None
     grace: float
-    metrics_port: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/platform/__init__.py
+++ b/daisygw/platform/__init__.py
@@ -4,5 +4,6 @@
 """
 
 from daisygw.platform._run import run
+from daisygw.platform._settings import METRICS_PORT
 
-__all__ = ('run',)
+__all__ = ('METRICS_PORT', 'run')
--- a/daisygw/platform/_faces.py
+++ b/daisygw/platform/_faces.py
@@ -1,5 +1,6 @@
 """The HTTP faces towards callers, the balancer, workers and operators."""
 
+import time
 from types import MappingProxyType
 from typing import Any
 
@@ -18,7 +19,14 @@
 )
 from daisygw.links import log, log_error
 from daisygw.machines import TargetReport, life_key
-from daisygw.nodes import EntryNode, SchedulerNode, ask_leader, is_ready
+from daisygw.nodes import (
+    EntryNode,
+    Meters,
+    SchedulerNode,
+    ask_leader,
+    is_ready,
+    show,
+)
 from daisygw.platform import _codec
 
 # A caller that names no deadline is answered within this time, s.
@@ -136,12 +144,15 @@
         job = await _job(req)
     if node.stopping:
         resp.set_header('Connection', 'close')
+    begun = time.monotonic()
     answer = await ask_leader(
         node.peers,
         lambda seq: JobAsk(seq, verb, host, path, job),
         _patience(req),
     )
     _put_answer(resp, verb, answer)
+    took = time.monotonic() - begun
+    node.meters.answers.labels(verb, str(answer.code)).observe(took)
     if answer.code not in {ResultCode.ANSWERED, ResultCode.ACCEPTED}:
         log(
             'not served',
@@ -178,6 +189,27 @@
         resp.media = {'pending': answer.pending}
 
 
+class _Metrics:
+    """``/metrics``: what the process has counted."""
+
+    def __init__(self, meters: Meters) -> None:
+        self.meters = meters
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Show it in the text format."""
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.data = show(self.meters)
+
+
+def metrics_app(meters: Meters) -> falcon.asgi.App:
+    """Return the application that shows a process's metrics."""
+    app = _app()
+    app.add_route('/metrics', _Metrics(meters))
+    return app
+
+
 class _Readiness:
     """``/readyz``: 200 while new callers may come."""
 
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -22,7 +22,12 @@
     running_scheduler,
 )
 from daisygw.platform._calls import open_calls
-from daisygw.platform._faces import callers_app, control_app, readiness_app
+from daisygw.platform._faces import (
+    callers_app,
+    control_app,
+    metrics_app,
+    readiness_app,
+)
 from daisygw.platform._settings import (
     BOOT_VARIABLE,
     PlatformSettings,
@@ -66,6 +71,7 @@
         for app, address in (
             (readiness_app(node), cfg.readiness),
             (callers_app(node), cfg.callers),
+            (metrics_app(node.meters), cfg.metrics),
         ):
             serving = serving_http(app, listen(address), grace * _ANSWER_SHARE)
             await stack.enter_async_context(serving)
@@ -91,6 +97,7 @@
         running_scheduler(cfg.node, calls) as node,
         carrying_out(node),
         serving_http(control_app(node), sock, grace),
+        serving_http(metrics_app(node.meters), listen(cfg.metrics), grace),
     ):
         _on_signals(node.stopped, lambda: _reload(node.peers, path))
         log('scheduler up', host=cfg.node.host, seeds=cfg.node.seeds)
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -8,6 +8,8 @@
 from daisygw.nodes import NodeSettings
 
 BOOT_VARIABLE = 'DAISYGW_BOOT'
+# Where the deploy file says that each role shows its metrics.
+METRICS_PORT = 9464
 _TRUTHS = frozenset({'true', 'false'})
 
 
@@ -17,7 +19,7 @@
 
     ``callers``, ``readiness`` and ``control`` are the addresses to serve,
     empty where the process does not serve them; ``advisor`` is the
-    placement advisor's.
+    placement advisor's; ``metrics`` is where the process shows its own.
     """
 
     node: NodeSettings
@@ -25,6 +27,7 @@
     readiness: str
     control: str
     advisor: str
+    metrics: str
 
 
 def _fault(key: str, reason: str) -> SettingsError:
@@ -91,7 +94,6 @@
         first_start=_truth(raw, 'bootstrap'),
         data=Path(data) if data else None,
         grace=_seconds(raw, 'bounds.graceS', '6'),
-        metrics_port=_port(raw, 1),
     )
     return PlatformSettings(
         node=node,
@@ -99,4 +101,5 @@
         readiness=raw.get('listenAddrs.ready', ''),
         control=raw.get('listenAddrs.controlPlane', ''),
         advisor=raw.get('placementAdvisor', ''),
+        metrics=f'{node.host}:{METRICS_PORT}',
     )
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -63,3 +63,7 @@
     When a job of 1 tasks is handed in at one entry
     Then the lines with its id tell of "accepted", "placed" and "job over"
     And every line of every process is a JSON object
+
+  Scenario: Every process shows its metrics
+    Then the metrics of a scheduler count "accepted" and "placed"
+    And the metrics of an entry tell the time of its answers
