Ask for the room that is needed; look up free room once a pass

Ruled out: reservation alone; the approved targets were too few. Change: advice is asked for the room that is likely to be enough, by the learned share that is approved; a pass looks at every target once and at 64 steps at most; waiting steps are looked at every 0.1 s also when nothing changes; due occurrences are taken up.

--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -1,8 +1,8 @@
 """Admission: what is refused before it is accepted, and until when."""
 
 from daisygw.cell._lead import Lead
-from daisygw.cell._state import TargetState, room_of
-from daisygw.contracts import JobSpec, Queue, ResultCode, Step, fits, room_for
+from daisygw.cell._rooms import could_hold
+from daisygw.contracts import JobSpec, Queue, ResultCode
 
 # When to hand in again what no target known now could hold, s: targets that
 # were lost or moved are back by then, or never.
@@ -11,20 +11,6 @@
 Refusal = tuple[ResultCode, float, str]
 
 
-def could_hold(target: TargetState, step: Step, queue: Queue) -> int:
-    """Return how many tasks of a step an empty target could hold."""
-    life = target.life
-    if life.service != queue.service:
-        return 0
-    if step.label and step.label not in {life.kind, life.rack}:
-        return 0
-    need = room_of(step)
-    if not fits(need, life.capacity):
-        return 0
-    most = room_for(need, life.capacity) or step.count
-    return min(most, step.spread) if step.spread else most
-
-
 def verdict(lead: Lead, job: JobSpec, queue: Queue) -> Refusal | None:
     """Return why a job is refused, none where it is accepted."""
     targets = [one for one in lead.cell.targets.values() if one.open]
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -4,12 +4,22 @@
 """
 
 from daisygw.cell._lead import HERE, Approval, Lead, WaitingStep
+from daisygw.cell._rooms import preference
+from daisygw.cell._state import TargetState
 from daisygw.contracts import AdviceAnswer, AdviceAsk, StepKey
 
 # The platform's advisor takes at most this many targets in one call.
 MOST_TARGETS = 100
 # A ticket is not used in its last part, s: commit, order and its way.
 TICKET_MARGIN = 0.3
+# Ask for this often the room that is needed: some tickets are denied, and
+# some room is taken while the advisor decides.
+_ENOUGH = 1.6
+# The part of targets that is approved, until answers tell.
+_FIRST_RATE = 0.4
+# How much the newest answer counts for that part, and its least value.
+_RATE = 0.1
+_LEAST_RATE = 0.15
 # The pause after a call that was not answered, s.
 RETRY_PAUSE = 0.2
 
@@ -19,16 +29,67 @@
     return lead.approvals.setdefault(key, Approval())
 
 
-def ask_advice(lead: Lead, waiting: WaitingStep, lives: list[str]) -> None:
-    """Ask about targets, one call at a time for a step."""
+def known_tickets(
+    lead: Lead,
+    waiting: WaitingStep,
+) -> dict[str, tuple[str, float]]:
+    """Return a step's tickets, stale ones too: by target, until when (s)."""
+    if waiting.queue.advisor is None:
+        return {}
+    return approval_of(lead, waiting.state.key).tickets
+
+
+def has_ticket(lead: Lead, waiting: WaitingStep, life: str) -> bool:
+    """Tell whether a step may be started on a target now."""
+    if waiting.queue.advisor is None:
+        return True
+    _, until = known_tickets(lead, waiting).get(life, ('', float('-inf')))
+    return lead.now < until
+
+
+def ask_about(
+    lead: Lead,
+    waiting: WaitingStep,
+    targets: list[TargetState],
+    room: dict[str, int],
+    needed: int,
+) -> None:
+    """Ask about as many targets as are likely to give enough room.
+
+    Targets that are approved come first: only their tickets are stale.
+    """
+    if waiting.queue.advisor is None:
+        return
+    known = known_tickets(lead, waiting)
+    rate = lead.approved.get(waiting.queue.name, _FIRST_RATE)
+    gang = waiting.state.step.gang
+    stale = [one for one in targets if not has_ticket(lead, waiting, one.key)]
+    if gang:
+        stale.sort(key=lambda one: (one.key not in known, -room[one.key]))
+    else:
+        stale.sort(
+            key=lambda one: (one.key not in known, preference(lead, one))
+        )
+    asked: list[str] = []
+    likely = 0.0
+    for target in stale[:MOST_TARGETS]:
+        if likely >= _ENOUGH * needed:
+            break
+        chance = 1.0 if target.key in known else rate
+        likely += min(room[target.key] or 1, needed) * chance
+        asked.append(target.key)
+    _ask(lead, waiting, asked)
+
+
+def _ask(lead: Lead, waiting: WaitingStep, lives: list[str]) -> None:
+    """Call the advisor, one call at a time for a step."""
     approval = approval_of(lead, waiting.state.key)
     if approval.asking or not lives or lead.now < approval.retry_at:
         return
     approval.asking = True
     seq = next(lead.numbers)
-    asked = tuple(lives[:MOST_TARGETS])
-    lead.asks[seq] = (waiting.state.key, asked, lead.now)
-    names = tuple(lead.cell.targets[one].life.name for one in asked)
+    lead.asks[seq] = (waiting.state.key, tuple(lives), lead.now)
+    names = tuple(lead.cell.targets[one].life.name for one in lives)
     advisor = waiting.queue.advisor
     work = advisor.decision + len(names) * advisor.per_target
     lead.tell(HERE, AdviceAsk(seq, waiting.state.key, names, work))
@@ -66,6 +127,8 @@
 ) -> None:
     waiting = lead.waiting.get(asked[0])
     validity = waiting.queue.advisor.validity if waiting else 0
+    if waiting:
+        _learn_rate(lead, waiting.queue.name, len(tickets) / len(asked[1]))
     until = lead.now + validity - TICKET_MARGIN
     for life in asked[1]:
         ticket = tickets.get(life.partition('@')[0])
@@ -73,3 +136,9 @@
             approval.denied.add(life)
         else:
             approval.tickets[life] = (ticket, until)
+
+
+def _learn_rate(lead: Lead, queue: str, fresh: float) -> None:
+    usual = lead.approved.get(queue, _FIRST_RATE)
+    usual += _RATE * (fresh - usual)
+    lead.approved[queue] = max(usual, _LEAST_RATE)
--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -122,6 +122,7 @@
         self.queue = queue
         self.due, self.worthless = times
         self.avoid: dict[int, set[str]] = {}
+        self.holds: dict[str, int] = {}
 
 
 class Lead:
@@ -146,7 +147,10 @@
         self.suspects: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
         self.numbers = itertools.count(1)
+        self.repeating: set[str] = set()
         self.changed = True
+        self.look_due = now
+        self.approved: dict[str, float] = {}
 
     def record(self, record: Any) -> None:
         """Append a record, and see its effect at once."""
@@ -239,6 +243,8 @@
     queue = queue_of(lead, job)
     if queue is None:
         return
+    if job.spec.repeats:
+        lead.repeating.add(job.spec.id)
     for state in job.steps.values():
         key = state.key
         if key in lead.waiting or not pending_indexes(state):
@@ -249,6 +255,16 @@
             lead.changed = True
 
 
+def enqueue_due(lead: Lead) -> None:
+    """Let the steps of occurrences that became due wait for room."""
+    for name in list(lead.repeating):
+        job = lead.cell.jobs.get(name)
+        if job is None or job.over:
+            lead.repeating.discard(name)
+        else:
+            enqueue_job(lead, job)
+
+
 def begin(lead: Lead) -> None:
     """Take up what the log says is to be done."""
     for target in lead.cell.targets.values():
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -8,31 +8,25 @@
 
 from collections.abc import Iterator
 from functools import partial
+from heapq import nsmallest
 
-from daisygw.cell._admission import could_hold
-from daisygw.cell._advice import approval_of, ask_advice
+from daisygw.cell._advice import ask_about, has_ticket, known_tickets
 from daisygw.cell._lead import (
+    HERE,
     Lead,
     Ordered,
     StartOrder,
     WaitingStep,
     pending_indexes,
 )
-from daisygw.cell._state import TargetState, room_of
-from daisygw.contracts import RunsPlaced, Size, fits, room_for, share_of
-from daisygw.machines import is_sure
+from daisygw.cell._rooms import Rooms, preference, room_on, suitable
+from daisygw.cell._state import TargetState
+from daisygw.contracts import RunsPlaced, share_of
 
-# A target that has not answered for this long gets no new work, s: one
-# renewal's longest wait, and the time-out of a call.
-SILENCE = 3.2
 # The part of all targets that waiting gangs may reserve.
 RESERVED_SHARE = 0.6
-# A step may ask about this many targets for each that it needs.
-ASK_FACTOR = 4
-# Fewer targets than this are not worth a second call.
-ASK_LEAST = 30
-# A target is given a new chance this long after it was set aside, s.
-_RATE = 2
+# Steps looked at in one pass: with more, those due last wait for the next.
+MOST_STEPS = 64
 
 
 def order_key(waiting: WaitingStep, now: float) -> tuple[int, float]:
@@ -44,108 +38,35 @@
     return (2, waiting.due)
 
 
-def is_usable(lead: Lead, target: TargetState) -> bool:
-    """Tell whether a target may be given new work now."""
-    contact = lead.contacts.get(target.key)
-    if contact is None or not target.open or not is_sure(contact):
-        return False
-    silent = lead.now - contact.seen > SILENCE
-    return not silent and lead.now >= contact.barred_until
-
-
 def place_waiting(lead: Lead) -> None:
     """Start what has room now, in the order of service."""
-    if not lead.changed:
+    if not lead.changed or not lead.waiting:
         return
     lead.changed = False
-    usable = [one for one in lead.cell.targets.values() if is_usable(lead, one)]
-    reserved: set[str] = set()
+    rooms = Rooms(lead)
     order = partial(order_key, now=lead.now)
-    for waiting in sorted(lead.waiting.values(), key=order):
-        open_to_it = [one for one in usable if one.key not in reserved]
-        if _place_step(lead, waiting, open_to_it):
-            continue
-        if waiting.state.step.gang:
-            most = int(len(usable) * RESERVED_SHARE)
-            reserved |= _reserve(
-                lead, waiting, open_to_it, most - len(reserved)
-            )
-
-
-def _suitable(
-    lead: Lead,
-    waiting: WaitingStep,
-    targets: list[TargetState],
-) -> list[TargetState]:
-    """Return the targets that the step may use, as far as is known."""
-    step = waiting.state.step
-    denied: set[str] = set()
-    if waiting.queue.advisor:
-        denied = approval_of(lead, waiting.state.key).denied
-    return [
-        one
-        for one in targets
-        if one.key not in denied and could_hold(one, step, waiting.queue) > 0
-    ]
-
+    for waiting in nsmallest(MOST_STEPS, lead.waiting.values(), key=order):
+        placed = _place_step(lead, rooms, waiting)
+        if waiting.state.step.gang and not placed:
+            _reserve(lead, rooms, waiting)
 
-def _ticket(lead: Lead, waiting: WaitingStep, life: str) -> str | None:
-    if waiting.queue.advisor is None:
-        return ''
-    tickets = approval_of(lead, waiting.state.key).tickets
-    ticket, until = tickets.get(life, ('', float('-inf')))
-    return ticket if lead.now < until else None
 
-
-def _room(waiting: WaitingStep, target: TargetState) -> int:
-    """Return how many more tasks of the step a target takes now."""
-    step = waiting.state.step
-    need = room_of(step)
-    room = room_for_now(need, target.free, step.count)
-    if step.spread:
-        held = sum(
-            run.life == target.key for run in waiting.state.runs.values()
-        )
-        room = min(room, step.spread - held)
-    return max(room, 0)
-
-
-def room_for_now(need: Size, free: Size, most: int) -> int:
-    """Return how many times ``need`` fits into ``free``, ``most`` at most."""
-    if not fits(need, free):
-        return 0
-    return min(room_for(need, free) or most, most)
-
-
-def _preference(lead: Lead, target: TargetState) -> tuple[float, float]:
-    """Prefer fast targets, then the fullest."""
-    pace = round(lead.pace.get(target.key, 1.0) * _RATE) / _RATE
-    return (pace, -share_of(target.used, target.life.capacity))
-
-
-def _place_step(
-    lead: Lead,
-    waiting: WaitingStep,
-    targets: list[TargetState],
-) -> bool:
+def _place_step(lead: Lead, rooms: Rooms, waiting: WaitingStep) -> bool:
     """Place what can be placed; tell whether nothing is left to place."""
     pending = pending_indexes(waiting.state)
-    suitable = _suitable(lead, waiting, targets)
-    roomy = [one for one in suitable if _room(waiting, one) > 0]
-    if not roomy:
-        _ask_ahead(lead, waiting, suitable)
+    targets = suitable(lead, rooms, waiting)
+    room = {one.key: room_on(rooms, waiting, one.key) for one in targets}
+    roomy = [one for one in targets if room[one.key]]
+    with_ticket = [one for one in roomy if has_ticket(lead, waiting, one.key)]
+    rows = _choose(lead, waiting, with_ticket, room, pending)
+    if waiting.state.step.gang and len(rows) < len(pending):
+        ask_about(lead, waiting, roomy or targets, room, len(pending))
         return False
-    with_ticket = [
-        one for one in roomy if _ticket(lead, waiting, one.key) is not None
-    ]
-    rows = _choose(lead, waiting, with_ticket, pending)
-    gang = waiting.state.step.gang
-    if gang and len(rows) < len(pending):
-        rows = []
     if len(rows) < len(pending):
-        _ask_about(lead, waiting, roomy, len(pending) - len(rows))
+        needed = len(pending) - len(rows)
+        ask_about(lead, waiting, roomy or targets, room, needed)
     if rows:
-        _start(lead, waiting, rows)
+        _start(lead, rooms, waiting, rows)
     return len(rows) == len(pending)
 
 
@@ -153,32 +74,32 @@
     lead: Lead,
     waiting: WaitingStep,
     targets: list[TargetState],
+    room: dict[str, int],
     pending: list[int],
 ) -> list[tuple[int, str]]:
     """Return rows of index and target for as many tasks as have room."""
-    preference = partial(_preference, lead)
-    targets = sorted(targets, key=preference)
-    if waiting.state.step.same_rack or waiting.state.step.data_rack:
-        targets = _by_rack(waiting, targets, len(pending))
-    room = {one.key: _room(waiting, one) for one in targets}
+    targets = sorted(targets, key=partial(preference, lead))
+    step = waiting.state.step
+    if step.same_rack or step.data_rack:
+        targets = _by_rack(waiting, targets, room, len(pending))
+    left = {one.key: room[one.key] for one in targets}
     rows = []
     for index in pending:
-        life = next(_allowed(lead, waiting, index, room), None)
+        life = next(_allowed(waiting, index, left), None)
         if life is not None:
-            room[life] -= 1
+            left[life] -= 1
             rows.append((index, life))
     return rows
 
 
 def _allowed(
-    lead: Lead,
     waiting: WaitingStep,
     index: int,
-    room: dict[str, int],
+    left: dict[str, int],
 ) -> Iterator[str]:
     """Yield targets with room for a task, those it failed on last."""
-    avoid = waiting.avoid.get(index, set())
-    with_room = [life for life, left in room.items() if left > 0]
+    avoid = waiting.avoid.get(index, frozenset())
+    with_room = [life for life, room in left.items() if room > 0]
     yield from (life for life in with_room if life not in avoid)
     yield from (life for life in with_room if life in avoid)
 
@@ -186,6 +107,7 @@
 def _by_rack(
     waiting: WaitingStep,
     targets: list[TargetState],
+    room: dict[str, int],
     needed: int,
 ) -> list[TargetState]:
     """Put the rack of the data first, or one that holds all tasks."""
@@ -193,16 +115,17 @@
     racks: dict[str, int] = {}
     for target in targets:
         rack = target.life.rack
-        racks[rack] = racks.get(rack, 0) + _room(waiting, target)
+        racks[rack] = racks.get(rack, 0) + room[target.key]
     best = step.data_rack
     if step.same_rack and best not in racks:
-        whole = [rack for rack, room in racks.items() if room >= needed]
+        whole = [rack for rack, free in racks.items() if free >= needed]
         best = min(whole, key=racks.__getitem__, default='')
     return sorted(targets, key=lambda one: one.life.rack != best)
 
 
 def _start(
     lead: Lead,
+    rooms: Rooms,
     waiting: WaitingStep,
     rows: list[tuple[int, str]],
 ) -> None:
@@ -225,76 +148,40 @@
         slack_s=round(waiting.due - lead.now, 3),
     )
     for index, _, life in placed:
-        order_start(lead, waiting, index, life)
+        _order_start(lead, waiting, index, life)
+        rooms.free[life] = rooms.targets[life].free
     if not pending_indexes(state):
         lead.waiting.pop(state.key, None)
 
 
-def order_start(
+def _order_start(
     lead: Lead, waiting: WaitingStep, index: int, life: str
 ) -> None:
     """Order a start that is in the log."""
     run = waiting.state.runs[index]
     lead.orders[run.step, index] = Ordered(run, lead.now)
-    order = StartOrder(
-        run,
-        waiting.job.spec.payload,
-        waiting.state.saved.get(index, ''),
-        _ticket(lead, waiting, life) or '',
-    )
-    lead.tell('', order)
-
-
-def _ask_about(
-    lead: Lead,
-    waiting: WaitingStep,
-    roomy: list[TargetState],
-    needed: int,
-) -> None:
-    """Ask for tickets on targets that have room now."""
-    if waiting.queue.advisor is None:
-        return
-    most = max(ASK_FACTOR * needed, ASK_LEAST)
-    stale = [one for one in roomy if _ticket(lead, waiting, one.key) is None]
-    known = approval_of(lead, waiting.state.key).tickets
-    stale.sort(key=lambda one: (one.key not in known, _preference(lead, one)))
-    ask_advice(lead, waiting, [one.key for one in stale[:most]])
-
-
-def _ask_ahead(
-    lead: Lead,
-    waiting: WaitingStep,
-    suitable: list[TargetState],
-) -> None:
-    """Learn which targets are approved while there is no room yet."""
-    if waiting.queue.advisor is None:
-        return
-    known = approval_of(lead, waiting.state.key).tickets
-    unknown = [one.key for one in suitable if one.key not in known]
-    if not known:
-        ask_advice(lead, waiting, unknown[:ASK_LEAST])
+    ticket, _ = known_tickets(lead, waiting).get(life, ('', 0))
+    payload = waiting.job.spec.payload
+    saved = waiting.state.saved.get(index, '')
+    lead.tell(HERE, StartOrder(run, payload, saved, ticket))
 
 
-def _reserve(
-    lead: Lead,
-    waiting: WaitingStep,
-    targets: list[TargetState],
-    most: int,
-) -> set[str]:
-    """Return targets to keep free for a gang: those that are emptiest."""
+def _reserve(lead: Lead, rooms: Rooms, waiting: WaitingStep) -> None:
+    """Keep targets free for a gang that can still be in time: the emptiest."""
     if lead.now > waiting.due:
-        return set()
-    step = waiting.state.step
-    suitable = _suitable(lead, waiting, targets)
+        return
+    targets = suitable(lead, rooms, waiting)
     if waiting.queue.advisor:
-        known = approval_of(lead, waiting.state.key).tickets
-        suitable = [one for one in suitable if one.key in known]
-    suitable.sort(key=lambda one: share_of(one.used, one.life.capacity))
+        known = known_tickets(lead, waiting)
+        targets = [one for one in targets if one.key in known]
+    targets.sort(key=lambda one: share_of(one.used, one.life.capacity))
+    most = int(len(rooms.targets) * RESERVED_SHARE) - len(rooms.reserved)
     chosen: set[str] = set()
-    needed = step.count
-    for target in suitable[: max(most, 0)]:
+    needed = waiting.state.step.count
+    for target in targets[: max(most, 0)]:
         if needed <= 0:
             break
-        needed -= could_hold(target, step, waiting.queue)
+        needed -= waiting.holds[target.key]
         chosen.add(target.key)
-    return chosen if needed <= 0 else set()
+    if needed <= 0:
+        rooms.reserved |= chosen
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -17,6 +17,7 @@
     Probe,
     StartOrder,
     StopOrder,
+    enqueue_due,
     enqueue_job,
     job_over,
     want_stop,
@@ -47,6 +48,9 @@
 
 # The longest wait that a renewal asks for, s: a quarter of the lease.
 HOLD_WAIT = 1.0
+# Waiting steps are looked at this often, s, also when nothing has changed:
+# tickets age, targets are tried again, occurrences become due.
+LOOK = 0.1
 # A stop that was not confirmed is sent again after this long, s.
 STOP_AGAIN = 0.5
 # A silent target's life is given up this long after nothing runs there, s.
@@ -401,6 +405,10 @@
     """Let time pass: repeat stops, give up silent targets."""
     lead.now = now
     lead.wall = wall
+    if now >= lead.look_due:
+        lead.look_due = now + LOOK
+        lead.changed = True
+        enqueue_due(lead)
     for ordered in list(lead.orders.values()):
         if now >= ordered.stop_due:
             ordered.stop_due = now + STOP_AGAIN
