--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -88,11 +88,8 @@
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
-        self.listed = False
         self.stop_due = float('inf')
         self.barred = float('inf')
-        self.percent = 0
-        self.moved = at
 
 
 class Approval:
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -124,6 +124,8 @@
     _lose_runs(lead, target, why)
     lead.record(LifeOver(target.key))
     lead.contacts.pop(target.key, None)
+    lead.pace.pop(target.key, None)
+    lead.suspects.pop(target.key, None)
     lead.say('target gone', target=target.key, why=why)
 
 
@@ -300,10 +302,6 @@
         ordered = Ordered(run, lead.now)
         ordered.answered = lead.now
         lead.orders[run.step, run.index] = ordered
-    ordered.listed = True
-    if row.percent != ordered.percent:
-        ordered.percent = row.percent
-        ordered.moved = lead.now
     state = step_of(lead.cell, run.step)
     if row.saved and state:
         state.saved[run.index] = row.saved
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -37,6 +37,7 @@
 _BASE = Option('config', 'Base settings file (TOML)')
 _OVERLAY = Option('overlay', 'Overlay of this site (TOML)')
 _HOST = Option('host', 'Name of this host in the settings')
+_METRICS = Option('metrics', 'Port at which it shows its metrics (9464)')
 _PROCESS = (_BASE, _OVERLAY, _HOST)
 _ENTRY = Option(
     'entry',
@@ -60,11 +61,13 @@
         'platform entry',
         "Run the entry process of a cell on the users' platform",
         'daisygw.cli._processes:platform_entry',
+        options=(_METRICS,),
     ),
     Definition(
         'platform scheduler',
         "Run the scheduler process of a cell on the users' platform",
         'daisygw.cli._processes:platform_scheduler',
+        options=(_METRICS,),
     ),
     Definition(
         'submit',
--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -14,6 +14,8 @@
 from daisygw.settings import Settings, load
 from daisygw.status import ExitStatus
 
+# Where a process shows its metrics unless it is told another port.
+METRICS_PORT = '9464'
 _GC_THRESHOLDS = (50_000, 20, 100)
 
 Run = Callable[[Settings, str], Awaitable[None]]
@@ -72,13 +74,17 @@
     return _run(given, 'scheduler', run)
 
 
+def _run_on_platform(role: str, given: Given, ctx: Context) -> ExitStatus:
+    spare_collector()
+    run = _load('daisygw.platform', 'run')
+    return run(role, ctx, given['metrics'] or METRICS_PORT)
+
+
 def platform_entry(given: Given, ctx: Context) -> ExitStatus:
     """Run an entry of a cell on the users' platform."""
-    spare_collector()
-    return _load('daisygw.platform', 'run')('entry', ctx)
+    return _run_on_platform('entry', given, ctx)
 
 
 def platform_scheduler(given: Given, ctx: Context) -> ExitStatus:
     """Run a scheduler of a cell on the users' platform."""
-    spare_collector()
-    return _load('daisygw.platform', 'run')('scheduler', ctx)
+    return _run_on_platform('scheduler', given, ctx)
--- a/daisygw/platform/__init__.py
+++ b/daisygw/platform/__init__.py
@@ -4,6 +4,5 @@
 """
 
 from daisygw.platform._run import run
-from daisygw.platform._settings import METRICS_PORT
 
-__all__ = ('METRICS_PORT', 'run')
+__all__ = ('run',)
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -110,7 +110,7 @@
 def _reload(peers: Peers, path: Path) -> None:
     """Read the seeds anew; a file that can't be read changes nothing."""
     try:
-        cfg = load_settings(path)
+        cfg = load_settings(path, 0)
     except SettingsError as exc:
         log('settings refused', code=exc.code, reason=exc.reason)
         return
@@ -118,17 +118,23 @@
     log('settings reloaded', seeds=cfg.node.seeds)
 
 
-def _run_with_settings(running: _Running, path: Path) -> None:
-    asyncio.run(running(load_settings(path), path))
+def _run_with_settings(running: _Running, path: Path, metrics: str) -> None:
+    if not metrics.isdigit():
+        reason = f'--metrics: {metrics!r} is not a port'
+        raise SettingsError(ResultCode.SETTINGS_INVALID, reason)
+    asyncio.run(running(load_settings(path, int(metrics)), path))
+
 
+def run(role: str, ctx: Context, metrics: str) -> ExitStatus:
+    """Run the process called ``role`` with the settings it is told.
 
-def run(role: str, ctx: Context) -> ExitStatus:
-    """Run the process called ``role`` with the settings it is told."""
+    ``metrics`` is the port at which it shows its metrics.
+    """
     stream = BoundedStream(sys.stdout.fileno())
     set_up_logs('info', role, stream)
     running = run_entry if role == 'entry' else run_scheduler
     try:
-        _run_with_settings(running, _path(ctx))
+        _run_with_settings(running, _path(ctx), metrics)
     except DaisygwError as exc:
         log('failed', code=exc.code, reason=exc.reason)
         raise
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -8,8 +8,6 @@
 from daisygw.nodes import NodeSettings
 
 BOOT_VARIABLE = 'DAISYGW_BOOT'
-# Where the deploy file says that each role shows its metrics.
-METRICS_PORT = 9464
 _TRUTHS = frozenset({'true', 'false'})
 
 
@@ -78,8 +76,8 @@
     return tuple(one.rpartition(':')[0] for one in given if ':' in one)
 
 
-def load_settings(path: Path) -> PlatformSettings:
-    """Read and check the settings file.
+def load_settings(path: Path, metrics_port: int) -> PlatformSettings:
+    """Read and check the settings file, which names no port for metrics.
 
     Raises ``SettingsError`` (SETTINGS_INVALID); unknown fields are ignored.
     """
@@ -101,5 +99,5 @@
         readiness=raw.get('listenAddrs.ready', ''),
         control=raw.get('listenAddrs.controlPlane', ''),
         advisor=raw.get('placementAdvisor', ''),
-        metrics=f'{node.host}:{METRICS_PORT}',
+        metrics=f'{node.host}:{metrics_port}',
     )
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -67,7 +67,7 @@
         f'nodeName=n-{host}',
         f'ip={host}',
         'zone=santander',
-        f'internalPorts={ports.links},{ports.metrics}',
+        f'internalPorts={ports.links},{ports.links}',
         f'seedNodes={seeds}',
         f'bootstrap={"true" if first else "false"}',
         f'bounds.graceS={GRACE_S}',
@@ -91,7 +91,8 @@
     path = _settings(cell, host, first=first)
     with (cell.folder / f'{host}.log').open('ab') as out:
         cell.running[host] = subprocess.Popen(  # noqa: S603
-            [sys.executable, '-m', 'daisygw', 'platform', role],
+            [sys.executable, '-m', 'daisygw', 'platform', role]
+            + [f'--metrics={cell.ports.metrics}'],
             cwd=ROOT,
             env={**os.environ, 'DAISYGW_BOOT': str(path)},
             stdout=out,
--- a/tests/features/docs.feature
+++ b/tests/features/docs.feature
@@ -15,3 +15,6 @@
 
   Scenario: Every relative link leads to a page
     Then each link in README.md leads to a file
+
+  Scenario: The on-call page names every event
+    Then docs/OPERATIONS.md names each event that a cell's processes log
--- a/tests/features/shape.feature
+++ b/tests/features/shape.feature
@@ -6,6 +6,9 @@
   Scenario: Packages use only each other's public face
     Then no package imports another's private modules
 
+  Scenario: One folder knows the platform
+    Then the platform's names stand in its own folder only
+
   Scenario: Every data class is frozen
     Then every data class of the product is frozen
 
--- a/tests/steps/docs_steps.py
+++ b/tests/steps/docs_steps.py
@@ -1,5 +1,6 @@
 """Steps that compare the pages with the code."""
 
+import ast
 import dataclasses
 import re
 import tempfile
@@ -90,3 +91,39 @@
     """Look for the files."""
     for link in _LINK.findall(_page('README.md')):
         assert (ROOT / link).exists(), link
+
+
+_WRITERS = frozenset({'log', 'log_error', 'say'})
+
+
+def _calls():
+    """Yield each call in the cell's code."""
+    for folder in ('cell', 'nodes', 'platform'):
+        for path in sorted((ROOT / 'daisygw' / folder).glob('*.py')):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call) and node.args:
+                    yield node
+
+
+def _events():
+    """Yield each event that the cell's code writes."""
+    for call in _calls():
+        name = getattr(call.func, 'attr', getattr(call.func, 'id', ''))
+        if name in _WRITERS:
+            yield from _texts(call.args[0])
+
+
+def _texts(node):
+    for part in ast.walk(node):
+        if isinstance(part, ast.Constant) and isinstance(part.value, str):
+            yield part.value
+
+
+@then("docs/OPERATIONS.md names each event that a cell's processes log")
+def check_events(context):
+    """Look for each in the table."""
+    page = _page('docs/OPERATIONS.md')
+    events = set(_events())
+    assert len(events) > 30, events
+    for event in events:
+        assert f'`{event}`' in page, event
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -5,7 +5,6 @@
 
 from behave import then, when
 
-from daisygw.platform import METRICS_PORT
 from standins import platform_cell as cells
 from standins.platform_cell import ENTRIES, SCHEDULERS, ask, call, wait_until
 
@@ -330,8 +329,9 @@
         assert all('event' in line for line in cells.lines(context.cell, host))
 
 
-def _metrics(host):
-    status, raw = call(f'{host}:{METRICS_PORT}', 'GET', '/metrics')
+def _metrics(context, host):
+    address = f'{host}:{context.cell.ports.metrics}'
+    status, raw = call(address, 'GET', '/metrics')
     assert status == 200, (host, status)
     return raw.decode('utf-8')
 
@@ -339,7 +339,7 @@
 @then('the metrics of a scheduler count "{first}" and "{second}"')
 def check_metrics(context, first, second):
     """Look at the leader's counters."""
-    shown = _metrics(_leader(context.cell)[0])
+    shown = _metrics(context, _leader(context.cell)[0])
     for event in (first, second):
         assert f'event="{event}"' in shown, shown
     assert 'daisygw_start_wait_seconds_bucket' in shown
@@ -349,5 +349,5 @@
 @then('the metrics of an entry tell the time of its answers')
 def check_entry_metrics(context):
     """Look for the histogram."""
-    shown = _metrics(ENTRIES[0])
+    shown = _metrics(context, ENTRIES[0])
     assert 'daisygw_answer_seconds_count{code="101",verb="submit"}' in shown
--- a/tests/steps/shape_steps.py
+++ b/tests/steps/shape_steps.py
@@ -9,7 +9,7 @@
 from tests.utils import ROOT
 
 _PRODUCT = ROOT / 'daisygw'
-_DECISIONS = ('contracts', 'machines', 'zones', 'report')
+_DECISIONS = ('cell', 'contracts', 'machines', 'zones', 'report')
 _ALLOWED = frozenset({
     'ast',
     'collections',
@@ -43,6 +43,19 @@
     'system',
     'io_uring',
 })
+_PLATFORM_NAMES = (
+    'fencingToken',
+    'runNumber',
+    'ackCursor',
+    'deadlineMs',
+    'maxPerServer',
+    'longRunning',
+    'fillCount',
+    'memMb',
+    'pathPrefix',
+    'perWorkerMs',
+    'in_progress"',
+)
 _VALUE_BASES = frozenset({'IntEnum', 'StrEnum', 'Enum'})
 
 
@@ -67,7 +80,13 @@
             for name in _imports(tree):
                 head = name.split('.')[0]
                 assert head in _ALLOWED, f'{path}: {name}'
-                outside = ('daisygw.links', 'daisygw.cli', 'daisygw.settings')
+                outside = (
+                    'daisygw.links',
+                    'daisygw.cli',
+                    'daisygw.settings',
+                    'daisygw.nodes',
+                    'daisygw.platform',
+                )
                 assert not name.startswith(outside), f'{path}: {name}'
 
 
@@ -83,6 +102,20 @@
                 assert name.startswith(own), f'{path}: {name}'
 
 
+@then("the platform's names stand in its own folder only")
+def check_platform_names(context):
+    """Look for them in the strings and names of all other folders."""
+    for path, tree in _trees(_PRODUCT):
+        if path.parent.name == 'platform':
+            continue
+        for node in ast.walk(tree):
+            name = getattr(node, 'attr', getattr(node, 'id', ''))
+            text = node.value if isinstance(node, ast.Constant) else name
+            if isinstance(text, str):
+                found = [one for one in _PLATFORM_NAMES if one in text]
+                assert not found, f'{path}: {found}'
+
+
 def _classes(tree: ast.Module) -> Iterator[ast.ClassDef]:
     for node in ast.walk(tree):
         if isinstance(node, ast.ClassDef):
