--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP := $(VENV)/installed
 SEED ?= 1
 ROUNDS ?= 1
+SECONDS ?= 20
 
-.PHONY: help install format check test demo binary bench bench-decisions chaos slopes clean
+.PHONY: soak help install format check test demo binary bench bench-decisions chaos slopes clean
 
 help:  ## List the verbs
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -51,5 +52,8 @@
 chaos: $(STAMP)  ## Break a cell at random: SEED=n ROUNDS=n
 	$(BIN)/python -m bench.chaos --seed $(SEED) --rounds $(ROUNDS)
 
+soak: $(STAMP)  ## Break a platform cell's processes: SEED=n ROUNDS=n SECONDS=n
+	$(BIN)/python -m bench.soak --seed $(SEED) --rounds $(ROUNDS) --seconds $(SECONDS)
+
 clean:  ## Remove what was built
 	rm -rf build dist run *.egg-info
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from standins.platform_workers import ADVISOR_HOST
+from standins.platform_workers import ADVISOR_HOST, HOST
 
 ROOT = Path(__file__).resolve().parent.parent
 SCHEDULERS = ('127.0.10.1', '127.0.10.2', '127.0.10.3')
@@ -39,6 +39,8 @@
     links: int
     metrics: int
     workers: int
+    relays: int
+    cuts: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +53,7 @@
 
 
 def _free_ports() -> Ports:
-    socks = [socket.socket() for _ in range(6)]
+    socks = [socket.socket() for _ in range(8)]
     for sock in socks:
         sock.bind((SCHEDULERS[0], 0))
     ports = [sock.getsockname()[1] for sock in socks]
@@ -219,6 +221,34 @@
     return 0
 
 
+def _start_workers(cell: PlatformCell, controls: str, workers: int) -> None:
+    """Start the workers, and a relay in front of each."""
+    ports = cell.ports
+    args = [ports.workers, controls, workers, ports.relays]
+    relays = [
+        f'{host}:{ports.relays}={host}:{ports.workers}=w{number}'
+        for number, host in enumerate(worker_hosts(workers), 1)
+    ]
+    for name, module, given in (
+        ('workers', 'standins.platform_workers', args),
+        ('relays', 'standins.relay', [cut_address(cell), *relays]),
+    ):
+        cell.running[name] = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-m', module, *map(str, given)],
+            cwd=ROOT,
+        )
+
+
+def cut_address(cell: PlatformCell) -> str:
+    """Return where the relays are told which workers are silent."""
+    return f'{SCHEDULERS[0]}:{cell.ports.cuts}'
+
+
+def worker_hosts(workers: int) -> list[str]:
+    """Return the addresses of the workers' hosts."""
+    return [HOST.format(number) for number in range(1, workers + 1)]
+
+
 @contextmanager
 def running_cell(
     folder: Path, workers: int = 2
@@ -226,12 +256,7 @@
     """Run a cell with workers, until the body ends."""
     cell = PlatformCell(_free_ports(), folder)
     controls = ','.join(f'{one}:{cell.ports.control}' for one in SCHEDULERS)
-    port = str(cell.ports.workers)
-    cell.running['workers'] = subprocess.Popen(  # noqa: S603
-        [sys.executable, '-m', 'standins.platform_workers']
-        + [port, controls, str(workers)],
-        cwd=ROOT,
-    )
+    _start_workers(cell, controls, workers)
     try:
         for host in (*SCHEDULERS, *ENTRIES):
             start(cell, host, first=True)
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -1,8 +1,9 @@
 """Workers and a placement advisor that speak the platform's protocol.
 
-``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT`` runs
-``COUNT`` workers and the advisor on loopback addresses, until it is ended.
-``GET /history`` at the advisor's address shows what ran.
+``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT [SEEN]``
+runs ``COUNT`` workers and the advisor on loopback addresses, until it is
+ended; ``SEEN`` is the port that they say they have, that of a relay.
+``GET /history`` at the advisor's address shows what ran, and when (s).
 """
 
 import asyncio
@@ -31,10 +32,10 @@
 class Worker:
     """A worker's model, with what only the wire needs."""
 
-    def __init__(self, number: int, port: int) -> None:
-        """Start its life now."""
+    def __init__(self, number: int, seen: int) -> None:
+        """Start its life now; it says that it has the port ``seen``."""
         self.number = number
-        self.address = f'{HOST.format(number)}:{port}'
+        self.address = f'{HOST.format(number)}:{seen}'
         self.model = model.WorkerModel(f'i-{number:04x}', _now(), CAPACITY)
         self.born_ms = int(time.time() * MS)
         self.sequence = count(1)
@@ -111,10 +112,12 @@
         model.pass_time(worker.model, _now())
         rows += [
             [worker.model.name, one.task[0], one.number, one.how]
+            + [one.begun, one.ended]
             for one in worker.model.history
         ]
         rows += [
             [worker.model.name, span.task[0], span.number, 'running']
+            + [span.begun, None]
             for span, _ in worker.model.running.values()
         ]
     return web.json_response(rows)
@@ -167,9 +170,9 @@
     return handle
 
 
-async def run(port: int, controls: list[str], workers: int) -> None:
+async def run(port: int, controls: list[str], workers: int, seen: int) -> None:
     """Serve until cancelled."""
-    made = [Worker(number, port) for number in range(1, workers + 1)]
+    made = [Worker(number, seen) for number in range(1, workers + 1)]
     for worker in made:
         routes = {
             ('POST', '/run-start'): _bound(_start, worker),
@@ -185,5 +188,11 @@
     await asyncio.gather(*(_beat(worker, controls) for worker in made))
 
 
+def _main(args: list[str]) -> None:
+    port = int(args[0])
+    seen = int(args[3]) if len(args) > 3 else port
+    asyncio.run(run(port, args[1].split(','), int(args[2]), seen))
+
+
 if __name__ == '__main__':
-    asyncio.run(run(int(sys.argv[1]), sys.argv[2].split(','), int(sys.argv[3])))
+    _main(sys.argv[1:])
