Judge repeated tasks in the soak by what the leader had noted

Change: the check asks for ends that were noted while the lease held, as the rule is stated; a count of the other repeats stands in each line.

--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -113,11 +113,12 @@
         rows += [
             [worker.model.name, one.task[0], one.number, one.how]
             + [one.begun, one.ended]
+            + [(one.task, one.number) in worker.model.noted]
             for one in worker.model.history
         ]
         rows += [
             [worker.model.name, span.task[0], span.number, 'running']
-            + [span.begun, None]
+            + [span.begun, None, False]
             for span, _ in worker.model.running.values()
         ]
     return web.json_response(rows)
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -54,6 +54,8 @@
         self.position = 0
         self.history: list[Span] = []
         self.most_used = (0, 0)
+        self.lapse = 0.0
+        self.noted: set[tuple[tuple, int]] = set()
 
 
 def clock_ms(worker: WorkerModel, now: float) -> int:
@@ -81,6 +83,8 @@
 
 
 def _renew(worker: WorkerModel, now: float, deadline: int | None) -> None:
+    if worker.born + worker.lease < now:
+        worker.lapse = worker.born + worker.lease
     if deadline is not None:
         longest = now - worker.born + worker.hold_max
         worker.lease = max(worker.lease, min(deadline / MS, longest))
@@ -139,6 +143,22 @@
     return 200
 
 
+def _note(worker: WorkerModel, end: tuple[int, tuple, int, str]) -> None:
+    """Remember that the leader knows of an end, under the same lease.
+
+    An end that is noted after the lease has lapsed proves nothing: the task
+    may have been started elsewhere meanwhile.
+    """
+    _, task, number, _ = end
+    ended = next(
+        span.ended
+        for span in reversed(worker.history)
+        if (span.task, span.number) == (task, number)
+    )
+    if worker.lapse < ended:
+        worker.noted.add((task, number))
+
+
 def hold(
     worker: WorkerModel,
     now: float,
@@ -153,6 +173,6 @@
     worker.fence = fence
     _renew(worker, now, deadline)
     while worker.ends and worker.ends[0][0] <= noted:
-        worker.ends.popleft()
+        _note(worker, worker.ends.popleft())
     active = [(task, span.number) for task, (span, _) in worker.running.items()]
     return active, list(worker.ends)
