Ask the advisor for enough at once, and learn paces beside one another

Cause: a gang asked about too few targets, one call after the other, and only about those with room, so it learned where it may run one second at a time; its tickets were stale when the room came. Paces were learned against estimates, which are far off for some queues, and from gangs, whose members all take as long as the one on the slowest target. Paces are learned from tasks of the same step.

--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -99,10 +99,21 @@
         """Begin unasked."""
         self.tickets: dict[str, tuple[str, float]] = {}
         self.denied: set[str] = set()
-        self.asking = False
+        self.calls = 0
         self.retry_at = float('-inf')
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How long a target takes beside others, learned from so many tasks."""
+
+    factor: float = 1.0
+    tasks: int = 0
+
+
+UNKNOWN_PACE = Pace()
+
+
 class WaitingStep:
     """A step with tasks to start.  ``due`` is its latest useful start (s)."""
 
@@ -140,7 +151,9 @@
         self.contacts: dict[str, Contact] = {}
         self.orders: dict[tuple[StepKey, int], Ordered] = {}
         self.stretch: dict[str, float] = {}
-        self.pace: dict[str, float] = {}
+        self.pace: dict[str, Pace] = {}
+        self.usual_pace = 1.0
+        self.run_times: dict[StepKey, list[float]] = {}
         self.suspects: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
         self.numbers = itertools.count(1)
@@ -168,6 +181,15 @@
         self.tell(HERE, Decided(event, tuple(fields.items())))
 
 
+def approval_of(lead: Lead, key: StepKey) -> Approval:
+    """Return what is known of a step's approvals."""
+    known = lead.approvals.get(key)
+    if known is None:
+        known = Approval()
+        lead.approvals[key] = known
+    return known
+
+
 def take(lead: Lead) -> tuple[list[Any], list[Tell]]:
     """Return the records and effects since the last call."""
     records, lead.records = lead.records, []
@@ -297,6 +319,7 @@
     stop_runs(lead, job)
     for state in job.steps.values():
         lead.approvals.pop(state.key, None)
+        lead.run_times.pop(state.key, None)
     lead.ended.append((lead.now, job.spec.id))
     if job.state is not JobState.CANCELLED:
         age = round(lead.wall - job.entered.at, 3)
--- a/daisygw/cell/_learning.py
+++ b/daisygw/cell/_learning.py
@@ -1,6 +1,14 @@
 """What a leader learns from ends: run times, fast and failing targets."""
 
-from daisygw.cell._lead import Lead, Ordered, queue_of
+from statistics import median
+
+from daisygw.cell._lead import (
+    UNKNOWN_PACE,
+    Lead,
+    Ordered,
+    Pace,
+    queue_of,
+)
 from daisygw.cell._state import Run, step_of
 from daisygw.contracts import RunEnd
 
@@ -13,6 +21,9 @@
 # A run time counts at most this often the usual one: a straggler says little.
 _MOST_STRETCH = 2
 _MOST_PACE = 4
+# How much the newest pace counts for the usual one, which keeps learned
+# paces from rising together.
+_USUAL_RATE = 0.01
 
 
 def learn(lead: Lead, run: Run, how: RunEnd, ordered: Ordered | None) -> None:
@@ -24,7 +35,9 @@
         return
     suspects.clear()
     if ordered and run.number == 1:
-        _learn_time(lead, run, lead.now - ordered.at)
+        took = lead.now - ordered.at
+        _learn_stretch(lead, run, took)
+        _learn_pace(lead, run, took)
 
 
 def _judge(lead: Lead, life: str, jobs: int) -> None:
@@ -35,15 +48,37 @@
         lead.say('target set aside', target=life, jobs=jobs)
 
 
-def _learn_time(lead: Lead, run: Run, took: float) -> None:
+def _learn_stretch(lead: Lead, run: Run, took: float) -> None:
+    """Learn how far a queue's estimates are off."""
     queue = queue_of(lead, lead.cell.jobs[run.step.job])
     estimate = step_of(lead.cell, run.step).step.estimate
     if queue is None or estimate <= 0:
         return
     usual = lead.stretch.get(queue.name, 1.0)
-    ratio = took / estimate
-    counted = min(ratio, _MOST_STRETCH * usual)
+    counted = min(took / estimate, _MOST_STRETCH * usual)
     lead.stretch[queue.name] = usual + RATE * (counted - usual)
-    pace = lead.pace.get(run.life, 1.0)
-    fresh = min(max(ratio / usual, 1 / _MOST_PACE), _MOST_PACE)
-    lead.pace[run.life] = pace + RATE * (fresh - pace)
+
+
+def _learn_pace(lead: Lead, run: Run, took: float) -> None:
+    """Learn a target's pace from tasks of one step that ran elsewhere.
+
+    Estimates cancel out so.  All members of a gang take as long as the one
+    on its slowest target, which tells nothing of the others.
+    """
+    if step_of(lead.cell, run.step).step.gang:
+        return
+    pace = lead.pace.get(run.life, UNKNOWN_PACE)
+    others = lead.run_times.setdefault(run.step, [])
+    if others:
+        fresh = _beside_usual(lead, took / median(others))
+        rate = max(RATE, 1 / (pace.tasks + 1))
+        factor = pace.factor + rate * (fresh - pace.factor)
+        lead.pace[run.life] = Pace(factor, pace.tasks + 1)
+    others.append(took / pace.factor)
+
+
+def _beside_usual(lead: Lead, pace: float) -> float:
+    """Return a pace against the usual one, which all have on average."""
+    pace = min(max(pace, 1 / _MOST_PACE), _MOST_PACE)
+    lead.usual_pace += _USUAL_RATE * (pace - lead.usual_pace)
+    return pace / lead.usual_pace
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -66,8 +66,7 @@
     if needed and may_ask(lead, waiting):
         targets = suitable(lead, rooms, waiting)
         room = {one.key: room_on(rooms, waiting, one.key) for one in targets}
-        roomy = [one for one in targets if room[one.key]]
-        ask_about(lead, waiting, roomy or targets, room, needed)
+        ask_about(lead, waiting, targets, room, needed)
     return not needed
 
 
--- a/daisygw/cell/_rooms.py
+++ b/daisygw/cell/_rooms.py
@@ -1,6 +1,6 @@
 """What is free on the usable targets, for one pass over the waiting steps."""
 
-from daisygw.cell._lead import Lead, WaitingStep
+from daisygw.cell._lead import UNKNOWN_PACE, Lead, WaitingStep
 from daisygw.cell._state import TargetState, room_of
 from daisygw.contracts import Queue, Size, Step, share_of
 from daisygw.machines import is_sure
@@ -96,6 +96,6 @@
 
 def preference(lead: Lead, target: TargetState) -> tuple[float, float]:
     """Prefer fast targets, then the fullest."""
-    pace = lead.pace.get(target.key, 1.0)
+    pace = lead.pace.get(target.key, UNKNOWN_PACE).factor
     fullness = share_of(target.used, target.life.capacity)
     return (round(pace / _PACE_STEP), -fullness)
--- /dev/null
+++ b/standins/cell_load.py
@@ -0,0 +1,590 @@
+"""A user's load on a cell's decisions: a model of targets, callers, advisors.
+
+It replays arrivals from a seed through the leader's decisions under a given
+clock, without I/O, and tells what became of every job.  ``bench.crest``
+prints the figures; tests replay the loads that a decision answers.
+"""
+
+import heapq
+import itertools
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from functools import partial
+from math import ceil, exp, log, pi, sin
+from random import Random
+from typing import Any
+
+from daisygw.cell import (
+    Cell,
+    Decided,
+    EndsCommitted,
+    Lead,
+    OrderOutcome,
+    Run,
+    StartDone,
+    StartOrder,
+    StopOrder,
+    begin,
+    deadline_of,
+    note_committed,
+    on_advice,
+    on_config_ask,
+    on_holding,
+    on_job_ask,
+    on_report,
+    on_started,
+    on_stopped,
+    pass_time,
+    place_waiting,
+    renewal_of,
+    take,
+)
+from daisygw.contracts import (
+    AdviceAnswer,
+    AdviceAsk,
+    Advisor,
+    CellAnswer,
+    CellConfig,
+    ConfigAsk,
+    JobAsk,
+    JobEntered,
+    JobSpec,
+    JobVerb,
+    Queue,
+    ResultCode,
+    RunEnd,
+    Size,
+    Step,
+    StepKey,
+    longest_chain,
+)
+from daisygw.machines import (
+    ActiveRun,
+    Holding,
+    ListedEnd,
+    TargetLife,
+    TargetReport,
+    life_key,
+)
+
+# A turn of the leader, s: a sync of its disk and the way to a majority.
+TURN = 0.015
+# The way of an order to a target and back, s.
+ORDER_TIME = 0.005
+# The longest wait of a renewal, s.
+HOLD_WAIT = 1.0
+# What a job earns at least, and for its work beside the mean of its kind.
+BASE_WORTH = 0.3
+MOST_WORTH = 4.0
+# Later than its objective it earns less, until this many times of it.
+LATEST = 3
+_MS = 1000
+_HOST = 'host'
+_SERVICE = 'svc'
+# The share of tasks that save checkpoints, and of those that run long.
+_SAVING = 0.5
+_STRAGGLERS = 0.03
+_STRAGGLE = 7
+_CPUS = 64_000
+_MEMORY = 262_144
+# An objective counts a call for advice on so many targets a step.
+_ADVISED = 30
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of job: its rate (1/s), shape, objective and worth.
+
+    ``work`` (s), ``cpus`` (thousandths) and ``memory`` (MiB) are means of
+    one task; ``approved`` is the share of targets that an advisor approves,
+    ``off`` how far estimates are off (the sigma of a log-normal factor).
+    """
+
+    name: str
+    rate: float
+    steps: float
+    width: float
+    work: float
+    cpus: int
+    memory: int
+    gangs: float
+    slack: float
+    latency: float
+    priority: int
+    worth: float
+    late: float
+    advisor: Advisor
+    approved: float
+    attempts: int
+    off: float
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """``factor`` times the usual arrivals of a kind for ``seconds``."""
+
+    kind: str
+    at: float
+    seconds: float
+    factor: float
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a cell is to carry: kinds of jobs, targets, callers of advice."""
+
+    kinds: tuple[Kind, ...]
+    targets: int
+    rack: int
+    callers: int
+    bursts: tuple[Burst, ...] = ()
+    seconds: float = 34.0
+    swing: float = 0.55
+    period: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fate:
+    """What became of a job: ``age`` (s) at its end, none while it waits."""
+
+    kind: str
+    credit: float
+    objective: float
+    code: int
+    age: float | None
+    failed: bool
+
+
+class _Target:
+    """A target of the model: what runs there and what has ended."""
+
+    def __init__(self, life: TargetLife, speed: float) -> None:
+        self.life = life
+        self.speed = speed
+        self.running: dict[tuple[StepKey, int], Run] = {}
+        self.ends: list[ListedEnd] = []
+        self.position = 0
+        self.asked = False
+        self.answer_due = 0.0
+
+
+class World:
+    """A cell's leader under a load."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Begin with all targets known and a configuration in force."""
+        self.load = load
+        self.random = Random(seed)
+        self.now = 100.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.cell = Cell()
+        self.lead = Lead(self.cell, 1, self.now, self.now)
+        self.targets: dict[str, _Target] = {}
+        self.jobs: dict[str, tuple[Kind, JobSpec, float]] = {}
+        self.works: dict[str, list[float]] = {}
+        self.codes: dict[str, int] = {}
+        self.asked: dict[int, str] = {}
+        self.ends: dict[str, tuple[float, bool]] = {}
+        self.callers = [0.0 for _ in range(load.callers)]
+        self.starts = 0
+        self.advice = 0.0
+        begin(self.lead)
+        _configure(self)
+        for number in range(load.targets):
+            _add_target(self, number)
+        _arrivals(self)
+
+
+def _configure(world: World) -> None:
+    queues = tuple(
+        Queue(
+            kind.name,
+            _HOST,
+            f'/{kind.name}/',
+            _SERVICE,
+            3,
+            kind.latency,
+            kind.priority,
+            kind.attempts,
+            kind.slack,
+            kind.advisor,
+        )
+        for kind in world.load.kinds
+    )
+    cfg = CellConfig(1, queues, (_SERVICE,), 1 << 18, b'{}')
+    on_config_ask(world.lead, ConfigAsk(1, cfg), 'operator')
+
+
+def _add_target(world: World, number: int) -> None:
+    name = f't{number}'
+    life = TargetLife(
+        name,
+        int(world.now * _MS),
+        _SERVICE,
+        f'{name}:1',
+        'domain',
+        Size(_CPUS, _MEMORY, 0, 0),
+        'a',
+        f'r{number // world.load.rack}',
+    )
+    speed = world.random.choice((0.55, 1.2, 1.2, 1.2))
+    target = _Target(life, speed)
+    world.targets[life_key(life)] = target
+    on_report(world.lead, TargetReport(0, name, life, 1), 'target')
+
+
+def _later(world: World, delay: float, act: Callable[[], None]) -> None:
+    entry = (world.now + delay, next(world.numbers), act)
+    heapq.heappush(world.events, entry)
+
+
+def _spread(random: Random, mean: float, sigma: float, most: float) -> float:
+    """Return a log-normal figure with that mean, cut at ``most``."""
+    return min(random.lognormvariate(log(mean) - sigma**2 / 2, sigma), most)
+
+
+def _arrives(kind: Kind) -> bool:
+    return kind.rate > 0
+
+
+def _chance(random: Random, share: float) -> bool:
+    return random.random() < share
+
+
+def _arrivals(world: World) -> None:
+    for kind in filter(_arrives, world.load.kinds):
+        most = kind.rate * (1 + world.load.swing)
+        most *= max((burst.factor for burst in world.load.bursts), default=1)
+        at = 0.0
+        while at < world.load.seconds:
+            at += world.random.expovariate(most)
+            if world.random.random() * most < _rate(world.load, kind, at):
+                _later(world, at, _submitting(world, kind))
+
+
+def _rate(load: Load, kind: Kind, at: float) -> float:
+    rate = kind.rate * (1 + load.swing * sin(2 * pi * at / load.period))
+    for burst in load.bursts:
+        if burst.kind == kind.name and 0 <= at - burst.at < burst.seconds:
+            rate *= burst.factor
+    return rate
+
+
+def _submitting(world: World, kind: Kind) -> Callable[[], None]:
+    job = _draw_job(world, kind)
+
+    def submit() -> None:
+        world.jobs[job.id] = (kind, job, world.now)
+        seq = next(world.numbers)
+        world.asked[seq] = job.id
+        ask = JobAsk(seq, JobVerb.SUBMIT, _HOST, f'/{kind.name}/{job.id}', job)
+        on_job_ask(world.lead, ask, 'entry')
+
+    return submit
+
+
+def _draw_job(world: World, kind: Kind) -> JobSpec:
+    random = world.random
+    name = f'{next(world.numbers):016x}'
+    steps = []
+    works = []
+    for number in range(max(round(_spread(random, kind.steps, 0.4, 3)), 1)):
+        work = _spread(random, kind.work, 0.5, 10 * kind.work)
+        works.append(work)
+        cpus = int(_spread(random, kind.cpus, 0.4, 30_000))
+        memory = int(_spread(random, kind.memory, 0.5, 130_000))
+        steps.append(
+            Step(
+                max(round(_spread(random, kind.width, 0.8, 6 * kind.width)), 1),
+                Size(cpus, memory, 0, 0),
+                work * exp(random.gauss(0, kind.off)),
+                (number - 1,) if number else (),
+                gang=_chance(random, kind.gangs),
+                checkpoints=_chance(random, _SAVING),
+            )
+        )
+    world.works[name] = works
+    return JobSpec(name, 'work', tuple(steps))
+
+
+def _work_of(world: World, run: Run) -> float:
+    """Return a task's work (s); all members of a gang work as long."""
+    step = world.jobs[run.step.job][1].steps[run.step.step]
+    work = world.works[run.step.job][run.step.step]
+    index = 0 if step.gang else run.index
+    random = Random(f'{run.step}{index}')
+    if random.random() < _STRAGGLERS:
+        return work * _STRAGGLE
+    return work * random.uniform(0.75, 1.25)
+
+
+def _start(world: World, order: StartOrder) -> None:
+    lead = world.lead
+    deadline = deadline_of(lead, order.run)
+    if deadline is None:
+        return
+    sent = world.now
+    target = world.targets[order.run.life]
+    key = (order.run.step, order.run.index)
+
+    def arrive() -> None:
+        world.starts += 1
+        target.running[key] = order.run
+        lead.now = world.now
+        done = StartDone(order, OrderOutcome.TAKEN, sent)
+        on_started(lead, done)
+        step = world.jobs[order.run.step.job][1].steps[order.run.step.step]
+        if not step.gang or _is_whole(world, order.run, step.count):
+            _run(world, order.run)
+
+    _later(world, ORDER_TIME, arrive)
+
+
+def _members(world: World, run: Run) -> list[Run]:
+    state = world.cell.jobs[run.step.job].steps[
+        run.step.occurrence, run.step.step
+    ]
+    return [
+        one
+        for one in state.runs.values()
+        if world.targets[one.life].running.get((one.step, one.index)) == one
+    ]
+
+
+def _is_whole(world: World, run: Run, count: int) -> bool:
+    return len(_members(world, run)) == count
+
+
+def _run(world: World, run: Run) -> None:
+    """Let a task, or a gang as slow as its slowest target, work."""
+    step = world.jobs[run.step.job][1].steps[run.step.step]
+    runs = _members(world, run) if step.gang else [run]
+    slowest = min(world.targets[one.life].speed for one in runs)
+    for one in runs:
+        took = _work_of(world, one) / slowest
+        _later(world, took, partial(_finish, world, one, RunEnd.DONE))
+
+
+def _finish(world: World, run: Run, how: RunEnd) -> None:
+    target = world.targets[run.life]
+    key = (run.step, run.index)
+    if target.running.get(key) != run:
+        return
+    target.running.pop(key)
+    target.position += 1
+    end = ListedEnd(target.position, *key, run.number, how, '')
+    target.ends.append(end)
+    target.answer_due = min(target.answer_due, world.now + ORDER_TIME)
+
+
+def finish(world: World, run: Run) -> None:
+    """End a run as done, at once."""
+    _finish(world, run, RunEnd.DONE)
+
+
+def entered(job: JobSpec, kind: Kind, at: float) -> JobEntered:
+    """Return the record of an accepted job."""
+    return JobEntered(job, _HOST, f'/{kind.name}/', at)
+
+
+def _stop(world: World, order: StopOrder) -> None:
+    def arrive() -> None:
+        _finish(world, order.run, RunEnd.STOPPED)
+        world.lead.now = world.now
+        on_stopped(world.lead, order.run, OrderOutcome.TAKEN)
+
+    _later(world, ORDER_TIME, arrive)
+
+
+def _hold(world: World, key: str) -> None:
+    """Renew a target's lease; it answers at an end, or after a while."""
+    target = world.targets[key]
+    state = world.cell.targets[key]
+    contact = world.lead.contacts[key]
+    if not target.asked and contact.noted >= state.position:
+        renewal = renewal_of(world.lead, state)
+        while target.ends and target.ends[0].position <= renewal.noted:
+            target.ends.pop(0)
+        target.asked = True
+        wait = 0 if target.ends else renewal.wait
+        target.answer_due = world.now + ORDER_TIME + wait
+    elif target.asked and world.now >= target.answer_due:
+        target.asked = False
+        _answer_hold(world, target, state)
+
+
+def _answer_hold(world: World, target: _Target, state: Any) -> None:
+    active = tuple(
+        ActiveRun(run.step, run.index, run.number, '', 0)
+        for run in target.running.values()
+    )
+    clock = int(world.now * _MS) - target.life.born
+    holding = Holding(target.life.born, clock, active, tuple(target.ends))
+    world.lead.now = world.now
+    on_holding(world.lead, state, holding, world.now - ORDER_TIME)
+
+
+def approves(step: StepKey, name: str, share: float) -> bool:
+    """Tell whether the advisor approves a target for a step."""
+    return Random(f'{step}{name}').random() < share
+
+
+def _advise(world: World, ask: AdviceAsk) -> None:
+    """Let the caller that is free first ask: each asks one at a time."""
+    kind = world.jobs[ask.step.job][0]
+    free, number = min((at, i) for i, at in enumerate(world.callers))
+    until = max(free, world.now) + ask.work
+    world.callers[number] = until
+    world.advice += ask.work
+    tickets = tuple(
+        (name, 't')
+        for name in ask.targets
+        if approves(ask.step, name, kind.approved)
+    )
+
+    def answer() -> None:
+        world.lead.now = world.now
+        on_advice(world.lead, AdviceAnswer(ask.seq, True, tickets))
+
+    _later(world, until - world.now + ORDER_TIME, answer)
+
+
+def _take_effect(world: World, message: Any) -> None:
+    match message:
+        case StartOrder():
+            _start(world, message)
+        case StopOrder():
+            _stop(world, message)
+        case AdviceAsk():
+            _advise(world, message)
+        case EndsCommitted():
+            note_committed(world.lead, message)
+        case Decided('job over', fields):
+            known = dict(fields)
+            failed = known['state'] == 'failed'
+            world.ends[known['id']] = (world.now, failed)
+        case CellAnswer():
+            name = world.asked.pop(message.seq, '')
+            world.codes[name] = message.code
+
+
+def step_on(world: World) -> None:
+    """Let one turn of the leader pass."""
+    world.now += TURN
+    lead = world.lead
+    while world.events and world.events[0][0] <= world.now:
+        heapq.heappop(world.events)[-1]()
+    for key in world.targets:
+        _hold(world, key)
+    pass_time(lead, world.now, world.now)
+    place_waiting(lead)
+    _, tells = take(lead)
+    for tell in tells:
+        _take_effect(world, tell.message)
+
+
+def play(world: World, after: float = 60.0) -> None:
+    """Play the load to its end, and ``after`` (s) without arrivals."""
+    until = world.now + world.load.seconds + after
+    while world.now < until:
+        step_on(world)
+
+
+def _credit(kind: Kind, job: JobSpec, mean: float) -> float:
+    work = _core_seconds(job)
+    part = BASE_WORTH + (1 - BASE_WORTH) * work / mean
+    return min(part, MOST_WORTH)
+
+
+def _core_seconds(job: JobSpec) -> float:
+    return sum(
+        step.count * step.estimate * step.size.cpus for step in job.steps
+    )
+
+
+def fates(world: World) -> Iterator[Fate]:
+    """Yield what became of each job."""
+    means = defaultdict(list)
+    for kind, job, _ in world.jobs.values():
+        means[kind.name].append(_core_seconds(job))
+    for name, (kind, job, at) in world.jobs.items():
+        works = means[kind.name]
+        credit = _credit(kind, job, sum(works) / len(works))
+        over, failed = world.ends.get(name, (None, False))
+        age = None if over is None else over - at
+        true = replace(job, steps=_true_steps(world, job))
+        objective = kind.slack * longest_chain(true.steps) + kind.latency
+        code = world.codes.get(name, 0)
+        yield Fate(kind.name, credit, objective, code, age, failed)
+
+
+def _true_steps(world: World, job: JobSpec) -> tuple[Step, ...]:
+    """Return the steps with what they take on a sound, free cell."""
+    call = world.jobs[job.id][0].advisor
+    advice = call.decision + _ADVISED * call.per_target
+    steps = []
+    for number, step in enumerate(job.steps):
+        key = StepKey(job.id, 0, number)
+        longest = max(
+            _work_of(world, Run(key, index, 1, ''))
+            for index in range(step.count)
+        )
+        waves = _waves(world.load, step)
+        steps.append(replace(step, estimate=longest * waves + advice))
+    return tuple(steps)
+
+
+def _waves(load: Load, step: Step) -> int:
+    """Return how often a step fills a quarter of the room."""
+    room = load.targets * _CPUS / 4
+    return max(ceil(step.count * step.size.cpus / room), 1)
+
+
+def worth(fate: Fate, kind: Kind) -> float:
+    """Return what a job earns."""
+    if fate.age is None or fate.code != ResultCode.ACCEPTED or fate.failed:
+        return 0
+    if fate.age <= fate.objective:
+        return kind.worth * fate.credit
+    return kind.late * fate.credit if fate.age <= LATEST * fate.objective else 0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Shares of a kind's jobs and of its worth."""
+
+    jobs: int
+    refused: float
+    in_time: float
+    late: float
+    earned: float
+
+
+def figures(world: World) -> dict[str, Figures]:
+    """Return the figures by kind, and of all (``''``) for the worth."""
+    known = {kind.name: kind for kind in world.load.kinds}
+    by_kind: dict[str, list[Fate]] = defaultdict(list)
+    for fate in fates(world):
+        by_kind[fate.kind].append(fate)
+    found = {}
+    earned, owed = 0.0, 0.0
+    for name, rows in by_kind.items():
+        kind = known[name]
+        got = sum(worth(fate, kind) for fate in rows)
+        due = sum(kind.worth * fate.credit for fate in rows)
+        earned += got
+        owed += due
+        found[name] = _figures_of(rows, got / due)
+    found[''] = Figures(len(world.jobs), 0, 0, 0, earned / owed)
+    return found
+
+
+def _figures_of(rows: list[Fate], earned: float) -> Figures:
+    refused = sum(fate.code != ResultCode.ACCEPTED for fate in rows)
+    ended = [fate for fate in rows if fate.age is not None]
+    in_time = sum(fate.age <= fate.objective for fate in ended)
+    late = len(ended) - in_time
+    jobs = len(rows)
+    return Figures(jobs, refused / jobs, in_time / jobs, late / jobs, earned)
