Refuse at once while no election can be under way

A leader that hands over left no trace of when it had led, so an entry took itself for not ready at once. Ruled out: a shorter election (a host that restarts may have answered a leader just before, and must not vote for an election time). Change: a question waits for a leader only while one can be elected; callers come back after 1 s. The time of a handover counts as news of a leader.

--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -21,10 +21,13 @@
 # A question that was passed on waits for so long for the next leader, s:
 # what an election takes after the loss was noticed.
 UNKNOWN_WAIT = 0.6
-# When to come back while there is no leader, s: an election's time at first,
-# then that of a restart.
-_SOON = 1.0
-_LATER = 2.0
+# An election is over this long after the leader was heard last, s: the
+# longest wait of a follower, and votes.  Without one a question is refused
+# at once, because nothing tells when there will be a leader.
+_ELECTION_OVER = 1.3
+# When to come back while there is no leader, s: a host that restarts leads
+# within this time, and callers wait for few seconds only.
+_COME_BACK = 1.0
 
 # A link is broken after several pulses that did not come.
 _PULSE = 0.25
@@ -57,6 +60,7 @@
         self.links: dict[str, Link] = {}
         self.leader = ''
         self.term = 0
+        self.led_until = float('-inf')
         self.numbers = itertools.count(1)
         self.open: dict[int, _Question] = {}
         self.decide_here: Callable[[Any], None] | None = None
@@ -97,6 +101,7 @@
     """Take news from ``source`` of who leads; ask it what is open."""
     know(peers, roster.hosts)
     if source == peers.leader and roster.leader != source:
+        peers.led_until = asyncio.get_running_loop().time()
         peers.leader = ''
     if roster.term < peers.term or not roster.leader:
         return
@@ -157,7 +162,7 @@
 def leader_heard(peers: Peers) -> float:
     """Return when the leader was heard last, on the loop's clock (s)."""
     link = peers.links.get(peers.leader)
-    return link.heard if link else float('-inf')
+    return max(link.heard, peers.led_until) if link else peers.led_until
 
 
 def _reaches_leader(peers: Peers) -> bool:
@@ -181,7 +186,7 @@
     while not question.fut.done() and loop.time() < until:
         if _reaches_leader(peers):
             reached = loop.time()
-        elif loop.time() - reached > _longest_wait(question):
+        elif loop.time() - reached >= _longest_wait(peers, question):
             break
         if not question.copies:
             _send(peers, question)
@@ -189,20 +194,21 @@
         await asyncio.wait([question.fut], timeout=min(_LOOK, left))
     if question.fut.done():
         return question.fut.result()
-    return _no_answer(peers, question, seq)
+    return _no_answer(question, seq)
 
 
-def _longest_wait(question: _Question) -> float:
+def _longest_wait(peers: Peers, question: _Question) -> float:
     """Return how long a question waits for a leader in reach (s)."""
-    return UNKNOWN_WAIT if question.copies else NO_LEADER_WAIT
-
-
-def _no_answer(peers: Peers, question: _Question, seq: int) -> CellAnswer:
     if question.copies:
-        return CellAnswer(seq, ResultCode.OUTCOME_UNKNOWN, retry_after=_SOON)
+        return UNKNOWN_WAIT
     lost_for = asyncio.get_running_loop().time() - leader_heard(peers)
-    retry = _SOON if lost_for < _LATER else _LATER
-    return CellAnswer(seq, ResultCode.NO_LEADER, retry_after=retry)
+    return NO_LEADER_WAIT if lost_for < _ELECTION_OVER else 0
+
+
+def _no_answer(question: _Question, seq: int) -> CellAnswer:
+    known = ResultCode.OUTCOME_UNKNOWN
+    code = known if question.copies else ResultCode.NO_LEADER
+    return CellAnswer(seq, code, retry_after=_COME_BACK)
 
 
 @asynccontextmanager
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,11 +1,12 @@
 """Helpers of the tests: cells, calls and what the targets counted."""
 
+import asyncio
 import json
 import subprocess  # noqa: S404  the real command line, as a user runs it
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Generator, Sequence
+from collections.abc import Coroutine, Generator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -120,3 +121,30 @@
     for seen in judged(cell):
         total.update(seen['starts'])
     return total
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps to the next timer: no real waiting."""
+
+    def __init__(self) -> None:
+        """Begin at 100 s."""
+        super().__init__()
+        self._now = 100.0
+
+    def time(self) -> float:
+        """Return the virtual time (s)."""
+        return self._now
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0]._when)
+        super()._run_once()
+
+
+def run_virtually(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on a virtual clock; return what it returns."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
