--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -19,8 +19,9 @@
 # elections; a caller is better told soon when to come back.
 NO_LEADER_WAIT = 0.3
 # A question that was passed on waits for so long for the next leader, s:
-# what an election takes after the loss was noticed.
-UNKNOWN_WAIT = 0.6
+# two elections, because the first may be split, after the loss was noticed.
+# The next leader knows the outcome, and a caller can do little without it.
+UNKNOWN_WAIT = 1.5
 # An election is over this long after the leader was heard last, s: the
 # longest wait of a follower, and votes.  Without one a question is refused
 # at once, because nothing tells when there will be a leader.
--- a/standins/target.py
+++ b/standins/target.py
@@ -199,7 +199,7 @@
     spec = TargetSpec(
         name,
         f'{os.getpid()}-{token_hex(_TOKEN_BYTES)}',
-        f'127.0.0.1:{port}',
+        f'{args.address}:{port}',
         Size(args.cpus, args.memory, args.accelerators, args.slots),
         f'{args.name}-rack{number // args.rack}',
     )
@@ -252,6 +252,7 @@
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--name', default='t')
+    parser.add_argument('--address', default='127.0.0.1', help='an IP')
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--entries', required=True, help='IP:port,IP:port')
     parser.add_argument('--count', type=int, default=1)
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -1,11 +1,13 @@
 """Steps about the parts of a link."""
 
 import asyncio
-from contextlib import suppress
+import socket
+from contextlib import ExitStack, suppress
 
 from behave import then, when
 
 from daisygw.links import running
+from standins.cell import LOOPBACK, free_ports
 
 _LONG = 100
 _MOMENT = 0.2
@@ -48,3 +50,31 @@
 def check_ended(context):
     """It must not go on as if nothing had been said."""
     assert context.ended
+
+
+@when('{count:d} ports for a cell are taken by connections before it listens')
+def take_ports(context, count):
+    """Connect to a server elsewhere on loopback from those port numbers."""
+    context.ports = free_ports(count)
+    with ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        for port in context.ports:
+            conn = stack.enter_context(socket.socket())
+            conn.bind(('127.0.0.1', port))
+            conn.connect(server.getsockname())
+        context.free = [_is_free(port) for port in context.ports]
+
+
+def _is_free(port):
+    with socket.socket() as sock:
+        try:
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            return False
+        return True
+
+
+@then('the cell can listen at all of them')
+def check_free(context):
+    """Look at what could be bound."""
+    assert all(context.free), context.ports
