Send again what did not leave while a leader's lease had lapsed

Change: effects wait for the lease to hold again and are dropped only when the leader is deposed; a start that has not left after 1 s is sent again. Tests: cell.feature (effects lost for a second; also one of the random faults), group.feature (late answers after a pause); both fail without.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -259,6 +259,15 @@
     return [name for name in soak.accepted if not _is_over(soak, name)]
 
 
+def _keep(cell: PlatformCell, seed: int, rows) -> None:
+    """Keep the logs of a run that broke something, and what ran."""
+    kept = Path('run') / f'soak-{seed}'
+    kept.mkdir(parents=True, exist_ok=True)
+    for path in cell.folder.glob('*.log'):
+        shutil.copy(path, kept)
+    (kept / 'history.json').write_text(json.dumps(rows))
+
+
 def run(seed: int, seconds: float) -> Verdict:
     """Play one seed, then wait for a calm end and judge."""
     with (
@@ -277,7 +286,9 @@
         if shown < soak.stored:
             broken.append(f'configuration {shown}, stored {soak.stored}')
         rows = cells.history(cell)
-    broken += [*doubled(rows), *overfull(rows)]
+        broken += [*doubled(rows), *overfull(rows)]
+        if broken:
+            _keep(cell, seed, rows)
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
     jobs = len(soak.accepted)
     return Verdict(seed, jobs, dict(soak.faults), repeated, tuple(broken))
--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -42,6 +42,9 @@
 # An earlier leader's grants end this long after its longest lease, s: the
 # drift of a target's clock (2 %) and a margin for a reading.
 _INHERITED_MARGIN = 0.7
+# A start that has not left after this long was lost on its way out, s: many
+# times a commit; a pause of the process may have come between.
+START_LOST = 1.0
 # The name under which an effect is carried out by the leader's own process.
 HERE = ''
 # Older entries of a job's age come from clocks that jumped, s.
@@ -95,15 +98,17 @@
     target's (ms): a copy that arrives later is refused there.
     """
 
-    def __init__(self, run: Run, at: float) -> None:
-        """Begin unsent."""
+    def __init__(
+        self, run: Run, at: float, start: StartOrder | None = None
+    ) -> None:
+        """Begin unsent; ``start`` is sent again if it does not leave soon."""
         self.run = run
         self.at = at
+        self.start = start
+        self.start_due = at + START_LOST if start else float('inf')
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
-        self.repeat: StartOrder | None = None
-        self.repeat_due = float('inf')
         self.stop_due = float('inf')
         self.barred = float('inf')
 
--- a/daisygw/cell/_placing.py
+++ b/daisygw/cell/_placing.py
@@ -176,11 +176,12 @@
 ) -> None:
     """Order a start that is in the log."""
     run = waiting.state.runs[index]
-    lead.orders[run.step, index] = Ordered(run, lead.now)
     ticket, _ = known_tickets(lead, waiting).get(life, ('', 0))
     payload = waiting.job.spec.payload
     saved = waiting.state.saved.get(index, '')
-    lead.tell(HERE, StartOrder(run, payload, saved, ticket))
+    start = StartOrder(run, payload, saved, ticket)
+    lead.orders[run.step, index] = Ordered(run, lead.now, start)
+    lead.tell(HERE, start)
 
 
 def _reserve(lead: Lead, rooms: Rooms, waiting: WaitingStep) -> None:
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -9,6 +9,7 @@
 
 from daisygw.cell._lead import (
     HERE,
+    START_LOST,
     EndsCommitted,
     Lead,
     Ordered,
@@ -225,6 +226,7 @@
     if not ordered.deadline:
         lease = lease_for(lead, lead.cell.targets[run.life])
         ordered.deadline = grant(contact, lead.now, lease)
+    ordered.start_due = float('inf')
     return ordered.deadline
 
 
@@ -386,8 +388,7 @@
         return
     if contact.seen < done.sent:
         _doubt(lead, contact, done)
-    ordered.repeat = done.order
-    ordered.repeat_due = max(lead.now, done.sent + START_AGAIN)
+    ordered.start_due = max(lead.now, done.sent + START_AGAIN)
 
 
 def _doubt(lead: Lead, contact: Contact, done: StartDone) -> None:
@@ -416,9 +417,9 @@
         if now >= ordered.stop_due:
             ordered.stop_due = now + STOP_AGAIN
             lead.tell(HERE, StopOrder(ordered.run))
-        elif now >= ordered.repeat_due:
-            ordered.repeat_due = float('inf')
-            lead.tell(HERE, ordered.repeat)
+        elif now >= ordered.start_due:
+            ordered.start_due = now + START_LOST
+            lead.tell(HERE, ordered.start)
     for target in list(lead.cell.targets.values()):
         _review(lead, target)
 
--- a/daisygw/links/_group.py
+++ b/daisygw/links/_group.py
@@ -111,6 +111,7 @@
 
 
 def _on_deposed(group: Group) -> None:
+    group.dropped += len(group.held)
     group.held.clear()
     group.snapshot = None
     group.machine.deposed()
@@ -131,13 +132,17 @@
 
 
 def _release(group: Group, now: float, outlet: Outlet) -> None:
+    """Let out what is committed, while this replica surely leads.
+
+    What was decided before a pause waits for the lease to hold again: the
+    state says that it was done.  Once deposed, it is dropped.
+    """
     commit = group.replica.commit
     while group.held and group.held[0][0] <= commit:
+        if not has_authority(group.replica, now):
+            return
         _, tell = group.held.popleft()
-        if has_authority(group.replica, now):
-            outlet.tell(tell)
-        else:
-            group.dropped += 1
+        outlet.tell(tell)
 
 
 def _carry_out(group: Group, effect: Any, outlet: Outlet, now: float) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -96,6 +96,7 @@
         self.cut: set[str] = set()
         self.draining: set[str] = set()
         self.lost = 0.0
+        self.loses_until = 0.0
         self.late = 0.0
         self.faulty: set[str] = set()
         self.cell = Cell()
@@ -389,6 +390,8 @@
     _, tells = take(world.lead)
     for tell in tells:
         message = tell.message
+        if world.now < world.loses_until and not tell.at_once:
+            continue
         match message:
             case StartOrder():
                 _start(world, message)
@@ -506,6 +509,8 @@
         world.lost = random.choice((0, 0.05))
     elif chance < 0.08 and world.jobs:
         cancel(world, random.choice(list(world.jobs)))
+    elif chance < 0.085:
+        world.loses_until = world.now + random.uniform(0, 1)
     elif chance < 0.09 and name not in world.workers:
         add_worker(world, name)
 
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -107,3 +107,8 @@
     Given a cell of one target that takes leases of 10 s
     When it is cut off with a task running and the leader changes
     Then no task runs twice at a time, and it runs elsewhere in the end
+
+  Scenario: A start that never left the leader is sent again
+    Given a cell of one target
+    When a job of 3 tasks is handed in and all that leaves the leader is lost for a second
+    Then each of its tasks ran once
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -55,3 +55,11 @@
     And it has a question to ask and an answer to give
     When it carries out its turn with both peers answering
     Then the question has left and the answer has not
+
+  Scenario: What was decided before a pause leaves once the lease holds again
+    Given a group with a disk whose leader has decided something
+    And it has a question to ask and an answer to give
+    When it carries out its turn with both peers answering
+    And it pauses, and late answers of its peers commit the turn
+    Then the question has left and the answer has not
+    And the answer leaves once they answer its heartbeat
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -379,3 +379,15 @@
     """Judge the history."""
     cell_world.check_history(context.world)
     assert not cell_world.all_over(context.world)
+
+
+@when(
+    'a job of {count:d} tasks is handed in and all that leaves the leader is '
+    'lost for a second'
+)
+def hand_in_mute(context, count):
+    """Let advice come first, so that the starts are lost."""
+    world = context.world
+    submit(world, _job(1, count))
+    world.loses_until = world.now + 1
+    run_for(world, 30)
--- a/tests/steps/group_steps.py
+++ b/tests/steps/group_steps.py
@@ -523,3 +523,28 @@
 def check_told(context):
     """Look at what was let out."""
     assert context.told == ['question'], context.told
+
+
+def _answer_all(context, stamp, now):
+    replica = context.group.replica
+    last = last_index(replica)
+    for name in ('b#1', 'c#1'):
+        reply = AppendReply(
+            'g', name, 'a#1', replica.term, True, last, 0, stamp
+        )
+        receive(replica, reply, now)
+    carry_out(context.group, now, context.outlet)
+    assert replica.commit == last
+
+
+@when('it pauses, and late answers of its peers commit the turn')
+def pause(context):
+    """Let answers to what it sent before the pause arrive after it."""
+    _answer_all(context, 1.1, 9)
+
+
+@then('the answer leaves once they answer its heartbeat')
+def check_released(context):
+    """Let answers to a message sent after the pause arrive."""
+    _answer_all(context, 9, 9.1)
+    assert context.told == ['question', 'answer'], context.told
