Split the load model: types, world, figures

Cause: one module of 590 lines with three jobs. Change: standins/load_types.py, cell_load.py, cell_figures.py; no behaviour. Conclusion: none.

--- a/bench/crest.py
+++ b/bench/crest.py
@@ -10,7 +10,8 @@
 import sys
 from dataclasses import asdict
 
-from standins.cell_load import World, figures, play
+from standins.cell_figures import figures
+from standins.cell_load import World, play
 from standins.cell_loads import LOADS
 
 
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -7,11 +7,9 @@
 
 import heapq
 import itertools
-from collections import defaultdict
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from collections.abc import Callable
 from functools import partial
-from math import ceil, exp, log, pi, sin
+from math import exp, log, pi, sin
 from random import Random
 from typing import Any
 
@@ -43,7 +41,6 @@
 from daisygw.contracts import (
     AdviceAnswer,
     AdviceAsk,
-    Advisor,
     CellAnswer,
     CellConfig,
     ConfigAsk,
@@ -52,12 +49,10 @@
     JobSpec,
     JobVerb,
     Queue,
-    ResultCode,
     RunEnd,
     Size,
     Step,
     StepKey,
-    longest_chain,
 )
 from daisygw.machines import (
     ActiveRun,
@@ -67,6 +62,7 @@
     TargetReport,
     life_key,
 )
+from standins.load_types import Kind, Load
 
 # A turn of the leader, s: a sync of its disk and the way to a majority.
 TURN = 0.015
@@ -74,11 +70,6 @@
 ORDER_TIME = 0.005
 # The longest wait of a renewal, s.
 HOLD_WAIT = 1.0
-# What a job earns at least, and for its work beside the mean of its kind.
-BASE_WORTH = 0.3
-MOST_WORTH = 4.0
-# Later than its objective it earns less, until this many times of it.
-LATEST = 3
 _MS = 1000
 _HOST = 'host'
 _SERVICE = 'svc'
@@ -86,74 +77,8 @@
 _SAVING = 0.5
 _STRAGGLERS = 0.03
 _STRAGGLE = 7
-_CPUS = 64_000
+CPUS = 64_000
 _MEMORY = 262_144
-# An objective counts a call for advice on so many targets a step.
-_ADVISED = 30
-
-
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """One kind of job: its rate (1/s), shape, objective and worth.
-
-    ``work`` (s), ``cpus`` (thousandths) and ``memory`` (MiB) are means of
-    one task; ``approved`` is the share of targets that an advisor approves,
-    ``off`` how far estimates are off (the sigma of a log-normal factor).
-    """
-
-    name: str
-    rate: float
-    steps: float
-    width: float
-    work: float
-    cpus: int
-    memory: int
-    gangs: float
-    slack: float
-    latency: float
-    priority: int
-    worth: float
-    late: float
-    advisor: Advisor
-    approved: float
-    attempts: int
-    off: float
-
-
-@dataclass(frozen=True, slots=True)
-class Burst:
-    """``factor`` times the usual arrivals of a kind for ``seconds``."""
-
-    kind: str
-    at: float
-    seconds: float
-    factor: float
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """What a cell is to carry: kinds of jobs, targets, callers of advice."""
-
-    kinds: tuple[Kind, ...]
-    targets: int
-    rack: int
-    callers: int
-    bursts: tuple[Burst, ...] = ()
-    seconds: float = 34.0
-    swing: float = 0.55
-    period: float = 15.0
-
-
-@dataclass(frozen=True, slots=True)
-class Fate:
-    """What became of a job: ``age`` (s) at its end, none while it waits."""
-
-    kind: str
-    credit: float
-    objective: float
-    code: int
-    age: float | None
-    failed: bool
 
 
 class _Target:
@@ -225,7 +150,7 @@
         _SERVICE,
         f'{name}:1',
         'domain',
-        Size(_CPUS, _MEMORY, 0, 0),
+        Size(CPUS, _MEMORY, 0, 0),
         'a',
         f'r{number // world.load.rack}',
     )
@@ -309,7 +234,7 @@
     return JobSpec(name, 'work', tuple(steps))
 
 
-def _work_of(world: World, run: Run) -> float:
+def work_of(world: World, run: Run) -> float:
     """Return a task's work (s); all members of a gang work as long."""
     step = world.jobs[run.step.job][1].steps[run.step.step]
     work = world.works[run.step.job][run.step.step]
@@ -363,7 +288,7 @@
     runs = _members(world, run) if step.gang else [run]
     slowest = min(world.targets[one.life].speed for one in runs)
     for one in runs:
-        took = _work_of(world, one) / slowest
+        took = work_of(world, one) / slowest
         _later(world, took, partial(_finish, world, one, RunEnd.DONE))
 
 
@@ -490,101 +415,3 @@
     until = world.now + world.load.seconds + after
     while world.now < until:
         step_on(world)
-
-
-def _credit(kind: Kind, job: JobSpec, mean: float) -> float:
-    work = _core_seconds(job)
-    part = BASE_WORTH + (1 - BASE_WORTH) * work / mean
-    return min(part, MOST_WORTH)
-
-
-def _core_seconds(job: JobSpec) -> float:
-    return sum(
-        step.count * step.estimate * step.size.cpus for step in job.steps
-    )
-
-
-def fates(world: World) -> Iterator[Fate]:
-    """Yield what became of each job."""
-    means = defaultdict(list)
-    for kind, job, _ in world.jobs.values():
-        means[kind.name].append(_core_seconds(job))
-    for name, (kind, job, at) in world.jobs.items():
-        works = means[kind.name]
-        credit = _credit(kind, job, sum(works) / len(works))
-        over, failed = world.ends.get(name, (None, False))
-        age = None if over is None else over - at
-        true = replace(job, steps=_true_steps(world, job))
-        objective = kind.slack * longest_chain(true.steps) + kind.latency
-        code = world.codes.get(name, 0)
-        yield Fate(kind.name, credit, objective, code, age, failed)
-
-
-def _true_steps(world: World, job: JobSpec) -> tuple[Step, ...]:
-    """Return the steps with what they take on a sound, free cell."""
-    call = world.jobs[job.id][0].advisor
-    advice = call.decision + _ADVISED * call.per_target
-    steps = []
-    for number, step in enumerate(job.steps):
-        key = StepKey(job.id, 0, number)
-        longest = max(
-            _work_of(world, Run(key, index, 1, ''))
-            for index in range(step.count)
-        )
-        waves = _waves(world.load, step)
-        steps.append(replace(step, estimate=longest * waves + advice))
-    return tuple(steps)
-
-
-def _waves(load: Load, step: Step) -> int:
-    """Return how often a step fills a quarter of the room."""
-    room = load.targets * _CPUS / 4
-    return max(ceil(step.count * step.size.cpus / room), 1)
-
-
-def worth(fate: Fate, kind: Kind) -> float:
-    """Return what a job earns."""
-    if fate.age is None or fate.code != ResultCode.ACCEPTED or fate.failed:
-        return 0
-    if fate.age <= fate.objective:
-        return kind.worth * fate.credit
-    return kind.late * fate.credit if fate.age <= LATEST * fate.objective else 0
-
-
-@dataclass(frozen=True, slots=True)
-class Figures:
-    """Shares of a kind's jobs and of its worth."""
-
-    jobs: int
-    refused: float
-    in_time: float
-    late: float
-    earned: float
-
-
-def figures(world: World) -> dict[str, Figures]:
-    """Return the figures by kind, and of all (``''``) for the worth."""
-    known = {kind.name: kind for kind in world.load.kinds}
-    by_kind: dict[str, list[Fate]] = defaultdict(list)
-    for fate in fates(world):
-        by_kind[fate.kind].append(fate)
-    found = {}
-    earned, owed = 0.0, 0.0
-    for name, rows in by_kind.items():
-        kind = known[name]
-        got = sum(worth(fate, kind) for fate in rows)
-        due = sum(kind.worth * fate.credit for fate in rows)
-        earned += got
-        owed += due
-        found[name] = _figures_of(rows, got / due)
-    found[''] = Figures(len(world.jobs), 0, 0, 0, earned / owed)
-    return found
-
-
-def _figures_of(rows: list[Fate], earned: float) -> Figures:
-    refused = sum(fate.code != ResultCode.ACCEPTED for fate in rows)
-    ended = [fate for fate in rows if fate.age is not None]
-    in_time = sum(fate.age <= fate.objective for fate in ended)
-    late = len(ended) - in_time
-    jobs = len(rows)
-    return Figures(jobs, refused / jobs, in_time / jobs, late / jobs, earned)
--- a/standins/cell_loads.py
+++ b/standins/cell_loads.py
@@ -1,7 +1,7 @@
 """The users' loads on a cell, as their sheets give them."""
 
 from daisygw.contracts import Advisor
-from standins.cell_load import Burst, Kind, Load
+from standins.load_types import Burst, Kind, Load
 
 _VALIDITY = 2.0
 _OBRAPASE_VALIDITY = 1.5
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -16,8 +16,10 @@
     StepKey,
 )
 from standins import cell_load
-from standins.cell_load import Kind, Load, World, figures, play, step_on
+from standins.cell_figures import figures
+from standins.cell_load import World, play, step_on
 from standins.cell_loads import LOADS
+from standins.load_types import Kind, Load
 
 _THIRD = Size(20_000, 60_000, 0, 0)
 _ADVISOR = Advisor(0.7, 0.01, 2.0)
