Hold back a flood by what it wants, not by what it holds

Cause: a team far over its share was held back only while it held over twice its share.

Change: a team over its share is held back if what it holds and waits for is over twice its share; headroom 12 % in place of 8 %.

--- a/bench/waits.py
+++ b/bench/waits.py
@@ -296,11 +296,11 @@
     return {'share_to_fast_targets': round(fast / len(late), 3)}
 
 
-def fairness(policy: Policy) -> dict[str, float]:
+def fairness(policy: Policy, seed: int = 5) -> dict[str, float]:
     """One team at 10 times its share beside 19 others."""
     slots = 192
 
-    def others(seed: int) -> list[Planned]:
+    def others() -> list[Planned]:
         work = []
         for number in range(1, 20):
             work += arrivals(
@@ -315,9 +315,9 @@
 
     figures = {}
     for name, factor in (('alone_s', 0.04), ('beside_s', 0.4)):
-        greedy = arrivals(5, 'greedy', slots * factor / 0.2, (0, 10), 0.2)
+        greedy = arrivals(seed, 'greedy', slots * factor / 0.2, (0, 10), 0.2)
         opened = replace(policy, admission='open')
-        play = Play(_cell(opened), [*others(5), *greedy], even)
+        play = Play(_cell(opened), [*others(), *greedy], even)
         run_play(play, 12)
         waits = sorted(
             one.wait
--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -43,7 +43,7 @@
     max_wait: Waits = Waits()
     short_run: float = 1
     short_share: float = 0.25
-    headroom: float = 0.08
+    headroom: float = 0.12
     gang_patience: float = 1
     retries: int = 3
     retry_share: float = 0.2
--- a/daisygw/zones/_placing.py
+++ b/daisygw/zones/_placing.py
@@ -79,7 +79,7 @@
     team: str,
     blocked: list[Size],
 ) -> bool:
-    if name != URGENT and _is_greedy(lead, team):
+    if name != URGENT and _is_greedy(lead, name, team):
         return False
     jobs = list(islice(lead.lanes.by_name[name].teams[team], _LOOK_INTO))
     for waiting in jobs:
@@ -104,18 +104,31 @@
         blocked.append(waiting.size)
 
 
-def _is_greedy(lead: Leadership, team: str) -> bool:
-    """Tell whether a team is far over its share while little is free.
+def _is_greedy(lead: Leadership, name: str, team: str) -> bool:
+    """Tell whether a team wants far more than its share while little is free.
 
     The last part of the slots is kept for the other teams that run work, so
-    that one team's flood does not make them wait.
+    that one team's flood does not make them wait.  What a team wants is what
+    it holds and what it waits for; a team at its share is never held back.
     """
     capacity = lead.books.capacity.slots
     held = lead.books.held.slots
-    alone = lead.books.register.held[team].slots == held
-    if alone or capacity - held >= capacity * lead.policy.headroom:
+    mine = lead.books.register.held[team].slots
+    if mine == held or capacity - held >= capacity * lead.policy.headroom:
         return False
-    return _rank(lead, team) * lead.weights > _GREEDY
+    share = _rank(lead, team) * lead.weights
+    return share > _GREEDY or (share > 1 and _wants(lead, name, team, share))
+
+
+def _wants(lead: Leadership, name: str, team: str, share: float) -> bool:
+    """Tell whether what a team holds and waits for is far over its share."""
+    mine = lead.books.register.held[team].slots
+    missing = mine * (_GREEDY / share - 1)
+    for waiting in lead.lanes.by_name[name].teams[team]:
+        missing -= waiting.size.slots * len(waiting.indexes)
+        if missing < 0:
+            return True
+    return False
 
 
 def _may_hold(lead: Leadership, name: str, waiting: Waiting) -> bool:
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -30,6 +30,17 @@
     When the arrivals "fairness" are played
     Then beside_s is at most 1.5 times alone_s
 
+  Scenario Outline: The same with other luck
+    When the arrivals "fairness" are played with seed <seed>
+    Then beside_s is at most 1.5 times alone_s
+
+    Examples:
+      | seed |
+      | 6    |
+      | 7    |
+      | 8    |
+      | 9    |
+
   Scenario: Candidates looked at do not grow with the workers
     When 1000 tasks are placed on 24, 290 and 2900 workers
     Then as many candidates are looked at in a decision, whatever the workers
--- a/tests/steps/decisions_steps.py
+++ b/tests/steps/decisions_steps.py
@@ -39,6 +39,12 @@
     context.figures = played(name)
 
 
+@when('the arrivals "{name}" are played with seed {seed:d}')
+def play_seeded(context, name, seed):
+    """Play them under the present policy, with other luck."""
+    context.figures = getattr(waits, name)(waits.PRESENT, seed)
+
+
 @then('{figure} is at most {times:g} times {other}')
 def check_times(context, figure, times, other):
     """Compare two figures."""
