Hand out no port twice, tell why a cell is not up, print failures last

Cause: a cell's ports are found, let go, and opened later by its processes. The next ports that are asked for (relays, targets) could be the same; then a process of the cell could not listen. It may be the known red "a cell of the first program comes up in time"; that stays open until a play shows it, as its logs were gone.

Change: ports that were handed out are not handed out again by a process; a cell that is not up in time raises what each of its processes shows, and keeps the logs in run/.

--- a/bench/cells.py
+++ b/bench/cells.py
@@ -23,11 +23,10 @@
     RunningCell,
     domains_of,
     fetch,
-    is_serving,
     plan_cell,
     running_cell,
     start_targets,
-    wait_until,
+    wait_serving,
 )
 from standins.load import Arrival, Record, run_load
 
@@ -290,7 +289,7 @@
             for domain in domains_of(plan):
                 start_targets(cell, domain, user.targets)
             total = user.targets * len(user.domains)
-            wait_until(lambda: is_serving(cell, total), _UP_WAIT, 'the cell')
+            wait_serving(cell, total, _UP_WAIT)
             _control(cell, user, policy)
             _learn(cell, slots)
             _throughput(cell, user, policy)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,7 +12,6 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 from types import MappingProxyType
 
@@ -38,11 +37,10 @@
 from standins.cell import (
     call,
     fetch,
-    is_serving,
     plan_cell,
     running_cell,
     start_targets,
-    wait_until,
+    wait_serving,
 )
 
 _MICRO = 1_000_000
@@ -212,8 +210,7 @@
                 for name in names if targets else ():
                     start_targets(cell, name, targets)
                 total = domains * targets
-                serving = partial(is_serving, cell, total)
-                wait_until(serving, _UP_WAIT, 'the cell')
+                wait_serving(cell, total, _UP_WAIT)
                 time.sleep(2)
                 _idle_figures(plan.hosts[0].entry, domains, targets)
 
@@ -245,7 +242,7 @@
     with tempfile.TemporaryDirectory() as folder:
         plan = plan_cell('r', ('d0', 'd1', 'd2'), quick=False)
         with running_cell(plan, Path(folder)) as cell:
-            wait_until(lambda: is_serving(cell, 0), _UP_WAIT, 'the cell')
+            wait_serving(cell, 0, _UP_WAIT)
             _changes(cell)
 
 
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -6,10 +6,12 @@
 
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess  # noqa: S404  the cell's own processes, from outside it
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -25,6 +27,12 @@
 _LOOK = 0.05
 _STOP_WAIT = 30
 _QUICK = {'heartbeat': 0.05, 'election': 0.5}
+# Lines of a process's log that are shown when its cell is not up in time.
+_LAST_LINES = 3
+# Where the logs of a cell that was not up in time are kept.
+_KEPT = Path('run')
+# Ports that were handed out: a process of a cell opens its own only later.
+_given: set[int] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +58,16 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that the operating system says are free now."""
+    """Return ports that are free now and were not handed out before."""
     with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
             sock = stack.enter_context(socket.socket())
             sock.bind((LOOPBACK, 0))
-            ports.append(sock.getsockname()[1])
+            port = sock.getsockname()[1]
+            if port not in _given:
+                ports.append(port)
+        _given.update(ports)
         return ports
 
 
@@ -233,16 +244,21 @@
     """Return the first of ``count`` free ports in a row."""
     while True:
         first = free_ports(1)[0]
-        with ExitStack() as stack:
-            try:
-                for port in range(first, first + count):
-                    sock = stack.enter_context(socket.socket())
-                    sock.bind((LOOPBACK, port))
-            except (OSError, OverflowError):
-                continue
+        others = range(first + 1, first + count)
+        if _given.isdisjoint(others) and all(map(_is_free, others)):
+            _given.update(others)
             return first
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((LOOPBACK, port))
+        except (OSError, OverflowError):
+            return False
+        return True
+
+
 def call(
     address: str,
     path: str,
@@ -296,6 +312,36 @@
     return True
 
 
+def wait_serving(cell: RunningCell, targets: int, seconds: float) -> None:
+    """Wait until ``is_serving``; else keep the logs, and raise with them."""
+    try:
+        wait_until(lambda: is_serving(cell, targets), seconds, 'the cell')
+    except TimeoutError as exc:
+        kept = Path(tempfile.mkdtemp(prefix='cell-', dir=_kept_folder()))
+        for process in cell.processes.values():
+            shutil.copy(process.log, kept)
+        raise TimeoutError(f'{exc}: {_standing(cell)}; {kept}') from exc
+
+
+def _kept_folder() -> Path:
+    _KEPT.mkdir(exist_ok=True)
+    return _KEPT
+
+
+def _standing(cell: RunningCell) -> str:
+    """Tell how each process of a cell that is not up stands."""
+    told = []
+    for name, process in cell.processes.items():
+        code = process.popen.poll()
+        last = process.log.read_text(errors='replace').splitlines()
+        shown = ' / '.join(last[-_LAST_LINES:])
+        told.append(f'{name} {"runs" if code is None else code}: {shown}')
+    for host in cell.plan.hosts:
+        views = fetch(host.entry, '/v1/views/targets')
+        told.append(f'{host.entry} sees {views}')
+    return '\n'.join(told)
+
+
 def send_signal(cell: RunningCell, name: str, number: int) -> None:
     """Send a signal to a process of the cell."""
     process = cell.processes[name]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,12 +18,11 @@
     RunningCell,
     domains_of,
     fetch,
-    is_serving,
     plan_cell,
     running_cell,
     start_targets,
     stop_cell,
-    wait_until,
+    wait_serving,
 )
 
 _DOMAINS = ('santander', 'oviedo', 'bilbao')
@@ -172,7 +171,7 @@
         for domain in domains_of(plan):
             start_targets(cell, domain, _TARGETS_EACH)
         targets = len(plan.hosts) // 2 * _TARGETS_EACH
-        wait_until(lambda: is_serving(cell, targets), _UP_WAIT, 'the cell')
+        wait_serving(cell, targets, _UP_WAIT)
         _say(f'{len(cell.processes)} processes are up')
         faults = []
         for number, step in enumerate(STEPS):
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -13,6 +13,9 @@
 from standins.platform_cell import running_cell
 from tests.utils import known_red, small_cell
 
+# What is repeated of a failure before the count (characters).
+_TOLD = 2000
+
 
 @fixture
 def one_cell(context: Any) -> Iterator[Any]:
@@ -36,6 +39,7 @@
 def before_all(context: Any) -> None:
     """Begin the count."""
     context.counted = Counter()
+    context.failures = []
     context.red = known_red()
 
 
@@ -64,11 +68,23 @@
         context.counted['passed'] += 1
     else:
         context.counted['failed'] += 1
+        context.failures.append(_failure(scenario))
+
+
+def _failure(scenario: Scenario) -> str:
+    """Return where a scenario failed, and the end of what was said."""
+    told = [f'FAILED {scenario.location} {scenario.name}']
+    for step in scenario.steps:
+        if step.error_message:
+            told.append(f'{step.name}: {step.error_message[-_TOLD:]}')
+    return '\n'.join(told)
 
 
 def after_all(context: Any) -> None:
     """Print the closing line that CI reads."""
     counted = context.counted
+    for failure in context.failures:
+        sys.__stdout__.write(f'\n{failure}\n')
     line = f'{counted["passed"]} passed, {counted["failed"]} failed'
     if counted['skipped']:
         line = f'{line}, {counted["skipped"]} skipped'
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -7,3 +7,11 @@
   Scenario: Connections on loopback take no port that a cell is given
     When 5 ports for a cell are taken by connections before it listens
     Then the cell can listen at all of them
+
+  Scenario: A port that was handed out is not handed out again
+    When 400 ports are asked for 10 times
+    Then no port was given twice
+
+  Scenario: A cell that is not up in time tells why
+    When a cell waits for a target that is never started
+    Then what it raises names each process, and its logs are kept
--- a/tests/steps/guarantee_steps.py
+++ b/tests/steps/guarantee_steps.py
@@ -16,10 +16,10 @@
     domains_of,
     fetch,
     hosts_in,
-    is_serving,
     plan_cell,
     start_targets,
     stop_process,
+    wait_serving,
     wait_until,
 )
 from standins.load import Arrival, Record, Reply, run_load
@@ -46,7 +46,7 @@
                 start_targets(cell, domain, targets - 1)
             start_targets(cell, domains[0], 1, name='lone')
             total = (targets - 1) * len(domains) + 1
-            wait_until(lambda: is_serving(cell, total), _UP_WAIT, 'the cell')
+            wait_serving(cell, total, _UP_WAIT)
             yield Trial(cell, network)
 
 
@@ -324,7 +324,7 @@
     wipe_host(cell, hosts_in(cell.plan, 'santander')[number].name)
     wait_until(lambda: _is_repaired(cell), _REPAIR_WAIT, 'the repair')
     total = 2 * len(domains_of(cell.plan))
-    wait_until(lambda: is_serving(cell, total), _UP_WAIT, 'the cell')
+    wait_serving(cell, total, _UP_WAIT)
 
 
 @when('a host of santander loses its memory, and is repaired')
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -1,13 +1,22 @@
 """Steps about the parts of a link."""
 
 import asyncio
+import shutil
 import socket
+import tempfile
 from contextlib import ExitStack, suppress
+from pathlib import Path
 
 from behave import then, when
 
 from daisygw.links import running
-from standins.cell import LOOPBACK, free_ports
+from standins.cell import (
+    LOOPBACK,
+    free_ports,
+    plan_cell,
+    running_cell,
+    wait_serving,
+)
 
 _LONG = 100
 _MOMENT = 0.2
@@ -78,3 +87,37 @@
 def check_free(context):
     """Look at what could be bound."""
     assert all(context.free), context.ports
+
+
+@when('{count:d} ports are asked for {times:d} times')
+def ask_often(context, count, times):
+    """None of them is listened at between."""
+    context.ports = [one for _ in range(times) for one in free_ports(count)]
+
+
+@then('no port was given twice')
+def check_once(context):
+    """A process that starts slowly would lose its port to another."""
+    assert len(set(context.ports)) == len(context.ports)
+
+
+@when('a cell waits for a target that is never started')
+def wait_in_vain(context):
+    """Give it the least time."""
+    with tempfile.TemporaryDirectory() as folder:
+        plan = plan_cell('norte', ('santander',))
+        with running_cell(plan, Path(folder)) as cell:
+            context.names = sorted(cell.processes)
+            try:
+                wait_serving(cell, 1, 0)
+            except TimeoutError as exc:
+                context.told = str(exc)
+
+
+@then('what it raises names each process, and its logs are kept')
+def check_told(context):
+    """The last line says where the logs are."""
+    kept = Path(context.told.rpartition('; ')[2])
+    assert all(name in context.told for name in context.names), context.told
+    assert sorted(one.stem for one in kept.iterdir()) == context.names
+    shutil.rmtree(kept)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -17,11 +17,10 @@
     call,
     domains_of,
     fetch,
-    is_serving,
     plan_cell,
     running_cell,
     start_targets,
-    wait_until,
+    wait_serving,
 )
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -84,7 +83,7 @@
         for domain in domains_of(plan):
             start_targets(cell, domain, targets)
         total = targets * len(domains_of(plan))
-        wait_until(lambda: is_serving(cell, total), _UP_WAIT, 'the cell')
+        wait_serving(cell, total, _UP_WAIT)
         yield cell
 
 
