--- a/bench/core.py
+++ b/bench/core.py
@@ -1,4 +1,4 @@
-"""A decision core by itself: books and a leader, with a clock given to it."""
+"""A decision core: replicated state and a leader, its clock given to it."""
 
 from dataclasses import dataclass, replace
 from random import Random
@@ -17,8 +17,8 @@
 )
 from daisygw.machines import Announcement, RunningAttempt, TargetSpec
 from daisygw.zones import (
-    Books,
     Leadership,
+    ReplicatedState,
     begin,
     entry_up,
     finish_turn,
@@ -45,7 +45,7 @@
 
 
 class Core:
-    """A leader over books, the orders it gave, and its clock."""
+    """A leader over replicated, the orders it gave, and its clock."""
 
     def __init__(self, scale: Scale, policy: Policy, seed: int = 1) -> None:
         """Begin with all workers announced and nothing held."""
@@ -54,7 +54,7 @@
         cfg = Configuration(1, teams, policy)
         self.random = Random(seed)
         self.teams = names
-        self.lead = Leadership('bench', 1, Books(), cfg, 1)
+        self.lead = Leadership('bench', 1, ReplicatedState(), cfg, 1)
         self.now = 0.0
         self.number = 0
         self.orders: list[Order] = []
@@ -118,10 +118,10 @@
     core.now += step
     pass_time(core.lead, core.now, int(core.now * _MS))
     finish_turn(core.lead)
-    _, tells = take(core.lead)
-    for tell in tells:
-        if isinstance(tell.message, Order):
-            core.orders.append(tell.message)
+    _, notices = take(core.lead)
+    for notice in notices:
+        if isinstance(notice.message, Order):
+            core.orders.append(notice.message)
 
 
 def end_one(core: Core) -> None:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -31,9 +31,10 @@
     TaskEnded,
     TaskPlaced,
 )
-from daisygw.links import books_file, codec
+from daisygw.links import codec
 from daisygw.machines import TargetListed, TargetSpec
-from daisygw.zones import Books, apply
+from daisygw.schedulers import snapshot_file
+from daisygw.zones import ReplicatedState, apply
 from standins.cell import (
     call,
     fetch,
@@ -98,9 +99,9 @@
     return records
 
 
-def _apply_all(books: Books, records: list[object]) -> None:
+def _apply_all(replicated: ReplicatedState, records: list[object]) -> None:
     for record in records:
-        apply(books, record)
+        apply(replicated, record)
 
 
 def replica() -> None:
@@ -114,9 +115,9 @@
         encoded = codec.encode_batch(records)
         encoding.append((count, _timed(codec.encode_batch, records)))
         decoding.append((count, _timed(codec.decode_batch, encoded)))
-        books = Books()
+        replicated = ReplicatedState()
         applying.append(
-            (count, _timed(_apply_all, books, records)),
+            (count, _timed(_apply_all, replicated, records)),
         )
         size.append((count, len(encoded)))
     _say(
@@ -149,8 +150,8 @@
     for held in _SIZES:
         core, traced = _traced(Scale(100, held, 20, 64))
         memory.append((held, traced))
-        spans.append((held, _timed(books_file.dump, core.lead.books)))
-        snapshots.append((held, len(books_file.dump(core.lead.books))))
+        spans.append((held, _timed(snapshot_file.dump, core.lead.replicated)))
+        snapshots.append((held, len(snapshot_file.dump(core.lead.replicated))))
     _say(
         slope='state',
         per='task held, in jobs of up to 200',
--- a/bench/waits.py
+++ b/bench/waits.py
@@ -119,8 +119,8 @@
 def _note_packing(play: Play, step: float) -> None:
     lanes = play.core.lead.lanes.by_name.values()
     if any(lane.tasks for lane in lanes):
-        books = play.core.lead.books
-        share = books.held.slots / books.capacity.slots
+        replicated = play.core.lead.replicated
+        share = replicated.held.slots / replicated.capacity.slots
         play.held_sum += share * step
         play.waiting_time += step
 
@@ -248,7 +248,7 @@
         'normal_p99_before_s': p99(play.placed, 'n0', 1),
         'normal_p99_from_5s_after_s': p99(play.placed, 'n2', 14),
         'refused': sum(number for number in play.core.lead.refusals.values())
-        + sum(play.core.lead.books.tally.refusals.values()),
+        + sum(play.core.lead.replicated.tally.refusals.values()),
     }
 
 
--- a/daisygw/cell/_lead.py
+++ b/daisygw/cell/_lead.py
@@ -28,7 +28,7 @@
     longest_chain,
 )
 from daisygw.machines import Contact
-from daisygw.zones import Tell
+from daisygw.zones import Notice
 
 # How long a target may run on without hearing from the leader, s: longer
 # than an election and a first round of renewals, and short enough that a
@@ -177,7 +177,7 @@
         self.wall = wall
         self.elected = now
         self.records: list[Any] = []
-        self.tells: list[Tell] = []
+        self.notices: list[Notice] = []
         self.waiting: dict[StepKey, WaitingStep] = {}
         self.approvals: dict[StepKey, Approval] = {}
         self.asks: dict[int, tuple[StepKey, tuple[str, ...], float]] = {}
@@ -203,11 +203,11 @@
 
     def tell(self, entry: str, message: Any) -> None:
         """Leave an effect for after the commit."""
-        self.tells.append(Tell(entry, message))
+        self.notices.append(Notice(entry, message))
 
     def ask(self, question: AdviceAsk) -> None:
         """Leave a question that needs no commit: it binds nobody."""
-        self.tells.append(Tell(HERE, question, at_once=True))
+        self.notices.append(Notice(HERE, question, at_once=True))
 
     def answer(self, entry: str, answer: CellAnswer) -> None:
         """Answer a question of a process."""
@@ -241,11 +241,11 @@
     return lead.long_lease
 
 
-def take(lead: Lead) -> tuple[list[Any], list[Tell]]:
+def take(lead: Lead) -> tuple[list[Any], list[Notice]]:
     """Return the records and effects since the last call."""
     records, lead.records = lead.records, []
-    tells, lead.tells = lead.tells, []
-    return records, tells
+    notices, lead.notices = lead.notices, []
+    return records, notices
 
 
 def queue_of(lead: Lead, job: JobRecord) -> Queue | None:
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -93,7 +93,7 @@
     ),
     Definition(
         'status',
-        'Show what the books say of a request',
+        'Show what the replicated state says of a request',
         'daisygw.cli._requests:status',
         arguments=(Argument('id', 'Id of the request'),),
         options=(_ENTRY,),
--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -49,9 +49,9 @@
 
 
 def spare_collector() -> None:
-    """Let the cyclic collector look at the large books less often.
+    """Let the cyclic collector look at the large replicated state less often.
 
-    The books hold no cycles; a full collection of them stops the loop.
+    It holds no cycles, and a full collection of it stops the loop.
     """
     gc.collect()
     gc.freeze()
@@ -64,13 +64,13 @@
 
 def entry(given: Given, ctx: Context) -> ExitStatus:
     """Run an entry."""
-    run = _load('daisygw.links._entry_process', 'run_entry')
+    run = _load('daisygw.entries', 'run_entry')
     return _run(given, 'entry', run)
 
 
 def scheduler(given: Given, ctx: Context) -> ExitStatus:
     """Run a scheduler."""
-    run = _load('daisygw.links._scheduler', 'run_scheduler')
+    run = _load('daisygw.schedulers', 'run_scheduler')
     return _run(given, 'scheduler', run)
 
 
--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -29,6 +29,7 @@
     is_not_run,
 )
 from daisygw.contracts._configuration import (
+    CONFIGURATION,
     ConfigAtBoot,
     ConfigChanged,
     ConfigHistory,
@@ -73,13 +74,13 @@
     withdraw,
 )
 from daisygw.contracts._messages import (
+    Abandoned,
     About,
     Answer,
     Cancel,
     Change,
     Drain,
     LeaderIs,
-    LetGo,
     Query,
     RefusedAtEntry,
     Submit,
@@ -126,6 +127,7 @@
 )
 
 __all__ = (
+    'CONFIGURATION',
     'About',
     'AdviceAnswer',
     'AdviceAsk',
@@ -164,7 +166,7 @@
     'LaneOf',
     'Lanes',
     'LeaderIs',
-    'LetGo',
+    'Abandoned',
     'LifeClosed',
     'LifeOver',
     'Limits',
--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -4,6 +4,8 @@
 
 from daisygw.contracts._size import Size
 
+# The name of the group whose log holds the configuration.
+CONFIGURATION = 'configuration'
 _CHANGES_KNOWN = 10_000
 
 
--- a/daisygw/contracts/_messages.py
+++ b/daisygw/contracts/_messages.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LetGo:
+class Abandoned:
     """The entry got an order for a job that it does not carry out any more."""
 
     key: TaskKey
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """Ask for a view of the books: ``view`` names it."""
+    """Ask for a view of the replicated state: ``view`` names it."""
 
     seq: int
     view: str
--- a/daisygw/contracts/_records.py
+++ b/daisygw/contracts/_records.py
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobForgotten:
-    """An ended job was kept long enough and leaves the books."""
+    """An ended job was kept long enough and leaves the replicated state."""
 
     job: str
 
--- a/daisygw/contracts/_task.py
+++ b/daisygw/contracts/_task.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Task:
-    """One task as the books hold it.
+    """One task as the replicated state holds it.
 
     ``attempt`` counts leases given so far; ``since`` is when the present
     state began and ``ready`` when the task was accepted, both in
--- /dev/null
+++ b/daisygw/entries/__init__.py
@@ -0,0 +1,5 @@
+"""Entries: the process between callers and the schedulers."""
+
+from daisygw.entries._process import run_entry
+
+__all__ = ('run_entry',)
--- a/daisygw/links/_announce_http.py
+++ b/daisygw/entries/_announce_http.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from daisygw.contracts import ContractError, ResultCode
-from daisygw.links._entry import Entry, tell_leader
-from daisygw.links._http import Resource, put_refusal
+from daisygw.entries._http import Resource, put_refusal
+from daisygw.entries._state import Entry, tell_leader
 from daisygw.machines import Announced, Announcement, AnnouncementTaken
 
 _ANNOUNCE_WAIT = 2.0
--- a/daisygw/links/_config_http.py
+++ b/daisygw/entries/_config_http.py
@@ -8,15 +8,14 @@
 import falcon.asgi
 import msgspec
 
-from daisygw.contracts import Change, ContractError, ResultCode
-from daisygw.links._config_machine import CONFIGURATION
-from daisygw.links._entry import ask_leader
-from daisygw.links._http import (
+from daisygw.contracts import CONFIGURATION, Change, ContractError, ResultCode
+from daisygw.entries._http import (
     Resource,
     put_answer,
     put_refusal,
     read_json,
 )
+from daisygw.entries._state import ask_leader
 
 _MS = 1000
 _TOKEN_BYTES = 8
--- a/daisygw/links/_driving.py
+++ b/daisygw/entries/_driving.py
@@ -4,10 +4,10 @@
 from contextlib import suppress
 
 from daisygw.contracts import (
+    Abandoned,
     Answer,
     Contract,
     Kind,
-    LetGo,
     LinkError,
     Order,
     ResultCode,
@@ -16,19 +16,19 @@
     TaskReport,
     TaskSettled,
 )
-from daisygw.links._entry import (
+from daisygw.entries._state import (
     AnswerAt,
     Driven,
     Entry,
     Outcome,
     ask_leader,
     home,
-    on_errand,
+    in_background,
     tell_leader,
     unanswered,
 )
-from daisygw.links._logs import log
-from daisygw.links._target_client import ask_outcome, start, stop
+from daisygw.entries._target_client import ask_outcome, start, stop
+from daisygw.links import log
 
 _MS = 1000
 _WITH_ANSWER = frozenset({ResultCode.ANSWERED})
@@ -113,12 +113,12 @@
 def on_order(entry: Entry, order: Order) -> None:
     """Carry out an order, unless the same attempt is under way."""
     if order.spec:
-        on_errand(entry, _start_service(entry, order))
+        in_background(entry, _start_service(entry, order))
         return
     driven = entry.driven.get(order.key.job)
     if driven is None:
         group = home(entry, order.key.job)
-        tell_leader(entry, group, LetGo(order.key, order.attempt))
+        tell_leader(entry, group, Abandoned(order.key, order.attempt))
         return
     if order.key.index in driven.outcomes:
         return
@@ -127,7 +127,7 @@
         if known[0].attempt >= order.attempt and not known[1].done():
             return
         known[1].cancel()
-    task = on_errand(entry, _run(entry, driven, order))
+    task = in_background(entry, _run(entry, driven, order))
     driven.runs[order.key.index] = (order, task)
 
 
@@ -185,4 +185,4 @@
 
 def on_stop(entry: Entry, order: StopOrder) -> None:
     """Pass a stop on to its target."""
-    on_errand(entry, stop(entry, order))
+    in_background(entry, stop(entry, order))
--- a/daisygw/links/_dump_http.py
+++ b/daisygw/entries/_dump_http.py
@@ -9,9 +9,9 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from daisygw.contracts import Answer, Query
-from daisygw.links._dump import describe_link, usage
-from daisygw.links._entry import Entry, post_about
-from daisygw.links._http import Resource
+from daisygw.entries._http import Resource
+from daisygw.entries._state import Entry, post_about
+from daisygw.links.processes import describe_link, usage
 
 _VIEW_WAIT = 2.0
 
--- a/daisygw/links/_http.py
+++ b/daisygw/entries/_http.py
@@ -16,9 +16,9 @@
     ResultCode,
     http_status,
 )
-from daisygw.links._entry import Entry
-from daisygw.links._logs import log_error
-from daisygw.links._target_client import CODE_HEADER
+from daisygw.entries._state import Entry
+from daisygw.entries._target_client import CODE_HEADER
+from daisygw.links import log_error
 
 _MOST_JSON = 1_048_576
 
--- a/daisygw/links/_operator_http.py
+++ b/daisygw/entries/_operator_http.py
@@ -16,19 +16,18 @@
     ResultCode,
     check_id,
 )
-from daisygw.links._entry import (
-    Entry,
-    ask_leader,
-    home,
-)
-from daisygw.links._http import (
+from daisygw.entries._http import (
     Resource,
     put_answer,
     put_refusal,
     read_json,
 )
+from daisygw.entries._state import (
+    Entry,
+    ask_leader,
+    home,
+)
 
-CONFIGURATION = 'configuration'
 _MS = 1000
 _TOKEN_BYTES = 8
 _ANNOUNCE_WAIT = 2.0
@@ -56,7 +55,7 @@
         resp: falcon.asgi.Response,
         name: str,
     ) -> None:
-        """Show what the books say of a request."""
+        """Show what the replicated state says of a request."""
         check_id(name, self.entry.cfg.limits)
         group = home(self.entry, name)
         answer = await _view(self.entry, group, 'job', name)
@@ -121,7 +120,7 @@
 
 
 class Views(Resource):
-    """``/v1/views/{view}``: the books of every failure domain."""
+    """``/v1/views/{view}``: the replicated state of every failure domain."""
 
     async def on_get(
         self,
--- a/daisygw/links/_entry_process.py
+++ b/daisygw/entries/_process.py
@@ -21,27 +21,31 @@
     StopOrder,
     TaskSettled,
 )
-from daisygw.links._announce_http import Announcements
-from daisygw.links._config_http import Configurations
-from daisygw.links._config_machine import settings_in_force
-from daisygw.links._driving import on_order, on_settled, on_stop, resubmit
-from daisygw.links._dump_http import Dump, Health, Metrics, describe_entry
-from daisygw.links._entry import Entry
-from daisygw.links._entry_http import Requests
-from daisygw.links._http import on_crash, on_error
-from daisygw.links._logs import log
-from daisygw.links._operator_http import (
+from daisygw.entries._announce_http import Announcements
+from daisygw.entries._config_http import Configurations
+from daisygw.entries._driving import on_order, on_settled, on_stop, resubmit
+from daisygw.entries._dump_http import Dump, Health, Metrics, describe_entry
+from daisygw.entries._http import on_crash, on_error
+from daisygw.entries._operator_http import (
     Cancellations,
     Drains,
     OneRequest,
     Views,
 )
-from daisygw.links._serving import listen, serving_http
-from daisygw.links._stream import Link, keep_connected, running
-from daisygw.links._target_client import open_session
-from daisygw.links._views import to_json
+from daisygw.entries._requests_http import Requests
+from daisygw.entries._state import Entry
+from daisygw.entries._target_client import open_session
+from daisygw.links import log
+from daisygw.links.processes import (
+    Link,
+    keep_connected,
+    listen,
+    running,
+    serving_http,
+    to_json,
+)
 from daisygw.machines import AnnouncementTaken
-from daisygw.settings import Settings, configuration_of
+from daisygw.settings import Settings, configuration_of, settings_in_force
 
 _DRAIN_LOOK = 0.05
 
--- a/daisygw/links/_entry_http.py
+++ b/daisygw/entries/_requests_http.py
@@ -22,17 +22,17 @@
     check_contract,
     mint,
 )
-from daisygw.links._driving import leave, submit
-from daisygw.links._entry import Driven, Entry, Outcome, tell_leader
-from daisygw.links._http import (
+from daisygw.entries._driving import leave, submit
+from daisygw.entries._http import (
     Resource,
     in_progress,
     parse_json,
     put_refusal,
     read_body,
 )
-from daisygw.links._logs import log
-from daisygw.links._target_client import CODE_HEADER, read_answer
+from daisygw.entries._state import Driven, Entry, Outcome, tell_leader
+from daisygw.entries._target_client import CODE_HEADER, read_answer
+from daisygw.links import log
 
 CONTRACT_HEADER = 'Daisygw-Contract'
 ID_HEADER = 'Daisygw-Id'
--- a/daisygw/links/_entry.py
+++ b/daisygw/entries/_state.py
@@ -20,7 +20,7 @@
     TaskKey,
     home_of,
 )
-from daisygw.links._stream import Link, post
+from daisygw.links.processes import Link, post
 from daisygw.settings import Settings, configuration_of
 
 _ASK_AGAIN = 1.0
@@ -147,7 +147,7 @@
     return (fut.result() if fut.done() else None), passed_on
 
 
-def on_errand(entry: Entry, work: Any) -> asyncio.Task:
+def in_background(entry: Entry, work: Any) -> asyncio.Task:
     """Run a coroutine that nobody waits for; keep hold of it meanwhile."""
     task = asyncio.ensure_future(work)
     entry.errands.add(task)
--- a/daisygw/links/_target_client.py
+++ b/daisygw/entries/_target_client.py
@@ -15,7 +15,7 @@
     StopOrder,
     TaskKey,
 )
-from daisygw.links._entry import AnswerAt, Entry, Outcome
+from daisygw.entries._state import AnswerAt, Entry, Outcome
 
 CODE_HEADER = 'Daisygw-Code'
 _CHUNK = 65_536
--- a/daisygw/links/__init__.py
+++ b/daisygw/links/__init__.py
@@ -1,6 +1,5 @@
-"""Links: the two processes, and how they talk to each other and outside."""
+"""Links: streams between processes, the log on disk, HTTP and logging."""
 
-from daisygw.links import _books_file as books_file
 from daisygw.links import _codec as codec
 from daisygw.links import _journal as journal_files
 from daisygw.links._logs import (
@@ -15,7 +14,6 @@
 __all__ = (
     'MOST_LINES',
     'BoundedStream',
-    'books_file',
     'codec',
     'journal_files',
     'log',
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -52,7 +52,7 @@
     33: contracts.LeaderIs,
     34: contracts.RefusedAtEntry,
     35: contracts.ConfigAtBoot,
-    36: contracts.LetGo,
+    36: contracts.Abandoned,
     30: machines.Announced,
     31: machines.AnnouncementTaken,
     40: zones.Hello,
--- a/daisygw/links/_group.py
+++ b/daisygw/links/_group.py
@@ -19,12 +19,12 @@
     Deposed,
     Elected,
     LogEntry,
+    Notice,
     Persist,
     Replica,
     Restore,
     Role,
     Send,
-    Tell,
     compact,
     drain,
     entries_from,
@@ -53,7 +53,7 @@
     restore: Callable[[bytes], None]
     elected: Callable[[int], None]
     deposed: Callable[[], None]
-    take: Callable[[], tuple[list[Any], list[Tell]]]
+    take: Callable[[], tuple[list[Any], list[Notice]]]
     eager: bool = True
 
 
@@ -71,7 +71,7 @@
         self.journal = journal
         self.machine = machine
         self.applied = 0
-        self.held: deque[tuple[int, Tell]] = deque()
+        self.held: deque[tuple[int, Notice]] = deque()
         self.due: deque[Any] = deque()
         self.snapshot: tuple[int, bytes] | None = None
         self.dropped = 0
@@ -80,11 +80,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Outlet:
+class Transport:
     """Where the effects of a group go."""
 
     send: Callable[[Any], None]
-    tell: Callable[[Tell], None]
+    tell: Callable[[Notice], None]
 
 
 def leads(group: Group) -> bool:
@@ -131,7 +131,7 @@
     group.applied = effect.snapshot.index
 
 
-def _release(group: Group, now: float, outlet: Outlet) -> None:
+def _release(group: Group, now: float, transport: Transport) -> None:
     """Let out what is committed, while this replica surely leads.
 
     What was decided before a pause waits for the lease to hold again: the
@@ -141,18 +141,20 @@
     while group.held and group.held[0][0] <= commit:
         if not has_authority(group.replica, now):
             return
-        _, tell = group.held.popleft()
-        outlet.tell(tell)
+        _, notice = group.held.popleft()
+        transport.tell(notice)
 
 
-def _carry_out(group: Group, effect: Any, outlet: Outlet, now: float) -> None:
+def _carry_out(
+    group: Group, effect: Any, transport: Transport, now: float
+) -> None:
     match effect:
         case Persist():
             if group.journal:
                 save(group.journal, effect)
                 group.synced_at = now
         case Send():
-            outlet.send(effect.message)
+            transport.send(effect.message)
         case Commit():
             _apply(group, effect.entries)
         case Restore():
@@ -163,9 +165,9 @@
             _on_deposed(group)
 
 
-def _append(group: Group, outlet: Outlet) -> None:
+def _append(group: Group, transport: Transport) -> None:
     """Put this turn's records into the log, and hold back their effects."""
-    records, tells = group.machine.take()
+    records, notices = group.machine.take()
     if not leads(group):
         return
     if records:
@@ -173,10 +175,10 @@
         if group.machine.eager:
             group.applied = last_index(group.replica)
     index = last_index(group.replica)
-    group.held.extend((index, one) for one in tells if not one.at_once)
-    for tell in tells:
-        if tell.at_once:
-            outlet.tell(tell)
+    group.held.extend((index, one) for one in notices if not one.at_once)
+    for notice in notices:
+        if notice.at_once:
+            transport.tell(notice)
 
 
 def _drain(group: Group, now: float) -> list[Any]:
@@ -202,25 +204,25 @@
     return not (sent and isinstance(effect.message, Append))
 
 
-def carry_out(group: Group, now: float, outlet: Outlet) -> None:
+def carry_out(group: Group, now: float, transport: Transport) -> None:
     """Append what was decided, and carry out all effects in order.
 
     Raises ``JournalError`` where the disk refuses to write; what follows
     waits then, in order, for the next call.
     """
-    _append(group, outlet)
+    _append(group, transport)
     flush(group.replica, now)
     group.due.extend(_drain(group, now))
     while group.due:
         while group.due:
-            _carry_out(group, group.due[0], outlet, now)
+            _carry_out(group, group.due[0], transport, now)
             group.due.popleft()
         flush(group.replica, now)
         group.due.extend(_drain(group, now))
-    _release(group, now, outlet)
+    _release(group, now, transport)
 
 
-def keep_short(group: Group, most: int) -> None:
+def compact_log(group: Group, most: int) -> None:
     """Take a snapshot when the log has more than ``most`` entries.
 
     The state may run ahead of the commit; the snapshot then waits for it.
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -1,12 +1,13 @@
 """What a process of the system is built from: links, log, HTTP."""
 
+from daisygw.links._describe import describe_link, to_json, usage
 from daisygw.links._group import (
     Group,
     Machine,
-    Outlet,
+    Transport,
     carry_out,
+    compact_log,
     describe_group,
-    keep_short,
     leads,
 )
 from daisygw.links._journal import Journal, close, create, describe, load
@@ -25,15 +26,16 @@
     'Journal',
     'Link',
     'Machine',
-    'Outlet',
+    'Transport',
     'Pace',
     'carry_out',
     'close',
     'create',
     'describe',
     'describe_group',
+    'describe_link',
     'keep_connected',
-    'keep_short',
+    'compact_log',
     'leads',
     'listen',
     'load',
@@ -41,4 +43,6 @@
     'running',
     'serving',
     'serving_http',
+    'to_json',
+    'usage',
 )
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -1,4 +1,4 @@
-"""Machines: targets (workers), their capacity books, index and scoring."""
+"""Machines: targets (workers), their capacity replicated, index and scoring."""
 
 from daisygw.machines._index import (
     FreeIndex,
--- a/daisygw/machines/_workers.py
+++ b/daisygw/machines/_workers.py
@@ -1,4 +1,4 @@
-"""The books of capacity: what each worker has and what it holds.
+"""The record of capacity: what each worker has and what it holds.
 
 Changed only by records of the log, the same way on every replica.
 """
@@ -47,7 +47,7 @@
 
 
 def enter(workers: Workers, worker: Worker) -> None:
-    """Put a worker into the books."""
+    """Put a worker into the replicated state."""
     workers.by_name[worker.spec.name] = worker
     workers.shapes[worker.spec.capacity] += 1
     workers.touched.add(worker.spec.name)
--- a/daisygw/nodes/_machine.py
+++ b/daisygw/nodes/_machine.py
@@ -15,7 +15,7 @@
 from daisygw.links import codec
 from daisygw.links.processes import Machine
 from daisygw.nodes import _clock
-from daisygw.zones import Tell
+from daisygw.zones import Notice
 
 
 class CellState:
@@ -54,7 +54,7 @@
         state.lead = None
         on_leading(0)
 
-    def take_turn() -> tuple[list[Any], list[Tell]]:
+    def take_turn() -> tuple[list[Any], list[Notice]]:
         if state.lead is None:
             return [], []
         place_waiting(state.lead)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -37,12 +37,12 @@
     Group,
     Journal,
     Link,
-    Outlet,
+    Transport,
     carry_out,
     close,
+    compact_log,
     create,
     describe,
-    keep_short,
     leads,
     load,
     post,
@@ -64,9 +64,9 @@
 from daisygw.nodes._settings import NodeSettings, TargetCalls
 from daisygw.zones import (
     Hello,
+    Notice,
     Replica,
     Role,
-    Tell,
     Timing,
     host_of,
     receive,
@@ -129,7 +129,7 @@
         on_leading = partial(_on_leading, self)
         machine = machine_of(self.state, on_leading, cfg.longest_lease)
         self.group = Group(replica, journal, machine)
-        self.outlet = Outlet(partial(_send, self), partial(_tell, self))
+        self.transport = Transport(partial(_send, self), partial(_tell, self))
         _watch_beliefs(self)
 
 
@@ -218,7 +218,7 @@
     lead = node.state.lead
     if lead is None:
         answer = CellAnswer(message.seq, ResultCode.NO_LEADER)
-        _tell(node, Tell(entry, answer))
+        _tell(node, Notice(entry, answer))
         return
     lead.now = _clock.now()
     lead.wall = _clock.wall()
@@ -259,15 +259,17 @@
         post(link, message)
 
 
-def _tell(node: SchedulerNode, tell: Tell) -> None:
-    if tell.entry == HERE:
-        node.effects(tell.message)
-    elif tell.entry == node.cfg.host:
-        on_answer(node.peers, tell.message)
+def _tell(node: SchedulerNode, notice: Notice) -> None:
+    if notice.entry == HERE:
+        node.effects(notice.message)
+    elif notice.entry == node.cfg.host:
+        on_answer(node.peers, notice.message)
     else:
-        link = node.sessions.get(tell.entry) or node.peers.links.get(tell.entry)
+        link = node.sessions.get(notice.entry) or node.peers.links.get(
+            notice.entry
+        )
         if link:
-            post(link, tell.message)
+            post(link, notice.message)
 
 
 def _on_session(node: SchedulerNode, link: Link) -> None:
@@ -318,8 +320,8 @@
     Nothing may leave that is not durable, so another host leads meanwhile.
     """
     try:
-        carry_out(node.group, _clock.now(), node.outlet)
-        keep_short(node.group, _LOG_ENTRIES)
+        carry_out(node.group, _clock.now(), node.transport)
+        compact_log(node.group, _LOG_ENTRIES)
     except JournalError as exc:
         if not node.disk_failed:
             log('disk refuses', code=exc.code, reason=exc.reason)
@@ -340,7 +342,7 @@
         log('disk is slow', sync_s=round(journal.sync_time, 3))
         node.resign_due = now + _RESIGN_PAUSE
         resign(node.group.replica, now, _SOME_BEHIND)
-        carry_out(node.group, now, node.outlet)
+        carry_out(node.group, now, node.transport)
 
 
 async def _turns(node: SchedulerNode) -> None:
@@ -363,7 +365,7 @@
     until = _clock.now() + _RESIGN_WAIT
     while leads(node.group) and _clock.now() < until:
         resign(node.group.replica, _clock.now())
-        carry_out(node.group, _clock.now(), node.outlet)
+        carry_out(node.group, _clock.now(), node.transport)
         await asyncio.sleep(_TICK)
     await asyncio.sleep(_FLUSH)
 
--- a/daisygw/report/_tally.py
+++ b/daisygw/report/_tally.py
@@ -30,7 +30,7 @@
 
 
 class Tally:
-    """Figures gathered since the books began."""
+    """Figures gathered since the replicated state began."""
 
     def __init__(self) -> None:
         """Begin empty."""
--- a/daisygw/links/_config_machine.py
+++ b/daisygw/schedulers/_config_machine.py
@@ -6,7 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -20,12 +20,10 @@
     ResultCode,
     apply_change,
 )
-from daisygw.links._group import Group, Machine, leads
-from daisygw.links._views import to_json
+from daisygw.links.processes import Group, Machine, leads, to_json
 from daisygw.settings import Settings, build, hosts_of
-from daisygw.zones import Tell, host_of, last_index
+from daisygw.zones import Notice, host_of, last_index
 
-CONFIGURATION = 'configuration'
 _PATIENCE = 4.0
 _encode = msgspec.msgpack.Encoder().encode
 _Saved = tuple[ConfigChanged | None, dict[str, int]]
@@ -58,7 +56,7 @@
         self.boot = boot
         self.history = ConfigHistory()
         self.records: list[Any] = []
-        self.tells: list[Tell] = []
+        self.notices: list[Notice] = []
         self.asked: deque[Asked] = deque()
         self.awaited: list[Awaited] = []
 
@@ -88,12 +86,12 @@
         state.awaited.clear()
         on_leading(0, False)
 
-    def take_turn() -> tuple[list[Any], list[Tell]]:
+    def take_turn() -> tuple[list[Any], list[Notice]]:
         records = state.records
-        tells = state.tells
+        notices = state.notices
         state.records = []
-        state.tells = []
-        return records, tells
+        state.notices = []
+        return records, notices
 
     return Machine(
         apply=apply_record,
@@ -179,7 +177,7 @@
 ) -> None:
     view = to_json({'version': state.history.version})
     answer = Answer(asked.change.seq, code, reason, view=view)
-    state.tells.append(Tell(asked.entry, answer))
+    state.notices.append(Notice(asked.entry, answer))
 
 
 def _sites(
@@ -207,7 +205,7 @@
         in_force, waiting = _sites(state, group, awaited.index)
         committed = group.replica.commit >= awaited.index
         if committed and (not waiting or now >= awaited.asked.until):
-            state.tells.append(_in_force(awaited, in_force, waiting))
+            state.notices.append(_in_force(awaited, in_force, waiting))
         else:
             still.append(awaited)
     state.awaited = still
@@ -217,7 +215,7 @@
     awaited: Awaited,
     in_force: list[str],
     waiting: list[str],
-) -> Tell:
+) -> Notice:
     view = to_json({
         'version': awaited.version,
         'in_force': in_force,
@@ -225,20 +223,4 @@
     })
     code = ResultCode.IN_FORCE if not waiting else ResultCode.ACCEPTED
     answer = Answer(awaited.asked.change.seq, code, view=view)
-    return Tell(awaited.asked.entry, answer)
-
-
-def settings_in_force(
-    boot: Settings,
-    change: ConfigChanged,
-    site: str,
-) -> Settings:
-    """Return the boot settings with what a change may alter while running."""
-    overlay = dict(change.overlays).get(site, '')
-    changed = build(change.base, overlay, ('base', site))
-    return replace(
-        boot,
-        teams=changed.teams,
-        policy=changed.policy,
-        limits=changed.limits,
-    )
+    return Notice(awaited.asked.entry, answer)
--- a/daisygw/links/_domain_machine.py
+++ b/daisygw/schedulers/_domain_machine.py
@@ -1,36 +1,36 @@
-"""A failure domain's books and leader, as a machine for its group."""
+"""A failure domain's replicated state and leader, as a group's machine."""
 
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any
 
 from daisygw.contracts import (
+    Abandoned,
     Cancel,
     Configuration,
     Drain,
-    LetGo,
     Query,
     RefusedAtEntry,
     Submit,
     TaskReport,
 )
-from daisygw.links._books_file import dump, load
-from daisygw.links._group import Machine
-from daisygw.links._views import on_query
+from daisygw.links.processes import Machine
 from daisygw.machines import Announced
+from daisygw.schedulers._snapshot_file import dump, load
+from daisygw.schedulers._views import on_query
 from daisygw.zones import (
-    Books,
     Leadership,
-    Tell,
+    Notice,
+    ReplicatedState,
     apply,
     begin,
     entry_down,
     entry_up,
     finish_turn,
+    on_abandoned,
     on_announcement,
     on_cancel,
     on_drain,
-    on_let_go,
     on_refused_at_entry,
     on_report,
     on_submit,
@@ -40,14 +40,14 @@
 
 
 class DomainState:
-    """The books of one failure domain, and the leader's part when leading."""
+    """A failure domain's replicated state, and its leader when leading."""
 
     def __init__(self, domain: str, share: float, cfg: Configuration) -> None:
-        """Begin with empty books, following."""
+        """Begin with an empty replicated state, following."""
         self.domain = domain
         self.share = share
         self.cfg = cfg
-        self.books = Books()
+        self.replicated = ReplicatedState()
         self.lead: Leadership | None = None
         self.entries: dict[str, None] = {}
         self.clock: tuple[float, int] = (0.0, 0)
@@ -60,13 +60,13 @@
     """Return the closures that a group needs; ``on_leading`` hears of it."""
 
     def restore(encoded: bytes) -> None:
-        state.books = load(encoded)
+        state.replicated = load(encoded)
 
     def elected(term: int) -> None:
         lead = Leadership(
             state.domain,
             state.share,
-            state.books,
+            state.replicated,
             state.cfg,
             term,
         )
@@ -81,15 +81,15 @@
         state.lead = None
         on_leading(0, False)
 
-    def take_turn() -> tuple[list[Any], list[Tell]]:
+    def take_turn() -> tuple[list[Any], list[Notice]]:
         if state.lead is None:
             return [], []
         finish_turn(state.lead)
         return take(state.lead)
 
     return Machine(
-        apply=lambda record: apply(state.books, record),
-        dump=lambda: dump(state.books),
+        apply=lambda record: apply(state.replicated, record),
+        dump=lambda: dump(state.replicated),
         restore=restore,
         elected=elected,
         deposed=deposed,
@@ -132,7 +132,7 @@
         Announced: _announced,
         Cancel: on_cancel,
         Drain: on_drain,
-        LetGo: on_let_go,
+        Abandoned: on_abandoned,
         Query: on_query,
         RefusedAtEntry: on_refused_at_entry,
         Submit: on_submit,
--- a/daisygw/links/_dump.py
+++ b/daisygw/schedulers/_dump.py
@@ -1,44 +1,20 @@
 """Dumps of a process's state, and its metrics."""
 
-import resource
-import time
-from typing import TYPE_CHECKING, Any
-
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from daisygw.contracts import Answer, Query, ResultCode
-from daisygw.links._group import describe_group, leads
-from daisygw.links._journal import describe
-from daisygw.links._views import to_json
-
-if TYPE_CHECKING:
-    from daisygw.links._scheduler import Scheduler
-    from daisygw.links._stream import Link
-
-
-def usage() -> dict[str, float]:
-    """Return this process's processor time (s) and memory (KiB)."""
-    used = resource.getrusage(resource.RUSAGE_SELF)
-    return {
-        'cpu_s': round(used.ru_utime + used.ru_stime, 3),
-        'max_rss_kib': used.ru_maxrss,
-        'at': round(time.time(), 3),
-    }
-
-
-def describe_link(link: 'Link') -> dict[str, Any]:
-    """Return what a dump shows of a link."""
-    return {
-        'peer': link.peer,
-        'up': link.up,
-        'sent': link.sent,
-        'sent_bytes': link.sent_bytes,
-        'received': link.received,
-        'dropped': link.dropped,
-    }
-
-
-def scheduler_dump(scheduler: 'Scheduler', query: Query) -> Answer:
+from daisygw.links.processes import (
+    describe,
+    describe_group,
+    describe_link,
+    leads,
+    to_json,
+    usage,
+)
+from daisygw.schedulers._state import Scheduler
+
+
+def scheduler_dump(scheduler: Scheduler, query: Query) -> Answer:
     """Return all that a scheduler would tell of itself."""
     groups = []
     for group in scheduler.groups.values():
@@ -57,11 +33,11 @@
     return Answer(query.seq, ResultCode.ACCEPTED, view=to_json(view))
 
 
-def scheduler_metrics(scheduler: 'Scheduler', query: Query) -> Answer:
+def scheduler_metrics(scheduler: Scheduler, query: Query) -> Answer:
     """Return a scheduler's metrics in the text format."""
     registry = CollectorRegistry()
     _group_metrics(scheduler, registry)
-    _books_metrics(scheduler, registry)
+    _state_metrics(scheduler, registry)
     text = generate_latest(registry).decode('utf-8')
     return Answer(query.seq, ResultCode.ACCEPTED, view=text)
 
@@ -71,7 +47,7 @@
 
 
 def _group_metrics(
-    scheduler: 'Scheduler',
+    scheduler: Scheduler,
     registry: CollectorRegistry,
 ) -> None:
     commit = _gauge(registry, 'log_commit', 'Commit index of the log')
@@ -83,16 +59,16 @@
         entries.labels(name).set(len(group.replica.log))
 
 
-def _books_metrics(
-    scheduler: 'Scheduler',
+def _state_metrics(
+    scheduler: Scheduler,
     registry: CollectorRegistry,
 ) -> None:
     started = _gauge(registry, 'tasks_started', 'Leases given so far')
     waiting = _gauge(registry, 'tasks_waiting', 'Tasks that wait in lanes')
-    workers = _gauge(registry, 'workers', 'Workers in the books')
+    workers = _gauge(registry, 'workers', 'Workers in the replicated state')
     for name, state in scheduler.domains.items():
-        started.labels(name).set(state.books.register.started)
-        workers.labels(name).set(len(state.books.workers.by_name))
+        started.labels(name).set(state.replicated.register.started)
+        workers.labels(name).set(len(state.replicated.workers.by_name))
         if state.lead:
             lanes = state.lead.lanes.by_name.values()
             waiting.labels(name).set(sum(lane.tasks for lane in lanes))
--- a/daisygw/links/_scheduler_groups.py
+++ b/daisygw/schedulers/_groups.py
@@ -9,27 +9,29 @@
 import xxhash
 
 from daisygw.contracts import (
+    CONFIGURATION,
     JournalError,
 )
-from daisygw.links import _journal
-from daisygw.links._config_machine import (
-    CONFIGURATION,
+from daisygw.links import log
+from daisygw.links.processes import (
+    Group,
+    Journal,
+    Machine,
+    create,
+    load,
+)
+from daisygw.schedulers._config_machine import (
     config_machine,
 )
-from daisygw.links._domain_machine import (
+from daisygw.schedulers._domain_machine import (
     DomainState,
     machine_of,
 )
-from daisygw.links._group import (
-    Group,
-    Machine,
-)
-from daisygw.links._logs import log
-from daisygw.links._scheduler_state import Scheduler, on_config, on_leading
+from daisygw.schedulers._state import Scheduler, on_config, on_leading
 from daisygw.settings import (
     configuration_of,
-    seats_of,
     share_of_domain,
+    voters_of,
 )
 from daisygw.zones import (
     Replica,
@@ -40,7 +42,7 @@
 _CONFIG_PACE = 3
 
 
-def _birth(host: str) -> str:
+def _instance_name(host: str) -> str:
     return f'{host}#{time.time_ns():x}'
 
 
@@ -59,21 +61,21 @@
 def _open_replica(
     scheduler: Scheduler,
     group: str,
-    seats: tuple[str, ...],
+    voter_hosts: tuple[str, ...],
     *,
     away: bool,
-) -> tuple[Replica, _journal.Journal | None]:
+) -> tuple[Replica, Journal | None]:
     folder = Path(scheduler.boot.process.data) / scheduler.host / group
     journal = None
     saved = None
-    name = _birth(scheduler.host)
+    name = _instance_name(scheduler.host)
     if scheduler.boot.hosts[scheduler.host].disk:
         journal, saved = _open_journal(folder, name)
         name = journal.name
     replica = Replica(
         group,
         name,
-        seats,
+        voter_hosts,
         _timing(scheduler, group),
         xxhash.xxh32_intdigest(name.encode('ascii')),
         away=away,
@@ -84,42 +86,42 @@
     return replica, journal
 
 
-def _open_journal(folder: Path, name: str) -> tuple[_journal.Journal, Any]:
+def _open_journal(folder: Path, name: str) -> tuple[Journal, Any]:
     try:
-        loaded = _journal.load(folder)
+        loaded = load(folder)
     except JournalError as exc:
         log('journal', code=exc.code, reason=exc.reason)
         loaded = None
-    return loaded or (_journal.create(folder, name), None)
+    return loaded or (create(folder, name), None)
 
 
 def _add_group(
     scheduler: Scheduler,
     name: str,
-    seats: tuple[str, ...],
+    voter_hosts: tuple[str, ...],
     machine: Machine,
 ) -> None:
     away = name in scheduler.boot.domains and name != scheduler.domain
-    replica, journal = _open_replica(scheduler, name, seats, away=away)
+    replica, journal = _open_replica(scheduler, name, voter_hosts, away=away)
     scheduler.groups[name] = Group(replica, journal, machine)
 
 
 def open_groups(scheduler: Scheduler) -> None:
     settings = scheduler.boot
     for domain in settings.domains:
-        seats = seats_of(settings, domain)
-        if scheduler.host in seats:
+        voter_hosts = voters_of(settings, domain)
+        if scheduler.host in voter_hosts:
             share = share_of_domain(settings, domain)
             cfg = configuration_of(settings, 0)
             state = DomainState(domain, share, cfg)
             scheduler.domains[domain] = state
             heard = partial(on_leading, scheduler, domain)
             machine = machine_of(state, heard)
-            _add_group(scheduler, domain, seats, machine)
+            _add_group(scheduler, domain, voter_hosts, machine)
     machine = config_machine(
         scheduler.config,
         partial(on_config, scheduler),
         partial(on_leading, scheduler, CONFIGURATION),
     )
-    seats = settings.configuration.seats
-    _add_group(scheduler, CONFIGURATION, seats, machine)
+    voter_hosts = settings.configuration.voters
+    _add_group(scheduler, CONFIGURATION, voter_hosts, machine)
--- a/daisygw/links/_scheduler.py
+++ b/daisygw/schedulers/_process.py
@@ -16,36 +16,40 @@
 from absl import logging
 
 from daisygw.contracts import (
+    CONFIGURATION,
     About,
     Change,
     LeaderIs,
     Query,
 )
-from daisygw.links import _journal
-from daisygw.links._config_machine import (
-    CONFIGURATION,
+from daisygw.links import log
+from daisygw.links.processes import (
+    Link,
+    carry_out,
+    close,
+    compact_log,
+    keep_connected,
+    leads,
+    post,
+    running,
+    serving,
+)
+from daisygw.schedulers._config_machine import (
     ask_change,
     decide_changes,
 )
-from daisygw.links._domain_machine import (
+from daisygw.schedulers._domain_machine import (
     decide,
     see_entry,
     set_clock,
 )
-from daisygw.links._dump import scheduler_dump, scheduler_metrics
-from daisygw.links._group import (
-    carry_out,
-    keep_short,
-    leads,
-)
-from daisygw.links._logs import log
-from daisygw.links._scheduler_groups import open_groups
-from daisygw.links._scheduler_state import (
+from daisygw.schedulers._dump import scheduler_dump, scheduler_metrics
+from daisygw.schedulers._groups import open_groups
+from daisygw.schedulers._state import (
     Scheduler,
     learn_config,
     tell_config,
 )
-from daisygw.links._stream import Link, keep_connected, post, running, serving
 from daisygw.settings import (
     Settings,
 )
@@ -57,7 +61,7 @@
 
 _TICK = 0.1
 _RESIGN_WAIT = 2.0
-_LAST_WORDS = 0.2
+_FLUSH_S = 0.2
 _MOST_BEHIND = 1_000_000
 _MOST_CHANGES = 100
 _MS = 1000
@@ -124,8 +128,8 @@
         tick(group.replica, now)
         if name == CONFIGURATION:
             decide_changes(scheduler.config, group, now)
-        carry_out(group, now, scheduler.outlet)
-        keep_short(group, _most_entries(scheduler, name))
+        carry_out(group, now, scheduler.transport)
+        compact_log(group, _most_entries(scheduler, name))
     learn_config(scheduler, now)
 
 
@@ -181,11 +185,11 @@
             now = time.monotonic()
             if leads(group):
                 resign(group.replica, now, behind)
-                carry_out(group, now, scheduler.outlet)
+                carry_out(group, now, scheduler.transport)
         if not scheduler.leading or time.monotonic() > until:
             break
         await asyncio.sleep(_TICK * 2)
-    await asyncio.sleep(_LAST_WORDS)
+    await asyncio.sleep(_FLUSH_S)
 
 
 async def _until_stopped(scheduler: Scheduler) -> None:
@@ -231,6 +235,6 @@
         await _until_stopped(scheduler)
     for group in scheduler.groups.values():
         if group.journal:
-            _journal.close(group.journal)
+            close(group.journal)
     log('scheduler stopped', host=host)
     logging.flush()
--- a/daisygw/links/_books_file.py
+++ b/daisygw/schedulers/_snapshot_file.py
@@ -1,4 +1,4 @@
-"""Books to bytes and back, for snapshots."""
+"""ReplicatedState to bytes and back, for snapshots."""
 
 from collections import Counter
 from typing import Any
@@ -9,7 +9,7 @@
 from daisygw.contracts import Contract, Job, Register, Size, Task, TaskKey
 from daisygw.machines import TargetSpec, Worker, Workers, enter
 from daisygw.report import Packing, Tally
-from daisygw.zones import Books
+from daisygw.zones import ReplicatedState
 
 _JobRow = tuple[Contract, int, int, int, list[Task]]
 _WorkerRow = tuple[
@@ -40,14 +40,14 @@
 _decode = msgspec.msgpack.Decoder(_BooksRow).decode
 
 
-def dump(books: Books) -> bytes:
-    """Return the books as bytes."""
+def dump(replicated: ReplicatedState) -> bytes:
+    """Return the replicated state as bytes."""
     return _encode((
-        _dump_register(books.register),
-        [_dump_worker(one) for one in books.workers.by_name.values()],
-        _dump_tally(books.tally),
-        books.capacity,
-        books.held,
+        _dump_register(replicated.register),
+        [_dump_worker(one) for one in replicated.workers.by_name.values()],
+        _dump_tally(replicated.tally),
+        replicated.capacity,
+        replicated.held,
     ))
 
 
@@ -92,17 +92,19 @@
     )
 
 
-def load(state: bytes) -> Books:
-    """Return the books that ``dump`` made ``state`` of."""
-    books = Books()
+def load(state: bytes) -> ReplicatedState:
+    """Return the replicated state that ``dump`` made ``state`` of."""
+    replicated = ReplicatedState()
     if not state:
-        return books
-    register, workers, tally, books.capacity, books.held = _decode(state)
-    _load_register(books.register, register)
+        return replicated
+    register, workers, tally, replicated.capacity, replicated.held = _decode(
+        state
+    )
+    _load_register(replicated.register, register)
     for row in workers:
-        _load_worker(books.workers, row)
-    _load_tally(books.tally, tally)
-    return books
+        _load_worker(replicated.workers, row)
+    _load_tally(replicated.tally, tally)
+    return replicated
 
 
 def _load_register(register: Register, row: _RegisterRow) -> None:
--- a/daisygw/links/_scheduler_state.py
+++ b/daisygw/schedulers/_state.py
@@ -6,31 +6,32 @@
 from typing import Any
 
 from daisygw.contracts import (
+    CONFIGURATION,
     ConfigAtBoot,
     ConfigChanged,
     LeaderIs,
 )
-from daisygw.links._config_machine import (
-    CONFIGURATION,
+from daisygw.links import log
+from daisygw.links.processes import (
+    Group,
+    Link,
+    Transport,
+    post,
+)
+from daisygw.schedulers._config_machine import (
     ConfigState,
-    settings_in_force,
 )
-from daisygw.links._domain_machine import (
+from daisygw.schedulers._domain_machine import (
     DomainState,
     use_configuration,
 )
-from daisygw.links._group import (
-    Group,
-    Outlet,
-)
-from daisygw.links._logs import log
-from daisygw.links._stream import Link, post
 from daisygw.settings import (
     Settings,
     configuration_of,
+    settings_in_force,
 )
 from daisygw.zones import (
-    Tell,
+    Notice,
     host_of,
 )
 
@@ -56,7 +57,7 @@
         self.began = time.monotonic()
         self.wake = asyncio.Event()
         self.stopped = asyncio.Event()
-        self.outlet = Outlet(partial(_send, self), partial(_tell, self))
+        self.transport = Transport(partial(_send, self), partial(_tell, self))
 
 
 def _send(scheduler: Scheduler, message: Any) -> None:
@@ -65,10 +66,10 @@
         post(link, message)
 
 
-def _tell(scheduler: Scheduler, tell: Tell) -> None:
-    session = scheduler.sessions.get(tell.entry)
+def _tell(scheduler: Scheduler, notice: Notice) -> None:
+    session = scheduler.sessions.get(notice.entry)
     if session:
-        post(session, tell.message)
+        post(session, notice.message)
 
 
 def on_leading(
--- a/daisygw/links/_views.py
+++ b/daisygw/schedulers/_views.py
@@ -1,33 +1,26 @@
-"""Views of the books that operators and callers may ask for, as JSON."""
+"""Views of the replicated state that may be asked for, as JSON."""
 
 from collections import Counter
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
-
 from daisygw.contracts import Answer, Job, Query, ResultCode, Size
+from daisygw.links.processes import to_json
 from daisygw.report import wait_figures
-from daisygw.zones import Leadership, Tell
+from daisygw.zones import Leadership, Notice
 
 _PERCENT = 100
-_encode = msgspec.json.Encoder().encode
-
-
-def to_json(view: Any) -> str:
-    """Return a view as JSON text."""
-    return _encode(view).decode('utf-8')
 
 
 def on_query(lead: Leadership, query: Query, entry: str) -> None:
-    """Answer a question about the books."""
+    """Answer a question about the replicated state."""
     view = _VIEWS.get(query.view, _no_view)(lead, query.name)
     code = ResultCode.ACCEPTED if view is not None else ResultCode.UNKNOWN_JOB
     text = to_json(view) if view is not None else ''
     reason = '' if text else f'{query.view} {query.name!r} is not known'
     answer = Answer(query.seq, code, reason, view=text)
-    lead.effects.append(Tell(entry, answer))
+    lead.effects.append(Notice(entry, answer))
 
 
 def _no_view(lead: Leadership, name: str) -> Any:
@@ -35,7 +28,7 @@
 
 
 def _job(lead: Leadership, name: str) -> Any:
-    job = lead.books.register.jobs.get(name)
+    job = lead.replicated.register.jobs.get(name)
     return None if job is None else describe_job(job)
 
 
@@ -69,7 +62,7 @@
             'drained': worker.drained,
             'aside': worker.aside,
         }
-        for worker in lead.books.workers.by_name.values()
+        for worker in lead.replicated.workers.by_name.values()
     ]
 
 
@@ -81,7 +74,7 @@
 
 
 def _report(lead: Leadership, name: str) -> Any:
-    tally = lead.books.tally
+    tally = lead.replicated.tally
     packed = tally.packed
     return {
         'domain': lead.domain,
@@ -108,16 +101,16 @@
 
 
 def _summary(lead: Leadership, name: str) -> Any:
-    books = lead.books
+    replicated = lead.replicated
     return {
         'domain': lead.domain,
         'term': lead.term,
-        'jobs': len(books.register.jobs),
-        'started': books.register.started,
-        'retried': books.register.retried,
-        'capacity': books.capacity,
-        'held': books.held,
-        'workers': len(books.workers.by_name),
+        'jobs': len(replicated.register.jobs),
+        'started': replicated.register.started,
+        'retried': replicated.register.retried,
+        'capacity': replicated.capacity,
+        'held': replicated.held,
+        'workers': len(replicated.workers.by_name),
         'entries': list(lead.entries),
         'decisions': lead.decisions,
         'looked_at': lead.index.looked_at,
--- a/daisygw/settings/_bounds.py
+++ b/daisygw/settings/_bounds.py
@@ -106,12 +106,12 @@
             fault = _address_fault(getattr(host, key))
             if fault:
                 yield f'hosts.{name}.{key}', fault
-    seats = settings.configuration.seats
-    if len(seats) % 2 == 0 and seats:
-        yield 'configuration.seats', 'it must be an odd number of hosts'
-    for seat in seats:
-        if seat not in settings.hosts:
-            yield 'configuration.seats', f'{seat!r} is not a host'
+    voter_hosts = settings.configuration.voters
+    if len(voter_hosts) % 2 == 0 and voter_hosts:
+        yield 'configuration.voters', 'it must be an odd number of hosts'
+    for host in voter_hosts:
+        if host not in settings.hosts:
+            yield 'configuration.voters', f'{host!r} is not a host'
 
 
 def _domains(settings: Settings) -> Iterator[Fault]:
--- a/daisygw/settings/_load.py
+++ b/daisygw/settings/_load.py
@@ -75,7 +75,7 @@
         raise _fault(source, unknown, 'no such setting')
 
 
-def lay_over(
+def apply_overlay(
     base: Mapping[str, Any],
     overlay: Mapping[str, Any],
     source: str,
@@ -88,7 +88,7 @@
             reason = 'an overlay may change only what the base file sets'
             raise _fault(source, f'{prefix}{key}', reason)
         if isinstance(base[key], dict) and isinstance(given, dict):
-            given = lay_over(base[key], given, source, f'{prefix}{key}.')
+            given = apply_overlay(base[key], given, source, f'{prefix}{key}.')
         merged[key] = given
     return merged
 
@@ -129,7 +129,7 @@
         return settings
     over = parse(overlay, overlay_name)
     check_keys(over, overlay_name)
-    merged = lay_over(raw, over, overlay_name)
+    merged = apply_overlay(raw, over, overlay_name)
     settings = _convert(merged, overlay_name)
     _check(settings, overlay_name)
     return settings
--- a/daisygw/settings/_schema.py
+++ b/daisygw/settings/_schema.py
@@ -38,10 +38,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seats:
+class ConfigurationVoters:
     """The hosts whose replicas vote on the configuration."""
 
-    seats: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +67,7 @@
     cell: Cell = Cell()
     domains: dict[str, Domain] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
-    configuration: Seats = Seats()
+    configuration: ConfigurationVoters = ConfigurationVoters()
     process: Process = Process()
     timing: Timing = Timing()
     teams: dict[str, Team] = field(default_factory=dict)
@@ -86,7 +86,7 @@
     )
 
 
-def seats_of(settings: Settings, domain: str) -> tuple[str, ...]:
+def voters_of(settings: Settings, domain: str) -> tuple[str, ...]:
     """Return the hosts that vote in a failure domain's group."""
     tie_breaker = settings.domains[domain].tie_breaker
     own = hosts_of(settings, domain)
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -1,4 +1,4 @@
-"""Zones: failure domains, their replicated log, books and leader."""
+"""Zones: failure domains, their replicated log, replicated state and leader."""
 
 from daisygw.zones._admit import (
     ADMISSIONS,
@@ -6,9 +6,8 @@
     on_refused_at_entry,
     on_submit,
 )
-from daisygw.zones._books import Books, apply
 from daisygw.zones._election import has_authority, lease_end, resign
-from daisygw.zones._leader import Leadership, Tell, take
+from daisygw.zones._leader import Leadership, Notice, take
 from daisygw.zones._messages import (
     Append,
     AppendReply,
@@ -43,6 +42,7 @@
     may_sync_later,
     reload,
 )
+from daisygw.zones._replicated import ReplicatedState, apply
 from daisygw.zones._replication import flush, propose
 from daisygw.zones._settle import on_report
 from daisygw.zones._step import receive, tick
@@ -51,9 +51,9 @@
     entry_down,
     entry_up,
     finish_turn,
+    on_abandoned,
     on_cancel,
     on_drain,
-    on_let_go,
     pass_time,
 )
 from daisygw.zones._watch import on_announcement
@@ -62,7 +62,7 @@
     'ADMISSIONS',
     'Append',
     'AppendReply',
-    'Books',
+    'ReplicatedState',
     'Commit',
     'Deposed',
     'Elected',
@@ -81,7 +81,7 @@
     'SnapshotReply',
     'SnapshotTaken',
     'TakeOver',
-    'Tell',
+    'Notice',
     'Timing',
     'VoteReply',
     'VoteRequest',
@@ -103,7 +103,7 @@
     'on_cancel',
     'may_sync_later',
     'on_drain',
-    'on_let_go',
+    'on_abandoned',
     'on_refused_at_entry',
     'on_report',
     'on_submit',
--- a/daisygw/zones/_admit.py
+++ b/daisygw/zones/_admit.py
@@ -36,7 +36,7 @@
 def on_submit(lead: Leadership, submit: Submit, entry: str) -> None:
     """Decide a submission; the answer goes to ``entry``."""
     contract = submit.contract
-    job = lead.books.register.jobs.get(contract.id)
+    job = lead.replicated.register.jobs.get(contract.id)
     if job is not None:
         _attach(lead, job, submit, entry)
         return
@@ -63,7 +63,9 @@
     contract = submit.contract
     record(lead, JobAccepted(contract, lead.wall))
     lead.holders[contract.id] = {entry}
-    wait(lead, lead.books.register.jobs[contract.id], range(contract.count))
+    wait(
+        lead, lead.replicated.register.jobs[contract.id], range(contract.count)
+    )
     if contract.deadline:
         due = (lead.now + contract.deadline, contract.id)
         heapq.heappush(lead.deadlines, due)
@@ -107,7 +109,7 @@
 
 
 def _never_fits(lead: Leadership, contract: Contract) -> Refusal | None:
-    shapes = lead.books.workers.shapes
+    shapes = lead.replicated.workers.shapes
     if not shapes:
         reason = 'no worker has announced itself'
         return ResultCode.NO_WORKERS, reason, _RETRY_SOON
@@ -148,9 +150,9 @@
 
 def expected_wait(lead: Leadership, contract: Contract) -> float:
     """Return the expected wait in seconds of a submission made now."""
-    run = expected_run(lead.books.register, contract)
+    run = expected_run(lead.replicated.register, contract)
     lane = lead.lane_of(contract, run)
-    slots = max(lead.books.capacity.slots, 1)
+    slots = max(lead.replicated.capacity.slots, 1)
     return ahead(lead.lanes, lane) / slots
 
 
--- a/daisygw/zones/_election.py
+++ b/daisygw/zones/_election.py
@@ -47,7 +47,9 @@
         send(replica, request)
 
 
-def _stand(replica: Replica, now: float, *, handover: bool = False) -> None:
+def _become_candidate(
+    replica: Replica, now: float, *, handover: bool = False
+) -> None:
     replica.term += 1
     replica.vote = replica.name
     replica.role = Role.CANDIDATE
@@ -76,7 +78,7 @@
     if len(granted) < majority(replica.members):
         return
     if replica.trial:
-        _stand(replica, now)
+        _become_candidate(replica, now)
     else:
         _lead(replica, now)
 
@@ -159,7 +161,7 @@
 def on_take_over(replica: Replica, order: TakeOver, now: float) -> None:
     """Stand at once, because the leader asks for it."""
     if order.term == replica.term and is_voter(replica):
-        _stand(replica, now, handover=True)
+        _become_candidate(replica, now, handover=True)
 
 
 def lease_end(replica: Replica) -> float:
--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -1,4 +1,4 @@
-"""What a failure domain's leader keeps besides the books.
+"""What a failure domain's leader keeps besides the replicated state.
 
 All of it is rebuilt when a leader is elected; nothing here is replicated.
 A decision is a plain function over ``Leadership``: it appends records for
@@ -20,11 +20,11 @@
     TaskState,
 )
 from daisygw.machines import SCORINGS, FreeIndex, Score, Worker
-from daisygw.zones._books import Books, apply
+from daisygw.zones._replicated import ReplicatedState, apply
 
 
 @dataclass(frozen=True, slots=True)
-class Tell:
+class Notice:
     """Effect: send a message to an entry once the log is committed.
 
     With ``at_once`` it waits for no commit: it tells nobody of a decision.
@@ -44,7 +44,7 @@
     due: float
 
 
-class Sighting:
+class Observation:
     """What a leader has seen of one target, on its own clock (s)."""
 
     def __init__(self, incarnation: str, lease_end: float) -> None:
@@ -53,7 +53,7 @@
         self.number = 0
         self.seen = float('-inf')
         self.lease_end = lease_end
-        self.shunned = float('-inf')
+        self.avoided_at = float('-inf')
         self.past: set[str] = set()
         self.failures: set[str] = set()
         self.probe_due = float('inf')
@@ -75,28 +75,28 @@
 
 
 class Leadership:
-    """The leader's working state over the books of its failure domain."""
+    """What a failure domain's leader keeps over the replicated state."""
 
     def __init__(
         self,
         domain: str,
         share: float,
-        books: Books,
+        replicated: ReplicatedState,
         cfg: Configuration,
         term: int,
     ) -> None:
         """Begin without queues; ``share`` is the domain's of every quota."""
         self.domain = domain
         self.share = share
-        self.books = books
+        self.replicated = replicated
         self.term = term
         self.now = 0.0
         self.wall = 0
         self.records: list[Any] = []
-        self.effects: list[Tell] = []
+        self.effects: list[Notice] = []
         self.lanes = Lanes()
         self.index = FreeIndex()
-        self.sightings: dict[str, Sighting] = {}
+        self.observations: dict[str, Observation] = {}
         self.holders: dict[str, set[str]] = {}
         self.entries: dict[str, None] = {}
         self.orders: dict[TaskKey, Ordered] = {}
@@ -123,14 +123,14 @@
 
 
 def record(lead: Leadership, change: Any) -> None:
-    """Change the books now; the change counts once committed."""
-    apply(lead.books, change)
+    """Change the replicated state now; the change counts once committed."""
+    apply(lead.replicated, change)
     lead.records.append(change)
 
 
 def tell(lead: Leadership, entry: str, message: Any) -> None:
     """Leave a message to an entry."""
-    lead.effects.append(Tell(entry, message))
+    lead.effects.append(Notice(entry, message))
 
 
 def tell_holders(lead: Leadership, job: str, message: Any) -> None:
@@ -141,12 +141,12 @@
 
 def is_open(lead: Leadership, worker: Worker) -> bool:
     """Tell whether new work may go to a worker at this moment."""
-    sighting = lead.sightings.get(worker.spec.name)
+    observation = lead.observations.get(worker.spec.name)
     return (
         worker.open
-        and sighting is not None
-        and sighting.number > 0
-        and lead.now >= sighting.shunned
+        and observation is not None
+        and observation.number > 0
+        and lead.now >= observation.avoided_at
     )
 
 
@@ -161,7 +161,7 @@
     return [task.index for task in job.tasks if task.state is TaskState.LEASED]
 
 
-def take(lead: Leadership) -> tuple[list[Any], list[Tell]]:
+def take(lead: Leadership) -> tuple[list[Any], list[Notice]]:
     """Return the records and effects of this turn, and begin the next."""
     records = lead.records
     effects = lead.effects
--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -38,10 +38,10 @@
 
 
 def say_hello(replica: Replica, now: float) -> None:
-    """As a new replica, ask every seat whether the group is formed."""
+    """As a new replica, ask every voter host whether the group is formed."""
     replica.hello_due = now + replica.timing.hello
     _form_if_new(replica, now)
-    hosts = replica.contacts.union(replica.seats)
+    hosts = replica.contacts.union(replica.voter_hosts)
     for host in sorted(hosts):
         if host != host_of(replica.name):
             formed = is_formed(replica)
@@ -63,7 +63,7 @@
 
 
 def on_hello_reply(replica: Replica, reply: HelloReply, now: float) -> None:
-    """Form the group once every seat is known to be new."""
+    """Form the group once every voter host is known to be new."""
     _note_formed(replica, reply.sender, formed=reply.formed)
     _form_if_new(replica, now)
 
@@ -76,14 +76,14 @@
 
 
 def _form_if_new(replica: Replica, now: float) -> None:
-    if not replica.seats:
+    if not replica.voter_hosts:
         return
     names = {**replica.unformed, host_of(replica.name): replica.name}
-    first = replica.seats[0] == host_of(replica.name)
-    known = all(host in names for host in replica.seats)
+    first = replica.voter_hosts[0] == host_of(replica.name)
+    known = all(host in names for host in replica.voter_hosts)
     if is_formed(replica) or not first or not known:
         return
-    members = Members(tuple(names[host] for host in replica.seats))
+    members = Members(tuple(names[host] for host in replica.voter_hosts))
     _take_form(replica, members, now)
     for name in members.voters:
         if name != replica.name:
@@ -161,7 +161,7 @@
 def _may_vote(replica: Replica, name: str, now: float) -> bool:
     """Tell whether a learner is to become a voter."""
     if not replica.open_to_hosts:
-        return host_of(name) in replica.seats
+        return host_of(name) in replica.voter_hosts
     voters = replica.members.voters
     if now - replica.peers[name].heard > _LIVE:
         return False
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -1,7 +1,7 @@
 """Messages and effects of a replica group.
 
 ``group``, ``sender`` and ``to`` name the group and two replicas; a replica
-is named ``host#birth``, and a host that lost its state gets a new birth.
+is named ``host#instance``, and a host that lost its state gets a new instance.
 Times are in seconds on the sender's own monotonic clock.
 """
 
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Form:
-    """The first members of a group, once all seats are known to be new."""
+    """The first members of a group, once all voters are known to be new."""
 
     group: str
     sender: str
--- a/daisygw/zones/_orders.py
+++ b/daisygw/zones/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to targets: given once a lease is in the books, safe to repeat."""
+"""Orders to targets: given once a lease is recorded, safe to repeat."""
 
 from daisygw.contracts import (
     Fence,
@@ -13,8 +13,8 @@
 
 
 def _fence(lead: Leadership, task: Task) -> Fence:
-    sighting = lead.sightings[task.target]
-    return Fence(lead.term, task.incarnation, sighting.number)
+    observation = lead.observations[task.target]
+    return Fence(lead.term, task.incarnation, observation.number)
 
 
 def _entries_for(lead: Leadership, job: Job) -> list[str]:
@@ -47,7 +47,7 @@
     ordered: Ordered,
 ) -> None:
     task = job.tasks[key.index]
-    worker = lead.books.workers.by_name.get(task.target)
+    worker = lead.replicated.workers.by_name.get(task.target)
     if worker is None:
         return
     ordered.entries.add(entry)
@@ -73,8 +73,8 @@
     ordered = lead.orders.get(key)
     if ordered is None:
         return
-    sighting = lead.sightings.get(task.target)
-    if sighting is None or sighting.number == 0:
+    observation = lead.observations.get(task.target)
+    if observation is None or observation.number == 0:
         return
     ordered.at = lead.now
     ordered.proof = 0
@@ -89,13 +89,13 @@
     code: int,
 ) -> None:
     """Have a target stop an attempt, through any entry at hand."""
-    worker = lead.books.workers.by_name.get(target)
-    sighting = lead.sightings.get(target)
-    if worker is None or sighting is None or not lead.entries:
+    worker = lead.replicated.workers.by_name.get(target)
+    observation = lead.observations.get(target)
+    if worker is None or observation is None or not lead.entries:
         return
     holders = lead.holders.get(key.job, set())
     connected = [entry for entry in lead.entries if entry in holders]
     entry = (connected or list(lead.entries))[0]
-    fence = Fence(lead.term, worker.spec.incarnation, sighting.number)
+    fence = Fence(lead.term, worker.spec.incarnation, observation.number)
     address = worker.spec.address
     tell(lead, entry, StopOrder(key, attempt, address, fence, code))
--- a/daisygw/zones/_placing.py
+++ b/daisygw/zones/_placing.py
@@ -46,15 +46,15 @@
 def _refresh(lead: Leadership) -> None:
     refresh(
         lead.index,
-        lead.books.workers,
+        lead.replicated.workers,
         lambda worker: is_open(lead, worker),
     )
 
 
 def _rank(lead: Leadership, team: str) -> float:
-    held = lead.books.register.held[team]
+    held = lead.replicated.register.held[team]
     weight = lead.cfg.teams[team].weight if team in lead.cfg.teams else 1
-    return share_of(held, lead.books.capacity) / weight
+    return share_of(held, lead.replicated.capacity) / weight
 
 
 def _place_lane(lead: Leadership, name: str) -> None:
@@ -111,9 +111,9 @@
     that one team's flood does not make them wait.  What a team wants is what
     it holds and what it waits for; a team at its share is never held back.
     """
-    capacity = lead.books.capacity.slots
-    held = lead.books.held.slots
-    mine = lead.books.register.held[team].slots
+    capacity = lead.replicated.capacity.slots
+    held = lead.replicated.held.slots
+    mine = lead.replicated.register.held[team].slots
     if mine == held or capacity - held >= capacity * lead.policy.headroom:
         return False
     share = _rank(lead, team) * lead.weights
@@ -122,7 +122,7 @@
 
 def _wants(lead: Leadership, name: str, team: str, share: float) -> bool:
     """Tell whether what a team holds and waits for is far over its share."""
-    mine = lead.books.register.held[team].slots
+    mine = lead.replicated.register.held[team].slots
     missing = mine * (_GREEDY / share - 1)
     for waiting in lead.lanes.by_name[name].teams[team]:
         missing -= waiting.size.slots * len(waiting.indexes)
@@ -135,14 +135,14 @@
     contract = waiting.contract
     count = contract.count if contract.kind is Kind.GANG else 1
     need = times(contract.size, count)
-    held = lead.books.register.held[contract.team]
+    held = lead.replicated.register.held[contract.team]
     if contract.team not in lead.cfg.teams:
         return False
     if not fits(plus(held, need), quota_of(lead, contract.team)):
         return False
     if name != _LONG_LANE:
         return True
-    slots = lead.books.capacity.slots
+    slots = lead.replicated.capacity.slots
     open_to_long = max(slots - int(slots * lead.policy.short_share), 1)
     return lead.long_slots + need.slots <= open_to_long
 
@@ -186,13 +186,13 @@
 
 def _avoided(lead: Leadership, waiting: Waiting) -> frozenset[str]:
     """Return where the next task failed, while there is another worker."""
-    job = lead.books.register.jobs[waiting.contract.id]
+    job = lead.replicated.register.jobs[waiting.contract.id]
     failed_on = frozenset(job.tasks[waiting.indexes[0]].failed_on)
     if not failed_on:
         return failed_on
     others = any(
         worker.open and name not in failed_on
-        for name, worker in lead.books.workers.by_name.items()
+        for name, worker in lead.replicated.workers.by_name.items()
     )
     return failed_on if others else frozenset()
 
@@ -203,7 +203,7 @@
     index: int,
     worker: Worker,
 ) -> None:
-    job = lead.books.register.jobs[contract.id]
+    job = lead.replicated.register.jobs[contract.id]
     placed = TaskPlaced(
         contract.id,
         index,
--- a/daisygw/zones/_preempt.py
+++ b/daisygw/zones/_preempt.py
@@ -39,7 +39,7 @@
 
 
 def _victims(lead: Leadership) -> Iterator[Victim]:
-    jobs = lead.books.register.jobs
+    jobs = lead.replicated.register.jobs
     for key, ordered in lead.orders.items():
         contract = jobs[key.job].contract
         may_stop = contract.checkpoint and contract.repeatable
@@ -51,9 +51,9 @@
 def _stop_for(lead: Leadership, size: Size, victims: list[Victim]) -> None:
     for victim in victims:
         _, key, ordered = victim
-        job = lead.books.register.jobs[key.job]
+        job = lead.replicated.register.jobs[key.job]
         task = job.tasks[key.index]
-        worker = lead.books.workers.by_name[task.target]
+        worker = lead.replicated.workers.by_name[task.target]
         if fits(size, plus(worker.free, job.contract.size)):
             ordered.stopping = ResultCode.PREEMPTED
             stopping = ordered.stopping
--- a/daisygw/zones/_queue.py
+++ b/daisygw/zones/_queue.py
@@ -37,7 +37,7 @@
     if not is_held(lead, contract):
         park(lead, contract.id)
         return
-    run = expected_run(lead.books.register, contract)
+    run = expected_run(lead.replicated.register, contract)
     lane = lead.lane_of(contract, run)
     enqueue(lead.lanes, lane, Waiting(contract, run, lead.now), iter(indexes))
 
@@ -95,5 +95,5 @@
 
 def address_of(lead: Leadership, target: str) -> str:
     """Return a target's address, empty where it is not known."""
-    worker = lead.books.workers.by_name.get(target)
+    worker = lead.replicated.workers.by_name.get(target)
     return worker.spec.address if worker else ''
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -58,7 +58,7 @@
         self,
         group: str,
         name: str,
-        seats: tuple[str, ...],
+        voter_hosts: tuple[str, ...],
         timing: Timing,
         seed: int,
         *,
@@ -67,12 +67,12 @@
     ) -> None:
         """Begin new: in no group, with an empty log.
 
-        ``seats`` are the hosts whose replicas vote; ``seed`` feeds the
+        ``voter_hosts`` are the hosts whose replicas vote; ``seed`` feeds the
         election timer; ``away`` marks the tie-breaker, which lives in
         another failure domain; where it ``tells_commits``, a new commit
         index is sent and made durable at once, not with the next entries.
-        A replica without seats never forms a group.  A group that is
-        ``open_to_hosts`` takes in hosts beside its seats, and lets them
+        A replica without voter hosts never forms a group.  A group that is
+        ``open_to_hosts`` takes in hosts beside its voter hosts, and lets them
         vote in the place of voters that are gone.
         """
         self.open_to_hosts = False
@@ -81,7 +81,7 @@
         self.tells_commits = tells_commits
         self.group = group
         self.name = name
-        self.seats = seats
+        self.voter_hosts = voter_hosts
         self.timing = timing
         self.random = Random(seed)
         self.role = Role.NEW
--- /dev/null
+++ b/daisygw/zones/_replicated.py
@@ -0,0 +1,143 @@
+"""The replicated state of a failure domain: what its log changes."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from daisygw.contracts import (
+    NOTHING,
+    JobAccepted,
+    JobForgotten,
+    RefusalsTallied,
+    Register,
+    Size,
+    TaskEnded,
+    TaskKey,
+    TaskPlaced,
+    TaskRequeued,
+    accept,
+    end,
+    forget,
+    minus,
+    place,
+    plus,
+    requeue,
+)
+from daisygw.machines import (
+    TargetDrained,
+    TargetDropped,
+    TargetListed,
+    TargetSetAside,
+    Workers,
+    drain_target,
+    drop_target,
+    hold,
+    list_target,
+    release,
+    set_aside,
+)
+from daisygw.report import Tally, pack, waited
+
+
+class ReplicatedState:
+    """Jobs, workers and tallies of one failure domain."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.register = Register()
+        self.workers = Workers()
+        self.tally = Tally()
+        self.capacity = NOTHING
+        self.held = NOTHING
+
+
+def apply(replicated: ReplicatedState, record: Any) -> None:
+    """Change the replicated state by one record."""
+    _BY_TYPE[type(record)](replicated, record)
+
+
+def _accept(replicated: ReplicatedState, record: JobAccepted) -> None:
+    accept(replicated.register, record)
+
+
+def _place(replicated: ReplicatedState, record: TaskPlaced) -> None:
+    job = replicated.register.jobs[record.job]
+    before = job.tasks[record.index]
+    size = place(replicated.register, record)
+    key = TaskKey(record.job, record.index)
+    hold(replicated.workers, record.target, key, size)
+    if record.attempt == 1:
+        contract = job.contract
+        wait = record.at - before.ready
+        waited(replicated.tally, contract.team, contract.kind, wait)
+    _set_held(replicated, plus(replicated.held, size), record.at)
+
+
+def _set_held(replicated: ReplicatedState, held: Size, at: int) -> None:
+    replicated.held = held
+    pack(replicated.tally.packed, at, held, replicated.capacity)
+
+
+def _free(
+    replicated: ReplicatedState, target: str, key: TaskKey, at: int
+) -> None:
+    size = replicated.register.jobs[key.job].contract.size
+    release(replicated.workers, target, key)
+    _set_held(replicated, minus(replicated.held, size), at)
+
+
+def _end(replicated: ReplicatedState, record: TaskEnded) -> None:
+    before = end(replicated.register, record)
+    contract = replicated.register.jobs[record.job].contract
+    replicated.tally.outcomes[contract.team, record.code] += 1
+    if before.target:
+        key = TaskKey(record.job, record.index)
+        _free(replicated, before.target, key, record.at)
+
+
+def _requeue(replicated: ReplicatedState, record: TaskRequeued) -> None:
+    before = requeue(replicated.register, record)
+    key = TaskKey(record.job, record.index)
+    _free(replicated, before.target, key, record.at)
+
+
+def _forget(replicated: ReplicatedState, record: JobForgotten) -> None:
+    forget(replicated.register, record)
+
+
+def _list(replicated: ReplicatedState, record: TargetListed) -> None:
+    added = list_target(replicated.workers, record)
+    replicated.capacity = plus(replicated.capacity, added)
+
+
+def _drop(replicated: ReplicatedState, record: TargetDropped) -> None:
+    lost = drop_target(replicated.workers, record)
+    replicated.capacity = minus(replicated.capacity, lost)
+
+
+def _drain(replicated: ReplicatedState, record: TargetDrained) -> None:
+    drain_target(replicated.workers, record)
+
+
+def _aside(replicated: ReplicatedState, record: TargetSetAside) -> None:
+    set_aside(replicated.workers, record)
+
+
+def _refusals(replicated: ReplicatedState, record: RefusalsTallied) -> None:
+    replicated.tally.refusals[record.team, record.code] += record.count
+
+
+_BY_TYPE: Mapping[type, Callable[[ReplicatedState, Any], None]] = (
+    MappingProxyType({
+        JobAccepted: _accept,
+        JobForgotten: _forget,
+        RefusalsTallied: _refusals,
+        TargetDrained: _drain,
+        TargetDropped: _drop,
+        TargetListed: _list,
+        TargetSetAside: _aside,
+        TaskEnded: _end,
+        TaskPlaced: _place,
+        TaskRequeued: _requeue,
+    })
+)
--- a/daisygw/zones/_reserve.py
+++ b/daisygw/zones/_reserve.py
@@ -23,7 +23,7 @@
 def _enough(lead: Leadership, waiting: Waiting) -> list[str]:
     workers = [
         worker
-        for worker in lead.books.workers.by_name.values()
+        for worker in lead.replicated.workers.by_name.values()
         if is_open(lead, worker)
     ]
     workers.sort(key=lambda worker: -worker.free.slots)
@@ -38,8 +38,8 @@
 
 
 def _free_at(lead: Leadership, name: str) -> float:
-    worker = lead.books.workers.by_name[name]
-    register = lead.books.register
+    worker = lead.replicated.workers.by_name[name]
+    register = lead.replicated.register
     ends = [
         lead.orders[key].at
         + expected_run(register, register.jobs[key.job].contract)
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -13,7 +13,7 @@
     code_class,
 )
 from daisygw.machines import TargetSetAside
-from daisygw.zones._leader import Leadership, Sighting, record
+from daisygw.zones._leader import Leadership, Observation, record
 from daisygw.zones._queue import end_task, wait
 from daisygw.zones._speed import note_run
 
@@ -29,7 +29,7 @@
     run: int = 0,
 ) -> None:
     """Close an attempt with ``code``; a late or doubled end is dropped."""
-    job = lead.books.register.jobs.get(key.job)
+    job = lead.replicated.register.jobs.get(key.job)
     if job is None or not 0 <= key.index < len(job.tasks):
         return
     task = job.tasks[key.index]
@@ -79,7 +79,7 @@
 
 
 def _has_retry_budget(lead: Leadership) -> bool:
-    register = lead.books.register
+    register = lead.replicated.register
     budget = register.started * lead.policy.retry_share + _FREE_RETRIES
     return register.retried < budget
 
@@ -97,34 +97,34 @@
     task: Task,
     code: int,
 ) -> None:
-    sighting = lead.sightings.get(task.target)
-    if sighting is None:
+    observation = lead.observations.get(task.target)
+    if observation is None:
         return
     if code == ResultCode.ANSWERED:
-        sighting.failures.clear()
+        observation.failures.clear()
     elif code == ResultCode.TASK_FAILED:
-        sighting.failures.add(f'{key.job}/{key.index}')
-        _judge(lead, task.target, sighting)
+        observation.failures.add(f'{key.job}/{key.index}')
+        _judge(lead, task.target, observation)
 
 
-def _judge(lead: Leadership, name: str, sighting: Sighting) -> None:
+def _judge(lead: Leadership, name: str, observation: Observation) -> None:
     """Set a target aside once enough distinct tasks have failed there."""
-    worker = lead.books.workers.by_name.get(name)
-    few = len(sighting.failures) < lead.policy.aside_failures
+    worker = lead.replicated.workers.by_name.get(name)
+    few = len(observation.failures) < lead.policy.aside_failures
     if worker is None or worker.aside or few:
         return
     record(lead, TargetSetAside(name, aside=True))
-    sighting.probe_due = lead.now + lead.policy.probe_every
+    observation.probe_due = lead.now + lead.policy.probe_every
 
 
-def _shun(lead: Leadership, report: TaskReport) -> None:
+def _avoid(lead: Leadership, report: TaskReport) -> None:
     """Place nothing for a moment where an order could not be delivered."""
-    job = lead.books.register.jobs[report.key.job]
+    job = lead.replicated.register.jobs[report.key.job]
     target = job.tasks[report.key.index].target
-    sighting = lead.sightings.get(target)
-    if sighting:
-        sighting.shunned = lead.now + _SHUN_UNREACHABLE
-        lead.books.workers.touched.add(target)
+    observation = lead.observations.get(target)
+    if observation:
+        observation.avoided_at = lead.now + _SHUN_UNREACHABLE
+        lead.replicated.workers.touched.add(target)
 
 
 def on_report(lead: Leadership, report: TaskReport, entry: str) -> None:
@@ -139,6 +139,6 @@
     if ordered is None or ordered.attempt != report.attempt:
         return
     if lead.holders.get(report.key.job):
-        _shun(lead, report)
+        _avoid(lead, report)
     if ordered.entries == {entry} and not ordered.inherited:
         settle(lead, report.key, report.attempt, report.code)
--- a/daisygw/zones/_speed.py
+++ b/daisygw/zones/_speed.py
@@ -20,7 +20,7 @@
     The speed that counts is that against the fastest target known; targets
     that slow down sink in the index, and rise again when they recover.
     """
-    mean = lead.books.register.learned.get(work_key(contract), 0)
+    mean = lead.replicated.register.learned.get(work_key(contract), 0)
     if mean < _SHORTEST:
         return
     known = lead.speeds.get(target, 1)
@@ -29,4 +29,4 @@
     fastest = min(lead.speeds.values())
     relative = lead.speeds[target] / max(fastest, _SHORTEST)
     if set_speed(lead.index, target, relative):
-        lead.books.workers.touched.add(target)
+        lead.replicated.workers.touched.add(target)
--- a/daisygw/zones/_turns.py
+++ b/daisygw/zones/_turns.py
@@ -3,12 +3,12 @@
 import heapq
 
 from daisygw.contracts import (
+    Abandoned,
     Answer,
     Cancel,
     Drain,
     Job,
     JobForgotten,
-    LetGo,
     RefusalsTallied,
     ResultCode,
     TaskKey,
@@ -33,9 +33,9 @@
 
 
 def begin(lead: Leadership) -> None:
-    """Take over the books: adopt leases, queue what waits."""
+    """Take over the replicated state: adopt leases, queue what waits."""
     adopt_orders(lead)
-    for job in list(lead.books.register.jobs.values()):
+    for job in list(lead.replicated.register.jobs.values()):
         _adopt(lead, job)
 
 
@@ -72,7 +72,7 @@
 
 
 def _expire(lead: Leadership) -> None:
-    jobs = lead.books.register.jobs
+    jobs = lead.replicated.register.jobs
     while lead.deadlines and lead.deadlines[0][0] <= lead.now:
         _, name = heapq.heappop(lead.deadlines)
         job = jobs.get(name)
@@ -103,7 +103,7 @@
     """Cancel a wave of jobs; the cost is that of the jobs named."""
     unknown = 0
     for name in cancel.jobs:
-        job = lead.books.register.jobs.get(name)
+        job = lead.replicated.register.jobs.get(name)
         if job is None:
             unknown += 1
             continue
@@ -127,7 +127,7 @@
 
 def on_drain(lead: Leadership, drain: Drain, entry: str) -> None:
     """Close a target to new work, or open it again."""
-    if drain.target not in lead.books.workers.by_name:
+    if drain.target not in lead.replicated.workers.by_name:
         answer = Answer(drain.seq, ResultCode.UNKNOWN_TARGET, drain.target)
         tell(lead, entry, answer)
         return
@@ -135,11 +135,13 @@
     tell(lead, entry, Answer(drain.seq, ResultCode.ACCEPTED))
 
 
-def on_let_go(lead: Leadership, let_go: LetGo, entry: str) -> None:
+def on_abandoned(lead: Leadership, abandoned: Abandoned, entry: str) -> None:
     """Give a job's orders to this entry no more; its order never left."""
-    name = let_go.key.job
+    name = abandoned.key.job
     lead.holders.get(name, set()).discard(entry)
-    report = TaskReport(let_go.key, let_go.attempt, ResultCode.NOT_STARTED)
+    report = TaskReport(
+        abandoned.key, abandoned.attempt, ResultCode.NOT_STARTED
+    )
     on_report(lead, report, entry)
     if not lead.holders.get(name) and name in lead.lanes.where:
         park(lead, name)
@@ -157,6 +159,6 @@
         if entry not in holders:
             continue
         holders.discard(entry)
-        job = lead.books.register.jobs.get(name)
+        job = lead.replicated.register.jobs.get(name)
         if not holders and job and name in lead.lanes.where:
             park(lead, name)
--- a/daisygw/zones/_watch.py
+++ b/daisygw/zones/_watch.py
@@ -15,7 +15,7 @@
     TargetSetAside,
     Worker,
 )
-from daisygw.zones._leader import Leadership, Ordered, Sighting, record, tell
+from daisygw.zones._leader import Leadership, Observation, Ordered, record, tell
 from daisygw.zones._orders import give_order, give_stop
 from daisygw.zones._settle import settle
 
@@ -29,18 +29,18 @@
     entry: str,
 ) -> None:
     """Take a target's announcement and acknowledge it through ``entry``."""
-    sighting = _sighting(lead, announcement)
-    if sighting is None or announcement.number <= sighting.number:
+    observation = _sighting(lead, announcement)
+    if observation is None or announcement.number <= observation.number:
         return
-    sighting.number = announcement.number
-    sighting.seen = lead.now
+    observation.number = announcement.number
+    observation.seen = lead.now
     policy = lead.policy
-    sighting.lease_end = lead.now + policy.lease + policy.lease_margin
-    lead.books.workers.touched.add(announcement.spec.name)
+    observation.lease_end = lead.now + policy.lease + policy.lease_margin
+    lead.replicated.workers.touched.add(announcement.spec.name)
     for ended in announcement.ended:
         settle(lead, ended.key, ended.attempt, ended.code, ended.run)
     _check_running(lead, announcement)
-    _probe(lead, announcement.spec.name, sighting)
+    _probe(lead, announcement.spec.name, observation)
     taken = AnnouncementTaken(
         announcement.spec.name,
         announcement.spec.incarnation,
@@ -55,19 +55,19 @@
 def _sighting(
     lead: Leadership,
     announcement: Announcement,
-) -> Sighting | None:
+) -> Observation | None:
     spec = announcement.spec
-    known = lead.sightings.get(spec.name)
+    known = lead.observations.get(spec.name)
     if known and spec.incarnation in known.past:
         return None
-    worker = lead.books.workers.by_name.get(spec.name)
+    worker = lead.replicated.workers.by_name.get(spec.name)
     if worker and worker.spec.incarnation != spec.incarnation:
         lose_attempts(lead, worker)
     if known is None or known.incarnation != spec.incarnation:
-        fresh = Sighting(spec.incarnation, lead.now)
+        fresh = Observation(spec.incarnation, lead.now)
         if known:
             fresh.past = {*known.past, known.incarnation}
-        lead.sightings[spec.name] = fresh
+        lead.observations[spec.name] = fresh
         known = fresh
     if worker is None or worker.spec != spec:
         record(lead, TargetListed(spec))
@@ -77,13 +77,13 @@
 def lose_attempts(lead: Leadership, worker: Worker) -> None:
     """Close every attempt of a worker whose process or lease is over."""
     for key in list(worker.held):
-        task = lead.books.register.jobs[key.job].tasks[key.index]
+        task = lead.replicated.register.jobs[key.job].tasks[key.index]
         settle(lead, key, task.attempt, ResultCode.WORKER_LOST)
 
 
 def _check_running(lead: Leadership, announcement: Announcement) -> None:
     name = announcement.spec.name
-    worker = lead.books.workers.by_name[name]
+    worker = lead.replicated.workers.by_name[name]
     running = {attempt.key: attempt for attempt in announcement.running}
     for attempt in announcement.running:
         _check_known(lead, attempt, worker)
@@ -146,42 +146,42 @@
     if patient or ordered.resent >= _MOST_RESENDS:
         return
     ordered.resent += 1
-    give_order(lead, lead.books.register.jobs[key.job], key)
+    give_order(lead, lead.replicated.register.jobs[key.job], key)
 
 
-def _probe(lead: Leadership, name: str, sighting: Sighting) -> None:
+def _probe(lead: Leadership, name: str, observation: Observation) -> None:
     """Take a target back that was set aside: one more failure closes it."""
-    worker = lead.books.workers.by_name[name]
-    if worker.aside and lead.now >= sighting.probe_due:
-        sighting.failures = set(list(sighting.failures)[:-1])
+    worker = lead.replicated.workers.by_name[name]
+    if worker.aside and lead.now >= observation.probe_due:
+        observation.failures = set(list(observation.failures)[:-1])
         record(lead, TargetSetAside(name, aside=False))
-        sighting.probe_due = float('inf')
+        observation.probe_due = float('inf')
 
 
 def sweep_leases(lead: Leadership) -> None:
     """Drop the targets whose lease is over; shun those that fell silent."""
     silence = lead.policy.announce_every * _SILENT_BEATS
-    for name, sighting in list(lead.sightings.items()):
-        worker = lead.books.workers.by_name.get(name)
+    for name, observation in list(lead.observations.items()):
+        worker = lead.replicated.workers.by_name.get(name)
         if worker is None:
             continue
-        if lead.now >= sighting.lease_end:
+        if lead.now >= observation.lease_end:
             lose_attempts(lead, worker)
             record(lead, TargetDropped(name, worker.spec.incarnation))
-            sighting.number = 0
-        elif lead.now - sighting.seen > silence:
-            sighting.shunned = lead.now + lead.policy.announce_every
-            lead.books.workers.touched.add(name)
+            observation.number = 0
+        elif lead.now - observation.seen > silence:
+            observation.avoided_at = lead.now + lead.policy.announce_every
+            lead.replicated.workers.touched.add(name)
 
 
 def adopt_orders(lead: Leadership) -> None:
-    """As a new leader, take every lease in the books as may be running."""
+    """As a new leader, take every recorded lease as maybe running."""
     policy = lead.policy
     lease_end = lead.now + policy.lease + policy.lease_margin
-    for name, worker in lead.books.workers.by_name.items():
+    for name, worker in lead.replicated.workers.by_name.items():
         incarnation = worker.spec.incarnation
-        lead.sightings[name] = Sighting(incarnation, lease_end)
-    for job in lead.books.register.jobs.values():
+        lead.observations[name] = Observation(incarnation, lease_end)
+    for job in lead.replicated.register.jobs.values():
         _adopt_job(lead, job)
 
 
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -116,7 +116,7 @@
             yield f'tie_breaker = "{hosts_in(plan, following)[0].name}"'
 
 
-def _config_seats(plan: Plan) -> list[str]:
+def _config_voters(plan: Plan) -> list[str]:
     """Return an odd number of hosts, spread over the failure domains."""
     firsts = [hosts_in(plan, name)[0].name for name in domains_of(plan)]
     if len(firsts) == 2:
@@ -135,8 +135,8 @@
             f'scheduler = "{host.scheduler}"',
             f'disk = {str(host.disk).lower()}',
         ]
-    seats = _config_seats(plan)
-    lines += ['[configuration]', f'seats = {json.dumps(seats)}']
+    voter_hosts = _config_voters(plan)
+    lines += ['[configuration]', f'voters = {json.dumps(voter_hosts)}']
     lines += ['[process]', f'data = "{data}"', 'log_level = "info"']
     if plan.quick:
         lines += ['[timing]']
@@ -299,7 +299,7 @@
 
 
 def is_serving(cell: RunningCell, targets: int) -> bool:
-    """Tell whether every entry sees ``targets`` targets in the books."""
+    """Tell whether every entry sees ``targets`` targets."""
     for host in cell.plan.hosts:
         views = fetch(host.entry, '/v1/views/targets')
         health = fetch(host.entry, '/v1/health')
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -405,9 +405,9 @@
         _hold(world, key)
     pass_time(lead, world.now, world.now)
     place_waiting(lead)
-    _, tells = take(lead)
-    for tell in tells:
-        _take_effect(world, tell.message)
+    _, notices = take(lead)
+    for notice in notices:
+        _take_effect(world, notice.message)
 
 
 def play(world: World, after: float = 60.0) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -387,10 +387,10 @@
 
 def _carry_out(world: World) -> None:
     place_waiting(world.lead)
-    _, tells = take(world.lead)
-    for tell in tells:
-        message = tell.message
-        if world.now < world.loses_until and not tell.at_once:
+    _, notices = take(world.lead)
+    for notice in notices:
+        message = notice.message
+        if world.now < world.loses_until and not notice.at_once:
             continue
         match message:
             case StartOrder():
@@ -403,7 +403,7 @@
                 note_committed(world.lead, message)
             case Probe():
                 _hold(world, message.life)
-            case CellAnswer() if tell.entry != HERE:
+            case CellAnswer() if notice.entry != HERE:
                 world.answers[message.seq] = message
 
 
--- a/tests/features/log.feature
+++ b/tests/features/log.feature
@@ -31,7 +31,7 @@
     Given a group of three replicas
     When 5 records are committed
     And host b is wiped, and the group is whole again
-    Then the members name b's new birth and not the old one
+    Then the members name b's new instance and not the old one
 
   Scenario: The tie-breaker hands the lead back to a host at home
     Given a group of three replicas
--- a/tests/log_world.py
+++ b/tests/log_world.py
@@ -42,7 +42,7 @@
     def __init__(self, host: str) -> None:
         """Begin down."""
         self.host = host
-        self.births = 0
+        self.instances = 0
         self.replica: Replica | None = None
         self.saved: Persist | None = None
         self.name = ''
@@ -74,8 +74,8 @@
 def start_new(world: World, host: str) -> None:
     """Start a host without memory or disk: a new replica."""
     node = world.nodes[host]
-    node.births += 1
-    node.name = f'{host}#{node.births}'
+    node.instances += 1
+    node.name = f'{host}#{node.instances}'
     node.saved = None
     node.applied = []
     node.paused = 0
--- a/tests/steps/decisions_steps.py
+++ b/tests/steps/decisions_steps.py
@@ -15,8 +15,8 @@
     turn,
 )
 from daisygw.contracts import (
+    Abandoned,
     Kind,
-    LetGo,
     Order,
     Priority,
     ResultCode,
@@ -24,7 +24,7 @@
     StopOrder,
     TaskReport,
 )
-from daisygw.zones import finish_turn, on_let_go, on_report, take
+from daisygw.zones import finish_turn, on_abandoned, on_report, take
 
 
 @cache
@@ -118,22 +118,22 @@
 
 
 @when('an order is given, and its entry has let the job go')
-def let_go(context):
+def abandoned(context):
     """Submit, take the order, and let go."""
     context.core = Core(Scale(2, 0, 1), waits.PRESENT)
     submit(context.core, contract_of(context.core))
     orders = [one for one in _messages(context.core) if isinstance(one, Order)]
     assert len(orders) == 1
     order = orders[0]
-    on_let_go(context.core.lead, LetGo(order.key, order.attempt), ENTRY)
+    on_abandoned(context.core.lead, Abandoned(order.key, order.attempt), ENTRY)
 
 
 @then('the capacity is free again, and no further order is given')
 def check_let_go(context):
-    """Look at the books and the next turn."""
+    """Look at the replicated state and the next turn."""
     told = _messages(context.core)
     assert not any(isinstance(one, Order) for one in told), told
-    assert context.core.lead.books.held.slots == 0
+    assert context.core.lead.replicated.held.slots == 0
 
 
 @then('the job ends as not run once it was parked long enough')
@@ -141,5 +141,5 @@
     """Let the time pass."""
     core = context.core
     turn(core, core.lead.policy.park + 1)
-    ended = core.lead.books.register.ended
+    ended = core.lead.replicated.register.ended
     assert ended == {ResultCode.CALLER_GONE: 1}, ended
--- a/tests/steps/group_steps.py
+++ b/tests/steps/group_steps.py
@@ -12,7 +12,7 @@
 from daisygw.links.processes import (
     Group,
     Machine,
-    Outlet,
+    Transport,
     carry_out,
     close,
     create,
@@ -23,10 +23,10 @@
     AppendReply,
     LogEntry,
     Members,
+    Notice,
     Replica,
     Role,
     SnapshotTaken,
-    Tell,
     Timing,
     VoteReply,
     drain,
@@ -74,8 +74,8 @@
 
     def take():
         records, state.records = state.records, []
-        tells, state.tells = state.tells, []
-        return records, tells
+        notices, state.notices = state.notices, []
+        return records, notices
 
     return Machine(
         apply=state.applied.append,
@@ -91,7 +91,7 @@
     def __init__(self):
         self.applied = []
         self.records = []
-        self.tells = []
+        self.notices = []
 
 
 def _decide(state, position):
@@ -106,14 +106,14 @@
     context.state = _State()
     replica = _leader()
     context.group = Group(replica, None, _machine(context.state))
-    context.outlet = Outlet(lambda message: None, lambda tell: None)
+    context.transport = Transport(lambda message: None, lambda tell: None)
     _decide(context.state, 1)
-    carry_out(context.group, 1, context.outlet)
+    carry_out(context.group, 1, context.transport)
     for name in ('b#1', 'c#1'):
         match = last_index(replica)
         reply = AppendReply('g', name, 'a#1', replica.term, True, match, 0, 1)
         receive(replica, reply, 1)
-    carry_out(context.group, 1, context.outlet)
+    carry_out(context.group, 1, context.transport)
     assert replica.commit == last_index(replica)
 
 
@@ -127,7 +127,7 @@
     )
     receive(replica, append, 2)
     _decide(context.state, 2)
-    carry_out(context.group, 2, context.outlet)
+    carry_out(context.group, 2, context.transport)
 
 
 @then('its state is that of the committed log')
@@ -226,7 +226,7 @@
     replica.members = replica.base.members
     replica.role = Role.FOLLOWER
     context.sent = []
-    context.outlet = Outlet(context.sent.append, lambda tell: None)
+    context.transport = Transport(context.sent.append, lambda tell: None)
     context.group = Group(replica, journal, _machine(_State()))
 
 
@@ -239,7 +239,7 @@
     context.said = []
     for _ in range(count):
         with suppress(JournalError):
-            carry_out(context.group, 1, context.outlet)
+            carry_out(context.group, 1, context.transport)
         context.said.append(len(context.sent))
 
 
@@ -267,11 +267,11 @@
         self.queue = deque()
 
 
-def _add(hosts, host, birth, seats):
+def _add(hosts, host, instance, voter_hosts):
     timing = Timing(heartbeat=0.1, election=_ELECTION, drift=0.1)
-    name = f'{host}#{birth}'
+    name = f'{host}#{instance}'
     seed = sum(name.encode('ascii'))
-    replica = Replica('g', name, seats, timing, seed)
+    replica = Replica('g', name, voter_hosts, timing, seed)
     replica.open_to_hosts = True
     replica.contacts.update({'a', 'b', 'c'})
     hosts.replicas[host] = replica
@@ -395,7 +395,7 @@
     context.group = Group(replica, journal, _machine(context.state))
     context.sent = []
     context.told = []
-    context.outlet = Outlet(
+    context.transport = Transport(
         lambda message: context.sent.append((message, journal.syncs)),
         lambda tell: context.told.append(tell.message),
     )
@@ -411,7 +411,7 @@
 def leader_with_disk(context):
     """Let the election be over, and one record wait for its turn."""
     _disk_group(context, _leader())
-    carry_out(context.group, 1, context.outlet)
+    carry_out(context.group, 1, context.transport)
     context.sent.clear()
     context.syncs = context.group.journal.syncs
     _decide(context.state, 1)
@@ -420,22 +420,22 @@
 @given('it has a question to ask and an answer to give')
 def leave_tells(context):
     """Leave both for the turn."""
-    context.state.tells += [
-        Tell('', 'question', at_once=True),
-        Tell('entry', 'answer'),
+    context.state.notices += [
+        Notice('', 'question', at_once=True),
+        Notice('entry', 'answer'),
     ]
 
 
 @when('it carries out its turn with both peers silent')
 def take_turn_alone(context):
     """Append, sync and send 1 s after they were heard."""
-    carry_out(context.group, 2, context.outlet)
+    carry_out(context.group, 2, context.transport)
 
 
 @when('it carries out its turn with both peers answering')
 def take_turn(context):
     """Append and send just after they were heard."""
-    carry_out(context.group, 1.1, context.outlet)
+    carry_out(context.group, 1.1, context.transport)
 
 
 @then('its entries left and it has not synced')
@@ -456,7 +456,7 @@
     for name, committed in (('b#1', False), ('c#1', True)):
         reply = AppendReply('g', name, 'a#1', replica.term, True, last, 0, 1.1)
         receive(replica, reply, 1.15)
-        carry_out(context.group, 1.15, context.outlet)
+        carry_out(context.group, 1.15, context.transport)
         assert (replica.commit == last) is committed, (name, replica.commit)
     assert context.group.journal.syncs == context.syncs
 
@@ -464,7 +464,7 @@
 @then('it has synced 0.3 seconds later')
 def check_synced(context):
     """Let the time pass."""
-    carry_out(context.group, 1.4, context.outlet)
+    carry_out(context.group, 1.4, context.transport)
     assert context.group.journal.syncs == context.syncs + 1
 
 
@@ -505,7 +505,7 @@
     entry = LogEntry(1, 1, b'')
     append = Append('g', 'a#1', 'b#1', 1, 0, 0, 0, 1, (entry,))
     receive(context.group.replica, append, 1)
-    carry_out(context.group, 1, context.outlet)
+    carry_out(context.group, 1, context.transport)
 
 
 @then('its answer left after it synced')
@@ -533,7 +533,7 @@
             'g', name, 'a#1', replica.term, True, last, 0, stamp
         )
         receive(replica, reply, now)
-    carry_out(context.group, now, context.outlet)
+    carry_out(context.group, now, context.transport)
     assert replica.commit == last
 
 
--- a/tests/steps/guarantee_steps.py
+++ b/tests/steps/guarantee_steps.py
@@ -311,7 +311,7 @@
 
 
 def _is_whole(group) -> bool:
-    """Tell whether a replica is a voter, where its host has a seat."""
+    """Tell whether a replica is a voter, where its host is to vote."""
     voters = [one.partition('#')[0] for one in group['voters']]
     replica = group['replica']
     seated = replica.partition('#')[0] in voters
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -177,7 +177,7 @@
         assert len(node.applied) == count
 
 
-@then("the members name b's new birth and not the old one")
+@then("the members name b's new instance and not the old one")
 def check_birth(context):
     """Look at the leader's members."""
     voters = leader_of(context.world).replica.members.voters
--- a/tests/steps/shape_steps.py
+++ b/tests/steps/shape_steps.py
@@ -82,6 +82,8 @@
                 assert head in _ALLOWED, f'{path}: {name}'
                 outside = (
                     'daisygw.links',
+                    'daisygw.entries',
+                    'daisygw.schedulers',
                     'daisygw.cli',
                     'daisygw.settings',
                     'daisygw.nodes',
--- a/tests/steps/trouble_steps.py
+++ b/tests/steps/trouble_steps.py
@@ -108,7 +108,7 @@
 
 @then('that target is set aside after at most {most:d} failures')
 def set_aside(context, most):
-    """Look at the books and at what it started."""
+    """Look at the replicated state and at what it started."""
     view = _targets(context)
     targets = {one['name']: one for one in view['santander']}
     seen = next(
