Say of each constant its unit and where it comes from

Where a figure was chosen and not measured, the line says so. Four constants of the operators' face that nothing used are gone. No value changes.

--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -21,6 +21,8 @@
 TICKET_MARGIN = 0.3
 # How much the newest answer counts for that part, and its least value.
 _RATE = 0.1
+# The least part of targets that is taken to be approved; bounds a question at
+# 7 times its need.
 _LEAST_RATE = 0.15
 # The pause after a call that was not answered, s.
 RETRY_PAUSE = 0.2
--- a/daisygw/cell/_learning.py
+++ b/daisygw/cell/_learning.py
@@ -18,6 +18,8 @@
 RATE = 0.2
 # A run time counts at most this often the usual one: a straggler says little.
 _MOST_STRETCH = 2
+# How many times slower or faster one run may say that a target is; chosen, so
+# that one odd run does not set the pace.
 _MOST_PACE = 4
 # How much the newest pace counts for the usual one, which keeps learned
 # paces from rising together.
--- a/daisygw/cli/_client.py
+++ b/daisygw/cli/_client.py
@@ -14,6 +14,7 @@
 from daisygw.contracts import LinkError, ResultCode
 from daisygw.status import ExitStatus
 
+# Longest wait for a connection to an entry, s: a person waits for it.
 _CONNECT = 3.0
 CODE_HEADER = 'Daisygw-Code'
 
--- a/daisygw/contracts/_check.py
+++ b/daisygw/contracts/_check.py
@@ -17,6 +17,7 @@
 _OUR_FIELDS = frozenset({'digest', 'spec'})
 _FIELDS = frozenset(part.name for part in fields(Contract)) - _OUR_FIELDS
 _SIZE_FIELDS = frozenset({'cpus', 'memory', 'accelerators'})
+# Longest name, characters: fits a label of the metrics and a file name.
 _MAX_NAME = 64
 _FIRST_PRINTABLE = '!'
 _LAST_PRINTABLE = '~'
--- a/daisygw/contracts/_codes.py
+++ b/daisygw/contracts/_codes.py
@@ -8,6 +8,7 @@
 import enum
 from types import MappingProxyType
 
+# Codes in a class: the hundreds name it, as HTTP's do.
 _CLASS_WIDTH = 100
 
 
--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -6,6 +6,7 @@
 
 # The name of the group whose log holds the configuration.
 CONFIGURATION = 'configuration'
+# Changes whose ids are kept against repeats: 6 days of 1,600 (CAPACITY.md).
 _CHANGES_KNOWN = 10_000
 
 
--- a/daisygw/contracts/_register.py
+++ b/daisygw/contracts/_register.py
@@ -45,7 +45,9 @@
         self.ended: Counter[int] = Counter()
 
 
+# Weight of the newest run time in the learned one: 4 runs follow a change.
 _LEARNING_RATE = 0.25
+# Milliseconds in a second.
 _MS = 1000
 
 
--- a/daisygw/entries/_announce_http.py
+++ b/daisygw/entries/_announce_http.py
@@ -11,6 +11,8 @@
 from daisygw.entries._state import Entry, tell_leader
 from daisygw.machines import Announced, Announcement, AnnouncementTaken
 
+# Longest wait for the answer to an announcement, s: two of the usual pauses
+# between them.
 _ANNOUNCE_WAIT = 2.0
 
 
--- a/daisygw/entries/_config_http.py
+++ b/daisygw/entries/_config_http.py
@@ -17,8 +17,12 @@
 )
 from daisygw.entries._state import ask_leader
 
+# Milliseconds in a second.
 _MS = 1000
+# Random bytes of a change's id: no two of 10,000 meet.
 _TOKEN_BYTES = 8
+# Longest wait for a change, s: the leader's own patience, twice an election,
+# and room.
 _CHANGE_WAIT = 12.0
 
 
--- a/daisygw/entries/_driving.py
+++ b/daisygw/entries/_driving.py
@@ -30,6 +30,7 @@
 from daisygw.entries._target_client import ask_outcome, start, stop
 from daisygw.links import log
 
+# Milliseconds in a second.
 _MS = 1000
 _WITH_ANSWER = frozenset({ResultCode.ANSWERED})
 
--- a/daisygw/entries/_dump_http.py
+++ b/daisygw/entries/_dump_http.py
@@ -13,6 +13,7 @@
 from daisygw.entries._state import Entry, post_about
 from daisygw.links.processes import describe_link, usage
 
+# Longest wait for a scheduler's dump, s: it is on the same host.
 _VIEW_WAIT = 2.0
 
 
--- a/daisygw/entries/_http.py
+++ b/daisygw/entries/_http.py
@@ -20,6 +20,8 @@
 from daisygw.entries._target_client import CODE_HEADER
 from daisygw.links import log_error
 
+# Largest JSON document that is read, bytes: a base and 11 overlays take a
+# tenth.
 _MOST_JSON = 1_048_576
 
 
--- a/daisygw/entries/_operator_http.py
+++ b/daisygw/entries/_operator_http.py
@@ -28,11 +28,9 @@
     home,
 )
 
-_MS = 1000
-_TOKEN_BYTES = 8
-_ANNOUNCE_WAIT = 2.0
+# Longest wait for a view, s: an election and a repeat.
 _VIEW_WAIT = 2.0
-_CHANGE_WAIT = 12.0
+# Most jobs in one cancellation; a day has 14,000 (CAPACITY.md).
 _MOST_CANCELLED = 10_000
 
 
--- a/daisygw/entries/_process.py
+++ b/daisygw/entries/_process.py
@@ -47,6 +47,7 @@
 from daisygw.machines import AnnouncementTaken
 from daisygw.settings import Settings, configuration_of, settings_in_force
 
+# How often a stopping entry looks for what still runs, s.
 _DRAIN_LOOK = 0.05
 
 
--- a/daisygw/entries/_requests_http.py
+++ b/daisygw/entries/_requests_http.py
@@ -37,6 +37,7 @@
 CONTRACT_HEADER = 'Daisygw-Contract'
 ID_HEADER = 'Daisygw-Id'
 _NDJSON = 'application/x-ndjson'
+# Random bytes of an id that the entry gives: no two of a day meet.
 _TOKEN_BYTES = 8
 
 
--- a/daisygw/entries/_state.py
+++ b/daisygw/entries/_state.py
@@ -23,7 +23,10 @@
 from daisygw.links.processes import Link, post
 from daisygw.settings import Settings, configuration_of
 
+# A question without an answer is asked again after this, s: an election takes
+# 0.5 to 1.
 _ASK_AGAIN = 1.0
+# How often a leader is looked for while none is known, s.
 _LOOK_AGAIN = 0.05
 
 
--- a/daisygw/entries/_target_client.py
+++ b/daisygw/entries/_target_client.py
@@ -18,11 +18,18 @@
 from daisygw.entries._state import AnswerAt, Entry, Outcome
 
 CODE_HEADER = 'Daisygw-Code'
+# Bytes read at a time from an answer that is passed on.
 _CHUNK = 65_536
+# Answers up to this many bytes are read whole before the end is reported.
 _BUFFERED = 262_144
+# Longest wait for a connection to a target, s: loopback and a region take ms.
 _CONNECT = 1.0
+# How often the outcome of a run is asked for again, s.
 _ASK_AGAIN = 0.25
+# How long an answer's rest is asked for, s: a target that restarts takes
+# less.
 _PATIENCE = 10.0
+# Most connections to one target: what it has of slots, at the users' sizes.
 _CONNECTIONS = 64
 _GONE = 404
 
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -22,7 +22,10 @@
 
 _EXCHANGE = '/daisygw.Links/Exchange'
 _PEER = 'daisygw-peer'
+# Pause before a lost link is connected again, s: under half an election.
 _RETRY = 0.2
+# Most messages that wait on a link; more are dropped and counted: 45 s of
+# 2,200 starts.
 _MOST_WAITING = 100_000
 # A connection attempt into a partition is given up and begun anew, s: the
 # kernel alone would try again only after ever longer pauses.
--- a/daisygw/machines/_index.py
+++ b/daisygw/machines/_index.py
@@ -16,7 +16,9 @@
 
 Level: TypeAlias = tuple[int, int, int]
 
+# Thousandths of a core in a core.
 _CORE = 1000
+# Steps of slowness told apart for each time slower: a quarter is seen.
 _SPEED_STEPS = 4
 
 
--- a/daisygw/machines/_life.py
+++ b/daisygw/machines/_life.py
@@ -8,6 +8,7 @@
 
 from daisygw.contracts import Size, StepKey
 
+# Milliseconds in a second.
 MS = 1000
 # The platform's targets may measure a second as up to 2 % longer.
 CLOCK_DRIFT = 0.02
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -39,6 +39,7 @@
 # The pause after a renewal that brought no answer, s; it doubles up to the
 # second one, which is a quarter of a lease.
 _SILENCE_PAUSE = 0.2
+# Longest pause before a silent target is looked at again, s: a lease lasts 8.
 _LONGEST_PAUSE = 1.0
 # How often the set of targets is looked at, s.
 _LOOK = 0.1
@@ -50,6 +51,8 @@
 # Calls to the advisor that take longer than this (s) are left to this share
 # of its callers, so that short ones find a free one at any time.
 _LONG_CALL = 0.3
+# The part of callers that long calls may take; the rest is for starts and
+# renewals.
 _LONG_SHARE = 0.75
 # A process that was not heard for this long is not asked to call the
 # advisor, s: two pulses of a link and some slack.
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -32,6 +32,7 @@
 
 # A link is broken after several pulses that did not come.
 _PULSE = 0.25
+# A link that was silent this long is closed, s: nearly 5 pulses.
 _SILENCE = 1.2
 PACE = Pace(_PULSE, _SILENCE)
 # A question is passed on only over a link heard this lately, s: what went
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -79,6 +79,7 @@
 # A heartbeat is several times the way between two hosts and a sync of a
 # disk; an election waits for several lost ones, s.
 _HEARTBEAT = 0.1
+# Shortest election timeout, s: docs/PLATFORM.md, "Ways weighed".
 _ELECTION = 0.5
 TIMING = Timing(heartbeat=_HEARTBEAT, election=_ELECTION, drift=_HEARTBEAT)
 # How often time passes for a process without messages, s.
@@ -97,6 +98,7 @@
 # The time for the last messages to leave, s.
 _FLUSH = 0.2
 _ENTRY_PREFIX = 'entry/'
+# Microseconds in a second.
 _US = 1_000_000
 _DECISIONS = MappingProxyType({
     JobAsk: on_job_ask,
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -39,6 +39,7 @@
     WireStep,
 )
 
+# Milliseconds in a second.
 _MS = 1000
 _MOST_PAYLOAD = 4000
 _ID_DIGITS = frozenset('0123456789abcdef')
--- a/daisygw/platform/_faces.py
+++ b/daisygw/platform/_faces.py
@@ -39,6 +39,7 @@
 _MOST_JOB = 262_144
 # Heartbeats and configurations may be as large as this, bytes.
 _MOST_CONTROL = 8_388_608
+# Milliseconds in a second.
 _MS = 1000
 _OK = 200
 _BAD_REQUEST = 400
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -8,6 +8,7 @@
 from daisygw.nodes import NodeSettings
 
 BOOT_VARIABLE = 'DAISYGW_BOOT'
+# Milliseconds in a second.
 _MS = 1000
 _TRUTHS = frozenset({'true', 'false'})
 
--- a/daisygw/report/_tally.py
+++ b/daisygw/report/_tally.py
@@ -10,8 +10,11 @@
 
 from daisygw.contracts import NOTHING, Size
 
+# Shortest wait that the histograms tell apart, ms.
 _LOWEST_MS = 1
+# Longest wait that the histograms hold, ms: a day.
 _HIGHEST_MS = 86_400_000
+# Digits that the histograms keep: 1 % is enough for a report.
 _DIGITS = 2
 _PERCENTILES = (50, 90, 99)
 
--- a/daisygw/schedulers/_config_machine.py
+++ b/daisygw/schedulers/_config_machine.py
@@ -24,6 +24,8 @@
 from daisygw.settings import Settings, build, hosts_of
 from daisygw.zones import Notice, host_of, last_index
 
+# How long a change waits for the hosts before it is answered as accepted, s:
+# of the 19 s asked.
 _PATIENCE = 4.0
 _encode = msgspec.msgpack.Encoder().encode
 _Saved = tuple[ConfigChanged | None, dict[str, int]]
--- a/daisygw/schedulers/_groups.py
+++ b/daisygw/schedulers/_groups.py
@@ -39,6 +39,8 @@
     reload,
 )
 
+# Times slower that the configuration's group beats: it decides nothing of
+# requests.
 _CONFIG_PACE = 3
 
 
--- a/daisygw/schedulers/_process.py
+++ b/daisygw/schedulers/_process.py
@@ -59,11 +59,17 @@
     tick,
 )
 
+# How often time passes without messages, s: a fifth of the shortest election.
 _TICK = 0.1
+# Longest wait for a successor when stopping, s: two elections.
 _RESIGN_WAIT = 2.0
+# Wait for the last messages to leave, s: a round trip in a region, ten times.
 _FLUSH_S = 0.2
+# Entries that the last successor may lag by: any.
 _MOST_BEHIND = 1_000_000
+# Configuration changes between snapshots: each holds the whole texts.
 _MOST_CHANGES = 100
+# Milliseconds in a second.
 _MS = 1000
 _ENTRY_PREFIX = 'entry/'
 
--- a/daisygw/schedulers/_state.py
+++ b/daisygw/schedulers/_state.py
@@ -35,6 +35,8 @@
     host_of,
 )
 
+# After this time without the configuration a scheduler serves by its file, s:
+# several elections of the slower configuration group.
 _ALONE = 8.0
 
 
--- a/daisygw/schedulers/_views.py
+++ b/daisygw/schedulers/_views.py
@@ -10,6 +10,7 @@
 from daisygw.report import wait_figures
 from daisygw.zones import Leadership, Notice
 
+# Hundredths in a whole.
 _PERCENT = 100
 
 
--- a/daisygw/settings/_bounds.py
+++ b/daisygw/settings/_bounds.py
@@ -11,9 +11,13 @@
 from daisygw.settings._schema import Settings, hosts_of
 from daisygw.zones import ADMISSIONS
 
+# Longest of the short times, s.
 _HOUR = 3600.0
+# Longest of the long times, s.
 _WEEK = 604_800.0
+# Largest number that a setting takes.
 _MOST = 10**9
+# The last port of TCP.
 _LAST_PORT = 65_535
 
 _BOUNDS = MappingProxyType({
--- a/daisygw/zones/_admit.py
+++ b/daisygw/zones/_admit.py
@@ -28,6 +28,8 @@
 from daisygw.zones._orders import reorder
 from daisygw.zones._queue import address_of, unpark, wait
 
+# When to come back where no target is known yet, s: targets announce
+# themselves each second.
 _RETRY_SOON = 1.0
 
 Refusal = tuple[ResultCode, str, float]
--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -34,6 +34,7 @@
 _LIVE = 1.0
 # How many voters an open group wants, by the least number of its hosts.
 _FEW_VOTERS = 3
+# Voters of a group with as many hosts: two may be lost.
 _MANY_VOTERS = 5
 
 
--- a/daisygw/zones/_placing.py
+++ b/daisygw/zones/_placing.py
@@ -26,10 +26,16 @@
 from daisygw.zones._preempt import preempt
 from daisygw.zones._reserve import end_reservation, may_use, reserve
 
+# Candidates that are scored for a task; chosen, bounds the work of a decision.
 _LOOK_AT = 8
+# Jobs of a team that are tried before the next team: what does not fit blocks
+# no other.
 _LOOK_INTO = 4
+# Tasks placed in a turn; bounds a turn at about 20 ms.
 _MOST_PER_TURN = 512
 _LONG_LANE = 'long'
+# Times its share that a team wants when it is held back (docs/POLICY.md,
+# "Fairness").
 _GREEDY = 2
 
 
--- a/daisygw/zones/_settle.py
+++ b/daisygw/zones/_settle.py
@@ -17,8 +17,11 @@
 from daisygw.zones._queue import end_task, wait
 from daisygw.zones._speed import note_run
 
+# Retries beside the share of all starts: a new cell has started nothing.
 _FREE_RETRIES = 10
-_SHUN_UNREACHABLE = 1.0
+# How long a target that could not be reached gets nothing, s: one
+# announcement.
+_AVOIDED_S = 1.0
 
 
 def settle(
@@ -123,7 +126,7 @@
     target = job.tasks[report.key.index].target
     observation = lead.observations.get(target)
     if observation:
-        observation.avoided_at = lead.now + _SHUN_UNREACHABLE
+        observation.avoided_at = lead.now + _AVOIDED_S
         lead.replicated.workers.touched.add(target)
 
 
--- a/daisygw/zones/_speed.py
+++ b/daisygw/zones/_speed.py
@@ -4,8 +4,12 @@
 from daisygw.machines import set_speed
 from daisygw.zones._leader import Leadership
 
+# Weight of the newest run in a target's speed: 10 runs follow a change.
 _LEARNING_RATE = 0.1
+# Mean run time below which speeds are not learned, s: the overhead of a start
+# hides them.
 _SHORTEST = 0.01
+# Milliseconds in a second.
 _MS = 1000
 
 
--- a/daisygw/zones/_turns.py
+++ b/daisygw/zones/_turns.py
@@ -29,6 +29,7 @@
 from daisygw.zones._settle import on_report
 from daisygw.zones._watch import adopt_orders, sweep_leases
 
+# How often leases, deadlines and outcomes are looked over, s.
 _SWEEP_EVERY = 0.25
 
 
--- a/daisygw/zones/_watch.py
+++ b/daisygw/zones/_watch.py
@@ -19,7 +19,9 @@
 from daisygw.zones._orders import give_order, give_stop
 from daisygw.zones._settle import settle
 
+# Times that an order is sent again before its lease decides.
 _MOST_RESENDS = 2
+# Announcements that a target may miss before it gets nothing new.
 _SILENT_BEATS = 2.5
 
 
@@ -159,7 +161,7 @@
 
 
 def sweep_leases(lead: Leadership) -> None:
-    """Drop the targets whose lease is over; shun those that fell silent."""
+    """Drop the targets whose lease is over; avoid those that fell silent."""
     silence = lead.policy.announce_every * _SILENT_BEATS
     for name, observation in list(lead.observations.items()):
         worker = lead.replicated.workers.by_name.get(name)
