--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -15,22 +15,19 @@
     lease_for,
     take,
 )
+from daisygw.cell._passing import pass_time
 from daisygw.cell._placing import place_waiting
-from daisygw.cell._state import Cell, Run, TargetState, apply, snapshot
-from daisygw.cell._targets import (
-    OrderOutcome,
+from daisygw.cell._renewals import (
     Renewal,
-    StartDone,
     deadline_of,
     note_committed,
     on_holding,
-    on_report,
     on_silence,
-    on_started,
-    on_stopped,
-    pass_time,
     renewal_of,
 )
+from daisygw.cell._starts import OrderOutcome, StartDone, on_started, on_stopped
+from daisygw.cell._state import Cell, Run, TargetState, apply, snapshot
+from daisygw.cell._targets import on_report
 
 __all__ = (
     'HERE',
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -11,8 +11,6 @@
 from types import MappingProxyType
 from typing import Any
 
-import xxhash
-
 from daisygw.cell import (
     HERE,
     forget_old,
@@ -35,16 +33,13 @@
 from daisygw.links import log
 from daisygw.links.processes import (
     Group,
-    Journal,
     Link,
     Transport,
     carry_out,
     close,
     compact_log,
-    create,
     describe,
     leads,
-    load,
     post,
     running,
     serving,
@@ -62,26 +57,17 @@
     on_answer,
 )
 from daisygw.nodes._settings import NodeSettings, TargetCalls
+from daisygw.nodes._stored import open_replica
 from daisygw.zones import (
     Hello,
     Notice,
-    Replica,
     Role,
-    Timing,
     host_of,
     receive,
-    reload,
     resign,
     tick,
 )
 
-GROUP = 'cell'
-# A heartbeat is several times the way between two hosts and a sync of a
-# disk; an election waits for several lost ones, s.
-_HEARTBEAT = 0.1
-# Shortest election timeout, s: docs/PLATFORM.md, "Ways weighed".
-_ELECTION = 0.5
-TIMING = Timing(heartbeat=_HEARTBEAT, election=_ELECTION, drift=_HEARTBEAT)
 # How often time passes for a process without messages, s.
 _TICK = 0.05
 # A snapshot takes the place of so many log entries.
@@ -98,8 +84,6 @@
 # The time for the last messages to leave, s.
 _FLUSH = 0.2
 _ENTRY_PREFIX = 'entry/'
-# Microseconds in a second.
-_US = 1_000_000
 _DECISIONS = MappingProxyType({
     JobAsk: on_job_ask,
     ConfigAsk: on_config_ask,
@@ -127,7 +111,7 @@
         self.errands: set[asyncio.Task] = set()
         self.effects: Callable[[Any], None] = _ignore
         self.meters = Meters()
-        replica, journal = _open(cfg)
+        replica, journal = open_replica(cfg)
         on_leading = partial(_on_leading, self)
         machine = machine_of(self.state, on_leading, cfg.longest_lease)
         self.group = Group(replica, journal, machine)
@@ -172,45 +156,6 @@
     """Carry out no effect."""
 
 
-def _open(cfg: NodeSettings) -> tuple[Replica, Journal | None]:
-    fresh = f'{cfg.host}#{int(_clock.wall() * _US):x}'
-    journal, saved = (None, None)
-    if cfg.data:
-        journal, saved = _open_journal(cfg, fresh)
-        fresh = journal.name
-    founding = cfg.first_start and saved is None and cfg.host in cfg.seeds
-    replica = Replica(
-        GROUP,
-        fresh,
-        tuple(sorted(cfg.seeds)) if founding else (),
-        TIMING,
-        xxhash.xxh32_intdigest(fresh.encode('ascii')),
-    )
-    replica.open_to_hosts = True
-    replica.contacts.update(cfg.seeds)
-    if saved:
-        reload(replica, saved, _clock.now())
-    log(
-        'replica',
-        name=fresh,
-        founding=founding,
-        term=replica.term,
-        entries=len(replica.log),
-        commit=replica.commit,
-    )
-    return replica, journal
-
-
-def _open_journal(cfg: NodeSettings, fresh: str) -> tuple[Journal, Any]:
-    folder = cfg.data / GROUP
-    try:
-        loaded = load(folder)
-    except JournalError as exc:
-        log('journal damaged', code=exc.code, reason=exc.reason)
-        loaded = None
-    return loaded or (create(folder, fresh), None)
-
-
 def _on_leading(node: SchedulerNode, term: int) -> None:
     log('leading' if term else 'not leading', term=node.group.replica.term)
     node.wake.set()
--- a/daisygw/schedulers/_groups.py
+++ b/daisygw/schedulers/_groups.py
@@ -20,9 +20,7 @@
     create,
     load,
 )
-from daisygw.schedulers._config_machine import (
-    config_machine,
-)
+from daisygw.schedulers._config_machine import config_machine
 from daisygw.schedulers._domain_machine import (
     DomainState,
     machine_of,
--- a/daisygw/schedulers/_process.py
+++ b/daisygw/schedulers/_process.py
@@ -50,9 +50,7 @@
     learn_config,
     tell_config,
 )
-from daisygw.settings import (
-    Settings,
-)
+from daisygw.settings import Settings
 from daisygw.zones import (
     receive,
     resign,
--- a/daisygw/schedulers/_state.py
+++ b/daisygw/schedulers/_state.py
@@ -18,9 +18,7 @@
     Transport,
     post,
 )
-from daisygw.schedulers._config_machine import (
-    ConfigState,
-)
+from daisygw.schedulers._config_machine import ConfigState
 from daisygw.schedulers._domain_machine import (
     DomainState,
     use_configuration,
