Add `config history`: which changes were accepted, by whom and when

The leader answers through its log's effects, so only while it surely leads. Entries give it at `/v1/configuration/changes`.

--- a/daisygw/cli/_configuration.py
+++ b/daisygw/cli/_configuration.py
@@ -54,3 +54,9 @@
     """Print the configuration in force."""
     show(ctx, fetch(given, ctx, Call('GET', '/v1/configuration')))
     return ExitStatus.SUCCESS
+
+
+def show_history(given: Given, ctx: Context) -> ExitStatus:
+    """Print which changes were accepted."""
+    call = Call('GET', '/v1/configuration/changes')
+    return finish(ctx, fetch(given, ctx, call))
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -155,6 +155,12 @@
         'daisygw.cli._configuration:show_in_force',
         options=(_ENTRY,),
     ),
+    Definition(
+        'config history',
+        'Print the newest accepted changes, the last one first',
+        'daisygw.cli._configuration:show_history',
+        options=(_ENTRY,),
+    ),
 )
 
 
--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -30,6 +30,7 @@
 )
 from daisygw.contracts._configuration import (
     CONFIGURATION,
+    ChangeNoted,
     ConfigAtBoot,
     ConfigChanged,
     ConfigHistory,
@@ -137,6 +138,7 @@
     'CellAnswer',
     'CellConfig',
     'Change',
+    'ChangeNoted',
     'CodeClass',
     'ConfigAsk',
     'ConfigAtBoot',
--- a/daisygw/contracts/_configuration.py
+++ b/daisygw/contracts/_configuration.py
@@ -1,5 +1,6 @@
 """The configuration in force: teams, policy and limits, under a version."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from daisygw.contracts._size import Size
@@ -8,6 +9,8 @@
 CONFIGURATION = 'configuration'
 # Changes whose ids are kept against repeats: 6 days of 1,600 (CAPACITY.md).
 _CHANGES_KNOWN = 10_000
+# Changes that operators are shown: more than an hour of a busy day's 1,600.
+_CHANGES_SHOWN = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,16 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeNoted:
+    """What operators are shown of an accepted change; ``at`` as in it."""
+
+    version: int
+    change: str
+    operator: str
+    at: int
+
+
 class ConfigHistory:
     """The accepted configuration and which changes led to it."""
 
@@ -114,6 +127,7 @@
         """Begin before any change: version 0 is that of the files."""
         self.current: ConfigChanged | None = None
         self.versions: dict[str, int] = {}
+        self.noted: deque[ChangeNoted] = deque(maxlen=_CHANGES_SHOWN)
 
     @property
     def version(self) -> int:
@@ -127,5 +141,9 @@
         return
     history.current = change
     history.versions[change.change] = change.version
+    noted = ChangeNoted(
+        change.version, change.change, change.operator, change.at
+    )
+    history.noted.append(noted)
     while len(history.versions) > _CHANGES_KNOWN:
         history.versions.pop(next(iter(history.versions)))
--- a/daisygw/entries/_config_http.py
+++ b/daisygw/entries/_config_http.py
@@ -8,7 +8,13 @@
 import falcon.asgi
 import msgspec
 
-from daisygw.contracts import CONFIGURATION, Change, ContractError, ResultCode
+from daisygw.contracts import (
+    CONFIGURATION,
+    Change,
+    ContractError,
+    Query,
+    ResultCode,
+)
 from daisygw.entries._http import (
     Resource,
     put_answer,
@@ -24,6 +30,8 @@
 # Longest wait for a change, s: the leader's own patience, twice an election,
 # and room.
 _CHANGE_WAIT = 12.0
+# Longest wait for the list of changes, s: an election and a repeat.
+_VIEW_WAIT = 4.0
 
 
 class Configurations(Resource):
@@ -58,6 +66,24 @@
         put_answer(resp, answer, change=change.change)
 
 
+class Changes(Resource):
+    """``/v1/configuration/changes``: which changes were accepted."""
+
+    async def on_get(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        """Show the newest accepted changes, the last one first."""
+        answer, _ = await ask_leader(
+            self.entry,
+            CONFIGURATION,
+            lambda seq: Query(seq, 'changes'),
+            _VIEW_WAIT,
+        )
+        put_answer(resp, answer)
+
+
 def _change(raw: Any) -> Change:
     if not isinstance(raw, dict):
         raise ContractError(ResultCode.MALFORMED, 'must be a JSON object')
--- a/daisygw/entries/_process.py
+++ b/daisygw/entries/_process.py
@@ -22,7 +22,7 @@
     TaskSettled,
 )
 from daisygw.entries._announce_http import Announcements
-from daisygw.entries._config_http import Configurations
+from daisygw.entries._config_http import Changes, Configurations
 from daisygw.entries._driving import on_order, on_settled, on_stop, resubmit
 from daisygw.entries._dump_http import Dump, Health, Metrics, describe_entry
 from daisygw.entries._http import on_crash, on_error
@@ -126,6 +126,7 @@
         ('/v1/targets/{name}/drain', Drains(entry)),
         ('/v1/targets/{name}/announcements', Announcements(entry)),
         ('/v1/configuration', Configurations(entry)),
+        ('/v1/configuration/changes', Changes(entry)),
         ('/v1/dump', Dump(entry)),
         ('/v1/health', Health(entry)),
         ('/metrics', Metrics(entry)),
--- a/daisygw/schedulers/_config_machine.py
+++ b/daisygw/schedulers/_config_machine.py
@@ -14,9 +14,11 @@
 from daisygw.contracts import (
     Answer,
     Change,
+    ChangeNoted,
     ConfigChanged,
     ConfigHistory,
     DaisygwError,
+    Query,
     ResultCode,
     apply_change,
 )
@@ -28,7 +30,16 @@
 # of the 19 s asked.
 _PATIENCE = 4.0
 _encode = msgspec.msgpack.Encoder().encode
-_Saved = tuple[ConfigChanged | None, dict[str, int]]
+
+
+class _Saved(msgspec.Struct, array_like=True):
+    """A snapshot; the first versions of the program wrote no ``noted``."""
+
+    current: ConfigChanged | None
+    versions: dict[str, int]
+    noted: tuple[ChangeNoted, ...] = ()
+
+
 _decode = msgspec.msgpack.Decoder(_Saved).decode
 
 
@@ -77,11 +88,12 @@
     def restore(encoded: bytes) -> None:
         state.history = ConfigHistory()
         if encoded:
-            current, versions = _decode(encoded)
-            state.history.current = current
-            state.history.versions = versions
-            if current:
-                on_change(current)
+            saved = _decode(encoded)
+            state.history.current = saved.current
+            state.history.versions = saved.versions
+            state.history.noted.extend(saved.noted)
+            if saved.current:
+                on_change(saved.current)
 
     def deposed() -> None:
         state.asked.clear()
@@ -97,7 +109,7 @@
 
     return Machine(
         apply=apply_record,
-        dump=lambda: _encode((state.history.current, state.history.versions)),
+        dump=lambda: _dump(state.history),
         restore=restore,
         elected=lambda term: on_leading(term, True),
         deposed=deposed,
@@ -106,6 +118,18 @@
     )
 
 
+def _dump(history: ConfigHistory) -> bytes:
+    noted = tuple(history.noted)
+    return _encode(_Saved(history.current, history.versions, noted))
+
+
+def show_changes(state: ConfigState, query: Query, entry: str) -> None:
+    """Answer which changes were accepted, the newest first."""
+    view = to_json(list(reversed(state.history.noted)))
+    answer = Answer(query.seq, ResultCode.ACCEPTED, view=view)
+    state.notices.append(Notice(entry, answer))
+
+
 def _check(state: ConfigState, change: Change) -> str:
     overlays = dict(change.overlays)
     unknown = sorted(set(overlays) - set(state.boot.domains))
--- a/daisygw/schedulers/_process.py
+++ b/daisygw/schedulers/_process.py
@@ -37,6 +37,7 @@
 from daisygw.schedulers._config_machine import (
     ask_change,
     decide_changes,
+    show_changes,
 )
 from daisygw.schedulers._domain_machine import (
     decide,
@@ -89,16 +90,23 @@
     if isinstance(message, Query) and message.view in _LOCAL_VIEWS:
         post(link, _LOCAL_VIEWS[message.view](scheduler, message))
         return
-    if isinstance(message, Change):
-        if CONFIGURATION in scheduler.leading:
-            now = time.monotonic()
-            ask_change(scheduler.config, message, link.peer, now)
+    if link.about == CONFIGURATION:
+        _on_configuration(scheduler, link, message)
         return
     state = scheduler.domains.get(link.about)
     if state:
         decide(state, message, link.peer)
 
 
+def _on_configuration(scheduler: Scheduler, link: Link, message: Any) -> None:
+    if CONFIGURATION not in scheduler.leading:
+        return
+    if isinstance(message, Change):
+        ask_change(scheduler.config, message, link.peer, time.monotonic())
+    elif isinstance(message, Query):
+        show_changes(scheduler.config, message, link.peer)
+
+
 _LOCAL_VIEWS = MappingProxyType({
     'dump': scheduler_dump,
     'metrics': scheduler_metrics,
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -8,6 +8,7 @@
     Then one wins, and the others are refused with code 602
     And a resend of the winning change is accepted as the same version
     And version 1 is in force at every entry within 5 s
+    And an operator is shown the winning change, by whom and when
 
   Scenario: Restarts after 500 changes, and a leader killed in mid-change
     When 500 changes are applied one after the other
@@ -16,6 +17,7 @@
     Then every accepted change is in force at every entry within 5 s
     And no entry ever showed an older version after a newer one
     And a start reads a snapshot and not the history
+    And an operator is shown the newest 100 changes
 
   Scenario: A site that was cut off takes the newest, and brings none back
     When oviedo is cut off
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -34,3 +34,7 @@
   Scenario: A full disk ends the process with a numbered error
     Given a running scheduler whose disk takes no more than 40000 bytes
     Then it ends with code 705 in its log
+
+  Scenario: A configuration's snapshot from before changes were listed
+    When a snapshot of the configuration is read that lists no changes
+    Then its version stands, and its list is empty
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -5,10 +5,15 @@
 import time
 
 import aiohttp
+import msgspec
 from behave import then, when
 
+from daisygw.contracts import ConfigChanged
+from daisygw.schedulers import ConfigState, config_machine
+from daisygw.settings import Settings
 from standins.cell import call, fetch, hosts_in, kill, wait_until
 from standins.partition import cut, mend
+from tests.utils import daisygw
 
 _IN_FORCE = 5.0
 _UP_WAIT = 60
@@ -254,3 +259,50 @@
     """Check the reason."""
     assert context.reply['code'] == code, context.reply
     assert 'oviedo: limits.body_byte' in context.reply['reason']
+
+
+def _history(context):
+    entry = _entries(context)[-1]
+    done = daisygw('config', 'history', f'--entry={entry}')
+    assert done.returncode == 0, done.stderr
+    return json.loads(done.stdout)['view']
+
+
+@then('an operator is shown the winning change, by whom and when')
+def check_history(context):
+    """Ask with the command line."""
+    winner = next(one for one in context.replies if one['code'] == 103)
+    shown = _history(context)
+    assert [one['change'] for one in shown] == [winner['change']], shown
+    assert shown[0]['version'] == 1 and shown[0]['at'] > 0, shown
+    assert shown[0]['operator'] == 'ana', shown
+
+
+@then('an operator is shown the newest {count:d} changes')
+def check_newest(context, count):
+    """After a restart, which reads a snapshot."""
+    newest = context.accepted
+    shown = [one['version'] for one in _history(context)]
+    assert shown == list(range(newest, newest - count, -1)), shown
+
+
+@when('a snapshot of the configuration is read that lists no changes')
+def read_old_snapshot(context):
+    """Write it as the first versions of the program did."""
+    context.state = ConfigState(Settings())
+    machine = config_machine(
+        context.state, lambda change: None, lambda term, leads: None
+    )
+    change = ConfigChanged(3, 'c3', 'ana', 1, '', ())
+    saved = ((change, {'c1': 1, 'c2': 2, 'c3': 3}), (change, {}, ()))
+    context.versions = []
+    for one in saved:
+        machine.restore(msgspec.msgpack.encode(one))
+        context.versions.append(context.state.history.version)
+
+
+@then('its version stands, and its list is empty')
+def check_old_snapshot(context):
+    """Both forms give the version."""
+    assert context.versions == [3, 3], context.versions
+    assert not context.state.history.noted
