Random runs of the log see a leader that counts its unsynced entries

The world of the random runs now knows which entries are on whose disk, and holds every commit of a leader against a majority of them.

Before: a leader that counts its whole log passes log.feature. After: both runs with leaders that sync later fail with it (an entry on 1 of 3 disks), at 100 examples each; with the code as it is, 8 scenarios pass.

--- a/tests/log_world.py
+++ b/tests/log_world.py
@@ -4,6 +4,7 @@
 on their way; it checks the log's promises after every step.
 """
 
+from collections import defaultdict
 from random import Random
 
 from daisygw.zones import (
@@ -64,6 +65,8 @@
         self.cut: set[frozenset[str]] = set()
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, tuple[int, bytes]] = {}
+        self.on_disk: dict[tuple[int, int], set[str]] = defaultdict(set)
+        self.bases: dict[str, int] = {}
         self.proposed = 0
         self.repairing = ''
         self.storm = False
@@ -114,6 +117,26 @@
     return state.split(b',') if state else []
 
 
+def _note_saved(world: World, node: Node, persist: Persist) -> None:
+    for entry in persist.entries:
+        world.on_disk[entry.index, entry.term].add(node.name)
+    if persist.snapshot:
+        world.bases[node.name] = persist.snapshot.index
+
+
+def _check_durable(world: World, node: Node, commit: Commit) -> None:
+    """What a leader commits is on the disks of a majority of voters."""
+    voters = set(node.replica.members.voters)
+    for entry in commit.entries:
+        holders = world.on_disk[entry.index, entry.term].union(
+            name for name, base in world.bases.items() if base >= entry.index
+        )
+        count = len(holders & voters)
+        assert 2 * count > len(voters), (
+            f'{node.name}: {entry.index} is on {count} disks of {voters}'
+        )
+
+
 def _save(node: Node, persist: Persist) -> None:
     old = node.saved or Persist(0, '', Members())
     snapshot = persist.snapshot or old.snapshot
@@ -152,10 +175,13 @@
         match effect:
             case Persist():
                 _save(node, effect)
+                _note_saved(world, node, effect)
             case Send():
                 world.wire.append(effect.message)
             case Commit():
                 _note_commit(world, node, effect)
+                if node.replica.role is Role.LEADER:
+                    _check_durable(world, node, effect)
             case Restore():
                 node.applied = _decode(effect.snapshot.state)
     _check_leader(world, node)
