--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -54,7 +54,6 @@
     Queue,
     RunEnd,
     Size,
-    Step,
     StepKey,
 )
 from daisygw.machines import (
@@ -161,7 +160,9 @@
     on_report(world.lead, beat, 'w')
 
 
-def _later(world: World, delay: float, act: Any) -> None:
+def later(world: World, delay: float, act: Any) -> None:
+    """Let something happen after a delay (s)."""
+    """Let something happen after a delay (s)."""
     number = next(world.numbers)
     heapq.heappush(world.events, (world.now + delay, number, act))
 
@@ -243,7 +244,7 @@
             load = _load(world, order.run)
             status, reason = workers.start(worker, world.now, wire, load)
         if answering:
-            _later(world, 0.002, lambda: answer(status, reason))
+            later(world, 0.002, lambda: answer(status, reason))
 
     def answer(status: int, reason: str) -> None:
         if world.lead is not lead:
@@ -265,7 +266,7 @@
 
     done: list[bool] = []
     _send(world, arrive)
-    _later(world, 0.2, give_up)
+    later(world, 0.2, give_up)
 
 
 def _same(worker: workers.WorkerModel, target: Any) -> bool:
@@ -276,14 +277,14 @@
     chance = world.random.random()
     if chance < world.late:
         delay = world.random.uniform(2, 12)
-        _later(world, delay, lambda: arrive(answering=False))
+        later(world, delay, lambda: arrive(answering=False))
     elif chance < world.late + world.lost:
-        _later(world, 0.002, lambda: arrive(answering=False))
+        later(world, 0.002, lambda: arrive(answering=False))
     elif chance < world.late + 2 * world.lost:
         return
     else:
         delay = world.random.uniform(0.001, 0.01)
-        _later(world, delay, lambda: arrive(answering=True))
+        later(world, delay, lambda: arrive(answering=True))
 
 
 def _stop(world: World, order: StopOrder) -> None:
@@ -328,7 +329,7 @@
         else:
             holding = _lists(world, worker, lead, renewal)
         if holding is not None:
-            _later(world, 0.002, lambda: answer(holding))
+            later(world, 0.002, lambda: answer(holding))
 
     def answer(holding: Holding) -> None:
         if world.lead is lead and key in lead.contacts:
@@ -342,8 +343,8 @@
             on_silence(lead, target)
 
     if world.random.random() >= world.lost:
-        _later(world, 0.005, arrive)
-    _later(world, 0.5, give_up)
+        later(world, 0.005, arrive)
+    later(world, 0.5, give_up)
 
 
 def _lists(
@@ -377,7 +378,7 @@
             reply = AdviceAnswer(ask.seq, answered=True, tickets=approved)
             on_advice(lead, reply)
 
-    _later(world, ask.work, answer)
+    later(world, ask.work, answer)
 
 
 def _approves(step: StepKey, name: str) -> bool:
@@ -431,141 +432,3 @@
         if world.now >= world.holding.get(key, 0):
             world.holding[key] = world.now + 0.25
             _hold(world, key)
-
-
-def random_job(world: World, number: int) -> JobSpec:
-    """Return a job of one to three steps."""
-    random = world.random
-    steps = []
-    for index in range(random.choice((1, 1, 2, 3))):
-        gang = random.random() < 0.3
-        count = random.randint(1, 4)
-        cpus = random.choice((500, 2000, 4000))
-        steps.append(
-            Step(
-                count,
-                Size(cpus, random.choice((500, 3000)), 0, 0),
-                random.choice((0.3, 1, 2)),
-                (index - 1,) if index else (),
-                gang=gang,
-                spread=random.choice((0, 0, 0, 2)),
-            )
-        )
-    payload = 'poison' if random.random() < 0.03 else 'work'
-    return JobSpec(f'{number:016x}', payload, tuple(steps))
-
-
-def spans(world: World) -> dict[tuple, list[workers.Span]]:
-    """Return what ran, by task, in order of time."""
-    found: dict[tuple, list[workers.Span]] = defaultdict(list)
-    for worker in (*world.past, *world.workers.values()):
-        for span in worker.history:
-            found[span.task].append(span)
-        for span, _ in worker.running.values():
-            found[span.task].append(span)
-    for rows in found.values():
-        rows.sort(key=lambda span: span.begun)
-    return found
-
-
-def play(
-    seed: int, seconds: float, calm: float, longest_lease: float = 4
-) -> World:
-    """Play a time of random faults and then a calm one."""
-    world = World(seed, longest_lease=longest_lease)
-    random = world.random
-    run_for(world, 1)
-    until = world.now + seconds
-    number = 0
-    while world.now < until:
-        if random.random() < 0.5:
-            number += 1
-            prefix = random.choice(('/a/', '/b/'))
-            submit(world, random_job(world, number), prefix)
-        _disturb(world, random)
-        run_for(world, 0.2)
-    world.late = 0
-    world.lost = 0
-    world.cut.clear()
-    for index in range(6):
-        if f'w{index}' not in world.workers:
-            add_worker(world, f'w{index}')
-    run_for(world, calm)
-    return world
-
-
-def _disturb(world: World, random: Random) -> None:
-    chance = random.random()
-    name = f'w{random.randrange(6)}'
-    if chance < 0.02:
-        fail_over(world)
-    elif chance < 0.03:
-        crash(world, name, reborn=random.random() < 0.7)
-    elif chance < 0.05:
-        world.cut.add(name)
-        _later(world, random.uniform(0.5, 8), lambda: world.cut.discard(name))
-    elif chance < 0.07:
-        world.late = random.choice((0, 0.06))
-        world.lost = random.choice((0, 0.05))
-    elif chance < 0.08 and world.jobs:
-        cancel(world, random.choice(list(world.jobs)))
-    elif chance < 0.085:
-        world.loses_until = world.now + random.uniform(0, 1)
-    elif chance < 0.09 and name not in world.workers:
-        add_worker(world, name)
-
-
-def check_history(world: World) -> None:
-    """Check what must always hold; raises AssertionError."""
-    ended: dict[StepKey, float] = {}
-    found = spans(world)
-    for task, rows in found.items():
-        done = [span for span in rows if span.how == 'done']
-        for earlier, later in itertools.pairwise(rows):
-            assert earlier.ended is not None, (task, rows)
-            assert earlier.ended <= later.begun + 1e-6, ('twice', task, rows)
-        if done:
-            ended[task] = done[0].ended
-    _check_workers(world)
-    _check_order(world, found, ended)
-    _check_budget(world, found)
-    _check_cancelled(world, found)
-
-
-def _check_workers(world: World) -> None:
-    for worker in (*world.past, *world.workers.values()):
-        assert worker.most_used[0] <= CPUS, ('over capacity', worker.name)
-        assert worker.most_used[1] <= MEMORY, ('over capacity', worker.name)
-
-
-def _check_order(world: World, found: Any, ended: Any) -> None:
-    for (key, index), rows in found.items():
-        job = world.jobs[key.job]
-        for earlier in job.steps[key.step].after:
-            before = StepKey(key.job, key.occurrence, earlier)
-            step = job.steps[earlier]
-            times = [ended.get((before, other)) for other in range(step.count)]
-            known = [time for time in times if time is not None]
-            whole = step.gang or len(known) == step.count
-            assert known and whole, ('order', key, index)
-            assert rows[0].begun >= min(known), ('order', key, index)
-
-
-def _check_budget(world: World, found: Any) -> None:
-    for (key, index), rows in found.items():
-        if world.jobs[key.job].steps[key.step].gang:
-            continue
-        failed = sum(span.how == 'failed' for span in rows)
-        assert failed <= 3, ('budget', key, index, rows)
-
-
-def _check_cancelled(world: World, found: Any) -> None:
-    for (key, _), rows in found.items():
-        at = world.cancelled.get(key.job)
-        if at is not None:
-            assert rows[-1].begun <= at + 12.1, ('cancelled', key, rows)
-
-
-def all_over(world: World) -> list[str]:
-    """Return the jobs that were accepted and are not over."""
-    return [job.spec.id for job in world.cell.jobs.values() if not job.over]
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -5,8 +5,9 @@
 from daisygw.cell import Cell, apply, lease_for, snapshot
 from daisygw.contracts import JobSpec, ResultCode, Size, Step
 from daisygw.machines import is_sure
-from tests import cell_world
-from tests.cell_world import World, run_for, spans, submit
+from tests import cell_history, cell_plays, cell_world
+from tests.cell_history import spans
+from tests.cell_world import World, run_for, submit
 
 _FAULTY = 40
 _CALM = 40
@@ -27,25 +28,25 @@
 @when('a cell is played with faults from seed {seed:d}')
 def play(context, seed):
     """Play random faults, then a calm time."""
-    context.world = cell_world.play(seed, _FAULTY, _CALM)
+    context.world = cell_plays.play(seed, _FAULTY, _CALM)
 
 
 @when('a cell with leases of 10 s is played with faults from seed {seed:d}')
 def play_long(context, seed):
     """Play random faults with long leases, then a calm time."""
-    context.world = cell_world.play(seed, _FAULTY, _CALM, longest_lease=10)
+    context.world = cell_plays.play(seed, _FAULTY, _CALM, longest_lease=10)
 
 
 @then('no task ran twice, out of order, over its attempts or over capacity')
 def check_promises(context):
     """Judge the workers' histories."""
-    cell_world.check_history(context.world)
+    cell_history.check_history(context.world)
 
 
 @then('every accepted job is over after a calm time')
 def check_over(context):
     """Look for jobs that hang."""
-    assert not cell_world.all_over(context.world)
+    assert not cell_history.all_over(context.world)
 
 
 @given('a cell whose orders are carried out without an answer')
@@ -82,7 +83,7 @@
 def check_once(context):
     """Count the ends that are done."""
     found = spans(context.world)
-    cell_world.check_history(context.world)
+    cell_history.check_history(context.world)
     done = [
         [span for span in rows if span.how == 'done'] for rows in found.values()
     ]
@@ -128,7 +129,7 @@
 @then('the task runs elsewhere, after the lease')
 def check_elsewhere(context):
     """Compare the two runs."""
-    cell_world.check_history(context.world)
+    cell_history.check_history(context.world)
     ((first, *others),) = spans(context.world).values()
     assert others, first
     assert others[0].begun >= first.ended
@@ -148,7 +149,7 @@
 @then('the task runs again in the new life')
 def check_reborn(context):
     """Look for the second run's end."""
-    cell_world.check_history(context.world)
+    cell_history.check_history(context.world)
     (rows,) = spans(context.world).values()
     assert [span.how for span in rows][-1] == 'done', rows
 
@@ -340,7 +341,7 @@
     """Look at the history and at the job."""
     (rows,) = spans(context.world).values()
     assert [span.how for span in rows] == ['done'], rows
-    assert not cell_world.all_over(context.world)
+    assert not cell_history.all_over(context.world)
 
 
 @when('a lasting task is handed in')
@@ -377,8 +378,8 @@
 @then('no task runs twice at a time, and it runs elsewhere in the end')
 def check_once_elsewhere(context):
     """Judge the history."""
-    cell_world.check_history(context.world)
-    assert not cell_world.all_over(context.world)
+    cell_history.check_history(context.world)
+    assert not cell_history.all_over(context.world)
 
 
 @when(
