--- /dev/null
+++ b/bench/logging_cost.py
@@ -0,0 +1,61 @@
+"""What logging costs: processor time of a line, written and left out.
+
+``python -m bench.logging_cost`` prints JSON lines.  A line is written as a
+scheduler writes one, through the bounded stream into a pipe that is read;
+one that is left out passes the same call, beyond the bound of its event.
+"""
+
+import json
+import os
+import sys
+import threading
+import time
+
+from daisygw.links import MOST_LINES, BoundedStream, log, set_up_logs
+
+_LINES = 20_000
+_MICRO = 1_000_000
+_CHUNK = 65_536
+# Fields of ``placed``, the longest of the usual lines.
+_FIELDS = (
+    ('id', '9257a57030680bf5'),
+    ('step', '9257a57030680bf5/0'),
+    ('rows', ((0, 1, 'i-e20d09e882@1782871512010'),)),
+    ('age_s', 0.05),
+    ('slack_s', 2.4),
+)
+
+
+def _read(descriptor: int) -> None:
+    size = 1
+    while size:
+        size = len(os.read(descriptor, _CHUNK))
+
+
+def _spent(events: list[str]) -> float:
+    """Return this thread's processor time (us) for a line of each event."""
+    fields = dict(_FIELDS)
+    began = time.thread_time()
+    for event in events:
+        log(event, **fields)
+    return (time.thread_time() - began) / len(events) * _MICRO
+
+
+def main() -> None:
+    """Measure both, and print them."""
+    there, here = os.pipe()
+    reader = threading.Thread(target=_read, args=(there,), daemon=True)
+    reader.start()
+    set_up_logs('info', 'bench', BoundedStream(here))
+    few = [f'event {number // MOST_LINES}' for number in range(_LINES)]
+    written = _spent(few)
+    left_out = _spent(['event' for _ in range(_LINES)])
+    figures = {
+        'written_us': round(written, 1),
+        'left_out_us': round(left_out, 1),
+    }
+    sys.stdout.write(f'{json.dumps(figures)}\n')
+
+
+if __name__ == '__main__':
+    main()
