--- a/daisygw/cell/_passing.py
+++ b/daisygw/cell/_passing.py
@@ -10,10 +10,7 @@
 )
 from daisygw.cell._starts import STOP_AGAIN
 from daisygw.cell._state import TargetState
-from daisygw.cell._targets import (
-    _lose_runs,
-    end_life,
-)
+from daisygw.cell._targets import end_life, lose_runs
 from daisygw.machines import Contact
 
 # Waiting steps are looked at this often, s, also when nothing has changed:
@@ -50,6 +47,6 @@
     silent = contact.failures > 0 or not contact.reached
     if not silent or lead.now < contact.over_at:
         return
-    _lose_runs(lead, target, 'its lease is over')
+    lose_runs(lead, target, 'its lease is over')
     if lead.now - max(contact.seen, contact.known) > GIVE_UP:
         end_life(lead, target, 'silent for long')
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -70,7 +70,7 @@
 
 def end_life(lead: Lead, target: TargetState, why: str) -> None:
     """Take a life as over: what ran there is lost."""
-    _lose_runs(lead, target, why)
+    lose_runs(lead, target, why)
     lead.record(LifeOver(target.key))
     lead.contacts.pop(target.key, None)
     lead.pace.pop(target.key, None)
@@ -78,7 +78,8 @@
     lead.say('target gone', target=target.key, why=why)
 
 
-def _lose_runs(lead: Lead, target: TargetState, why: str) -> None:
+def lose_runs(lead: Lead, target: TargetState, why: str) -> None:
+    """End all runs of a target as lost."""
     for run in list(target.runs.values()):
         finish(lead, run, RunEnd.LOST, why=why)
 
