--- a/bench/crest.py
+++ b/bench/crest.py
@@ -6,6 +6,7 @@
 faults, which this load has not.
 """
 
+import argparse
 import json
 import sys
 from dataclasses import asdict
@@ -30,12 +31,16 @@
     }
 
 
-def main(load: str = 'latas-grown', seeds: str = '4') -> None:
+def main() -> None:
     """Replay a load from several seeds."""
-    for seed in range(1, int(seeds) + 1):
-        sys.stdout.write(f'{json.dumps(replay(load, seed))}\n')
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('load', nargs='?', default='latas-grown', choices=LOADS)
+    parser.add_argument('seeds', nargs='?', default=4, type=int)
+    given = parser.parse_args()
+    for seed in range(1, given.seeds + 1):
+        sys.stdout.write(f'{json.dumps(replay(given.load, seed))}\n')
         sys.stdout.flush()
 
 
 if __name__ == '__main__':
-    main(*sys.argv[1:])
+    main()
