--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -46,13 +46,14 @@
 
 
 def _note_versions(context):
-    seen = context.__dict__.setdefault('versions', {})
+    if 'versions' not in context:
+        context.versions = {}
     versions = []
     for entry in _entries(context):
         shown = fetch(entry, _PATH)
         if shown is not None and 'version' in shown:
             versions.append(shown['version'])
-            seen.setdefault(entry, []).append(shown['version'])
+            context.versions.setdefault(entry, []).append(shown['version'])
     return versions
 
 
@@ -295,14 +296,14 @@
     )
     change = ConfigChanged(3, 'c3', 'ana', 1, '', ())
     saved = ((change, {'c1': 1, 'c2': 2, 'c3': 3}), (change, {}, ()))
-    context.versions = []
+    context.read = []
     for one in saved:
         machine.restore(msgspec.msgpack.encode(one))
-        context.versions.append(context.state.history.version)
+        context.read.append(context.state.history.version)
 
 
 @then('its version stands, and its list is empty')
 def check_old_snapshot(context):
     """Both forms give the version."""
-    assert context.versions == [3, 3], context.versions
+    assert context.read == [3, 3], context.read
     assert not context.state.history.noted
