Log the group's members and elections of a scheduler

The logs of a scheduler tell who leads, but not who may vote: a group that has lost its majority looks like one that is still electing. `members` gives the voters and learners at each change, `candidate` the start of an election with the voters that it asks. Both are rare: a few lines for each change of a host.

--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -61,9 +61,11 @@
 from daisygw.nodes._state_machine import CellState, cell_state_machine
 from daisygw.zones import (
     Hello,
+    Members,
     OutgoingMessage,
     Role,
     host_of,
+    last_index,
     receive,
     tick,
     transfer_leadership,
@@ -114,6 +116,8 @@
         self.next_transfer_at = 0.0
         self.sessions: dict[str, Link] = {}
         self.scheduler_list = SchedulerList((), '', 0)
+        self.logged_members = Members()
+        self.logged_role = Role.NEW
         self.background_tasks: set[asyncio.Task] = set()
         self.execute_effect: Callable[[Any], None] = _ignore_effect
         self.meters = Meters()
@@ -269,9 +273,32 @@
         purge_old_jobs(node.state.lead)
     tick(node.group.replica, now)
     _carry_out_effects(node)
+    _log_group_changes(node)
     _publish_scheduler_list(node)
 
 
+def _log_group_changes(node: SchedulerNode) -> None:
+    """Log a change of the group's members, and the start of an election."""
+    replica = node.group.replica
+    position = {
+        'term': replica.term,
+        'last': last_index(replica),
+        'commit': replica.commit,
+    }
+    if replica.members != node.logged_members:
+        node.logged_members = replica.members
+        log(
+            'members',
+            voters=replica.members.voters,
+            learners=replica.members.learners,
+            **position,
+        )
+    if replica.role is not node.logged_role:
+        node.logged_role = replica.role
+        if replica.role is Role.CANDIDATE:
+            log('candidate', voters=replica.members.voters, **position)
+
+
 def _carry_out_effects(node: SchedulerNode) -> None:
     """Carry out pending effects; send nothing while disk writes fail.
 
