A follower passes join requests on to the leader

Cause: a host that comes back without its disk joins as a new replica. It sends its request to the three seeds of its settings, and a follower that got it kept it for itself. While one of the two other hosts led, the request never reached the leader: the lost replica stayed a voter, the new one stayed outside, and the group had four live voters of five.

Evidence: the two new scenarios, which failed before:

A host that lost its disk joins again although no seed leads ASSERT FAILED: (('a#1', 'b#1', 'c#1', 'd#1', 'e#1'), {'d#1', 'a#2', 'c#1', 'e#1', 'b#1'}) A group outlives the loss of two more disks when all hosts restart ASSERT FAILED: no leader

Why it works: a request that reaches any member gets to the leader. It is passed on once only: a request that was passed on is addressed to a replica, one that comes from its sender to a host.

--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -5,6 +5,8 @@
 membership change, and the next one waits until it is committed.
 """
 
+from dataclasses import replace
+
 from daisygw.zones._messages import (
     FormGroup,
     Hello,
@@ -55,9 +57,16 @@
 
 
 def on_hello(replica: Replica, hello: Hello, now: float) -> None:
-    """Reply to a replica that wants to join, and record its request."""
+    """Reply to a replica that wants to join, and record its request.
+
+    A follower also passes the request on to its leader, which alone admits
+    members: the sender may know only hosts that do not lead.
+    """
     replica.join_requests[host_of(hello.sender)] = (hello.sender, now)
     _record_formed(replica, hello.sender, formed=hello.formed)
+    is_direct = hello.to == host_of(replica.name)
+    if is_direct and replica.leader not in {'', replica.name}:
+        send(replica, replace(hello, to=replica.leader))
     reply = HelloReply(
         replica.group,
         replica.name,
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -20,13 +20,24 @@
   Scenario Outline: A lost process is replaced, <case>
     Given an open group of three hosts
     When <case>
-    Then a leader has three live voters, and the lost one is not among them
+    Then a leader has 3 live voters, and the lost one is not among them
 
     Examples:
       | case                                                    |
       | a host loses its disk and comes back                    |
       | a host is gone for good and one at another address comes |
 
+  Scenario: A host that lost its disk joins again although no seed leads
+    Given an open group of five hosts whose leader is not a seed
+    When a host loses its disk and comes back
+    Then a leader has 5 live voters, and the lost one is not among them
+
+  Scenario: A group outlives the loss of two more disks when all hosts restart
+    Given an open group of five hosts whose leader is not a seed
+    And a host loses its disk and comes back
+    When two other hosts lose their disks and all restart
+    Then a leader has 5 live voters, and it has every committed record
+
   Scenario: A host that was removed while it was cut off joins again
     Given an open group of three hosts
     When a host is cut off, replaced, and reached again
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -5,13 +5,16 @@
 from behave import given, then, when
 
 from daisygw.zones import (
+    Persist,
     Replica,
     Role,
     Timing,
     drain,
+    entries_from,
     host_of,
     propose,
     receive,
+    restore_replica,
     tick,
 )
 from daisygw.zones import Send as SendEffect
@@ -31,13 +34,16 @@
         self.queue = deque()
 
 
+_SEEDS = ('a', 'b', 'c')
+
+
 def _add_replica(hosts, host, instance, voter_hosts):
     timing = Timing(heartbeat=0.1, election=ELECTION_S, drift=0.1)
     name = f'{host}#{instance}'
     seed = sum(name.encode('ascii'))
     replica = Replica('g', name, voter_hosts, timing, seed)
     replica.accepts_new_hosts = True
-    replica.contacts.update({'a', 'b', 'c'})
+    replica.contacts.update(_SEEDS)
     hosts.replicas[host] = replica
 
 
@@ -77,12 +83,29 @@
 @given('an open group of three hosts')
 def open_group(context):
     """Form the group and commit one record."""
+    context.hosts = _form_group(_SEEDS)
+
+
+def _form_group(names):
     hosts = _SimulatedHosts()
-    for host in ('a', 'b', 'c'):
-        _add_replica(hosts, host, 1, ('a', 'b', 'c'))
+    for host in names:
+        _add_replica(hosts, host, 1, _SEEDS if host in _SEEDS else ())
     _pass_time(hosts, 5)
     propose(_current_leader(hosts), b'x')
     _pass_time(hosts, 1)
+    return hosts
+
+
+@given('an open group of five hosts whose leader is not a seed')
+def open_group_of_five(context):
+    """Cut off leaders for 2 s until one of the other hosts leads."""
+    hosts = _form_group((*_SEEDS, 'd', 'e'))
+    assert len(_current_leader(hosts).members.voters) == 5
+    while host_of(_current_leader(hosts).name) in _SEEDS:
+        hosts.cut.add(host_of(_current_leader(hosts).name))
+        _pass_time(hosts, 2)
+        hosts.cut.clear()
+        _pass_time(hosts, 1)
     context.hosts = hosts
 
 
@@ -91,6 +114,7 @@
     return next(one for one in hosts.replicas if one != leader)
 
 
+@given('a host loses its disk and comes back')
 @when('a host loses its disk and comes back')
 def wipe(context):
     """Restart it as a new replica that may not form a group."""
@@ -115,17 +139,69 @@
     _pass_time(hosts, 4)
 
 
-@then('a leader has three live voters, and the lost one is not among them')
-def check_voters(context):
+@then('a leader has {count:d} live voters, and the lost one is not among them')
+def check_voters(context, count):
     """Read the voters 4 s (catchUpS) after the new replica started."""
-    leader = _current_leader(context.hosts)
-    voters = leader.members.voters
-    live = {one.name for one in context.hosts.replicas.values()}
-    assert len(voters) == 3, voters
-    assert set(voters) <= live, (voters, live)
+    voters = _live_voters(context.hosts)
+    assert len(voters) == count, voters
     assert context.lost_replica not in voters
 
 
+def _live_voters(hosts):
+    voters = _current_leader(hosts).members.voters
+    live = {one.name for one in hosts.replicas.values()}
+    assert set(voters) <= live, (voters, live)
+    return voters
+
+
+@when('two other hosts lose their disks and all restart')
+def lose_two_disks(context):
+    """Commit a record, then restart all, two of them as new replicas.
+
+    The lost disks are those of replicas that have been members from the start.
+    """
+    hosts = context.hosts
+    leader = _current_leader(hosts)
+    context.record = propose(leader, b'y')
+    _pass_time(hosts, 0.1)
+    assert leader.commit >= context.record
+    lost = [
+        host for host, one in hosts.replicas.items() if one.name.endswith('#1')
+    ][:2]
+    for host, replica in list(hosts.replicas.items()):
+        if host in lost:
+            _add_replica(hosts, host, 3, ())
+        else:
+            _restart(hosts, host, replica)
+    _pass_time(hosts, 8)
+
+
+def _restart(hosts, host, replica):
+    """Replace a replica by one that has its durable state."""
+    stored = Persist(
+        replica.term,
+        replica.vote,
+        replica.base.members,
+        tuple(replica.log),
+        0,
+        replica.base,
+        replica.commit,
+    )
+    _, _, instance = replica.name.partition('#')
+    _add_replica(hosts, host, instance, ())
+    restore_replica(hosts.replicas[host], stored, hosts.now)
+
+
+@then('a leader has {count:d} live voters, and it has every committed record')
+def check_records(context, count):
+    """Expect the newest record that was committed before the restart."""
+    hosts = context.hosts
+    assert len(_live_voters(hosts)) == count, _live_voters(hosts)
+    leader = _current_leader(hosts)
+    assert leader.commit > context.record
+    assert entries_from(leader, context.record, 1)[0].body == b'y'
+
+
 @when('a host is cut off, replaced, and reached again')
 def cut_and_replace(context):
     """Let a fourth host become a voter in its place, then heal the cut."""
