Learn the approval rate from first answers only

What callers saw: gangs stood still beside free capacity.

Cause: the share of targets that the advisor approves was averaged over all answers. The number of targets to ask about follows from that share.

Change: only targets that were not approved yet count, each with a weight of 0.01, so that an answer about 40 targets weighs more than one about 4. A queue without answers is expected to approve 0.3, was 0.4.

--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -21,8 +21,8 @@
 # A ticket is not used in the last part of its validity: the commit, and the
 # start order on its way to the target, take time.
 TICKET_MARGIN_S = 0.3
-# Weight of the newest answer in the moving average of the approval rate.
-_APPROVAL_RATE_WEIGHT = 0.1
+# Weight of the answer about one target in the average of the approval rate.
+_APPROVAL_RATE_WEIGHT = 0.01
 # Lower bound of that average; limits a request to 7 times what is needed.
 _MIN_APPROVAL_RATE = 0.15
 # Delay before the next request after a call that was not answered.
@@ -108,20 +108,30 @@
     waiting = lead.waiting.get(pending[0])
     validity = waiting.queue.advisor.validity if waiting else 0
     if waiting:
-        _update_approval_rate(
-            lead, waiting.queue.name, len(tickets) / len(pending[1])
-        )
+        # A renewal is granted always, so it tells nothing about the rate.
+        first = [key for key in pending[1] if key not in approval.tickets]
+        approved = sum(_name_of(key) in tickets for key in first)
+        _update_approval_rate(lead, waiting.queue.name, approved, len(first))
     until = lead.now + validity - TICKET_MARGIN_S
     for key in pending[1]:
-        ticket = tickets.get(key.partition('@')[0])
+        ticket = tickets.get(_name_of(key))
         if ticket is None:
             approval.denied.add(key)
         else:
             approval.tickets[key] = (ticket, until)
 
 
-def _update_approval_rate(lead: CellLeader, queue: str, newest: float) -> None:
+def _name_of(key: str) -> str:
+    return key.partition('@')[0]
+
+
+def _update_approval_rate(
+    lead: CellLeader, queue: str, approved: int, asked: int
+) -> None:
     """Update the moving average of a queue's approval rate."""
+    if not asked:
+        return
     average = lead.approval_rates.get(queue, INITIAL_APPROVAL_RATE)
-    average += _APPROVAL_RATE_WEIGHT * (newest - average)
+    weight = 1 - (1 - _APPROVAL_RATE_WEIGHT) ** asked
+    average += weight * (approved / asked - average)
     lead.approval_rates[queue] = max(average, _MIN_APPROVAL_RATE)
--- a/daisygw/cell/_advice_targets.py
+++ b/daisygw/cell/_advice_targets.py
@@ -24,7 +24,7 @@
 # mean, so that only one answer in twenty falls short.
 _SAFETY_DEVIATIONS = 1.6
 # Assumed approval rate of a queue before the first answer.
-INITIAL_APPROVAL_RATE = 0.4
+INITIAL_APPROVAL_RATE = 0.3
 
 
 class _ExpectedCapacity:
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -18,6 +18,12 @@
     And the capacity is freed 6 seconds later
     Then it has started within 1.5 times the duration of one advisor call about 30 targets
 
+  Scenario: Renewed approvals do not raise the expected approval rate
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    When 12 gangs of 20 tasks that fill a third of a target are submitted at once
+    And all of them have ended
+    Then it expects the advisor to approve between 2 and 4 of 10 targets
+
   Scenario: Relative speeds are learned from tasks of the same step
     Given a cell of 60 targets of which every fourth is slow
     When jobs whose estimates are far off run for 20 seconds
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -91,6 +91,35 @@
     context.since = context.world.now
 
 
+@when(
+    '{count:d} gangs of 20 tasks that fill a third of a target are submitted '
+    'at once',
+)
+def submit_gangs(context, count):
+    """Submit gangs that run for 5 s; all do not fit at once."""
+    step = Step(20, _THIRD_OF_TARGET, 5, gang=True)
+    context.gangs = [f'{number:016x}' for number in range(count)]
+    for name in context.gangs:
+        _submit(context.world, name, context.kind, step, 5)
+
+
+@when('all of them have ended')
+def wait_until_ended(context):
+    """Run until every gang is over."""
+    world = context.world
+    until = world.now + 120
+    while any(name not in world.ends for name in context.gangs):
+        assert world.now < until, world.ends
+        run_leader_turn(world)
+
+
+@then('it expects the advisor to approve between 2 and 4 of 10 targets')
+def check_approval_rate(context):
+    """Compare the learned share with the advisor's, 0.3."""
+    rate = context.world.lead.approval_rates[context.kind.name]
+    assert 0.2 <= rate <= 0.4, rate
+
+
 @when('the capacity is freed 6 seconds later')
 def free_capacity(context):
     """End the filler job's tasks; the gang must not have started."""
