Entries: answer the requests received behind another while stopping

Callers saw: an entry that had received SIGTERM answered the first of several requests on a connection and then closed it; those that it had already received behind it got no answer.

Cause: while stopping, each response carried `Connection: close`. uvicorn closes the connection after such a response and drops its queue of received requests without a line in the log.

Evidence: the new scenario sends three requests in one segment to a stopping entry.

Fix: the server, not the application, decides which response announces the close: the one to the newest request received. A request that arrives behind it before that response has begun takes it over. This holds for all servers of entries and schedulers, also the product's entry, which had the same header, and for uvicorn's own shutdown, which had marked only the requests received before it. A stopping scheduler now announces it too, so that operators and workers leave before its sockets close.

`requests cut off` is logged where a process closes a connection with unanswered requests; the test of the on-call page now covers `links/` too.

--- a/daisygw/entries/_requests_http.py
+++ b/daisygw/entries/_requests_http.py
@@ -53,7 +53,6 @@
         """Submit the request and respond with its outcomes."""
         entry = self.entry
         if entry.stopping:
-            resp.set_header('Connection', 'close')
             reason = 'this entry is stopping'
             write_result(resp, ResultCode.STOPPING, reason, retry_after=1)
             return
--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncGenerator, Generator
+from collections.abc import AsyncGenerator, Callable, Generator
 from contextlib import asynccontextmanager, contextmanager
+from functools import partial
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from daisygw.contracts import LinkError, ResultCode
+from daisygw.links._logs import log
 
 # Connections that can wait to be accepted: more than callers open at once.
 _LISTEN_BACKLOG = 2048
@@ -16,6 +19,50 @@
 _KEEP_ALIVE_S = 60
 
 
+class _Connection(HttpToolsProtocol):
+    """A connection that is closed after its last request while draining.
+
+    A response that announces the close ends the connection, so only the last
+    of the requests received may have it (RFC 9112, 9.6).  ``reusable`` tells
+    whether the client allows further requests after the newest one, and
+    ``unanswered`` counts the requests received without a complete response.
+    """
+
+    def __init__(self, is_draining: Callable[[], bool], **server: Any) -> None:
+        """Create the state of a new connection of a server."""
+        super().__init__(**server)
+        self.is_draining = is_draining
+        self.reusable = True
+        self.unanswered = 0
+        self.peer_closed = False
+
+    def on_headers_complete(self) -> None:
+        """Start a request, after which a draining server closes."""
+        earlier = self.cycle
+        super().on_headers_complete()
+        self.unanswered += 1
+        if earlier is not None and not earlier.response_started:
+            earlier.keep_alive = self.reusable
+        self.reusable = self.cycle.keep_alive
+        if self.is_draining():
+            self.cycle.keep_alive = False
+
+    def on_response_complete(self) -> None:
+        """Count the response, and start the next request if there is one."""
+        self.unanswered -= 1
+        super().on_response_complete()
+
+    def eof_received(self) -> None:
+        """Note that the peer closes the connection."""
+        self.peer_closed = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Log requests that this process leaves without a response."""
+        if self.unanswered and exc is None and not self.peer_closed:
+            log('requests cut off', requests=self.unanswered)
+        super().connection_lost(exc)
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that installs no signal handlers."""
 
@@ -42,20 +89,30 @@
     return sock
 
 
+def _never() -> bool:
+    return False
+
+
 @asynccontextmanager
 async def serving_http(
     app: Any,
     sock: socket.socket,
     grace: float,
+    is_draining: Callable[[], bool] = _never,
 ) -> AsyncGenerator[None, None]:
     """Serve ``app`` on ``sock`` while the body runs.
 
+    While ``is_draining``, connections are closed after their last response.
     At the end, wait up to ``grace`` seconds for requests in progress.
     """
+
+    def closes_connections() -> bool:
+        return server.should_exit or is_draining()
+
     config = uvicorn.Config(
         app,
         loop='asyncio',
-        http='httptools',
+        http=partial(_Connection, closes_connections),
         ws='none',
         lifespan='off',
         log_config=None,
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -150,8 +150,6 @@
     job = None
     if verb is JobVerb.SUBMIT:
         job = await _read_job(req)
-    if node.stopping:
-        resp.set_header('Connection', 'close')
     started_at = time.monotonic()
     answer = await call_leader(
         node.peers,
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 
 from daisygw.context import Context
@@ -15,6 +16,7 @@
 from daisygw.nodes import (
     EntryNode,
     Peers,
+    SchedulerNode,
     connect_to_hosts,
     executing_effects,
     running_entry,
@@ -61,6 +63,10 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings)
 
 
+def _is_stopping(node: EntryNode | SchedulerNode) -> bool:
+    return node.stopping
+
+
 async def run_entry(cfg: PlatformSettings, path: Path) -> None:
     """Run an entry until SIGTERM or SIGINT, then shut down gracefully."""
     grace = cfg.node.grace
@@ -76,7 +82,10 @@
             (metrics_app(node.meters), cfg.metrics),
         ):
             serving = serving_http(
-                app, listen(address), grace * _SHUTDOWN_GRACE_FRACTION
+                app,
+                listen(address),
+                grace * _SHUTDOWN_GRACE_FRACTION,
+                partial(_is_stopping, node),
             )
             await stack.enter_async_context(serving)
         log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
@@ -100,7 +109,9 @@
         open_calls(cfg.advisor) as calls,
         running_scheduler(cfg.node, calls) as node,
         executing_effects(node),
-        serving_http(control_app(node), sock, grace),
+        serving_http(
+            control_app(node), sock, grace, partial(_is_stopping, node)
+        ),
         serving_http(metrics_app(node.meters), listen(cfg.metrics), grace),
     ):
         _install_signal_handlers(
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -55,6 +55,10 @@
     When an entry receives SIGTERM
     Then it is not ready, still answers, and exits with status 0
 
+  Scenario: A stopping entry drops requests behind its last response
+    When 3 requests are sent at once on a connection to a stopping entry
+    Then each has a complete answer, and then the connection is closed
+
   Scenario: A leader that receives SIGTERM hands over its leadership
     When the leader receives SIGTERM
     Then another host leads before the process has ended
--- a/tests/steps/docs_steps.py
+++ b/tests/steps/docs_steps.py
@@ -98,7 +98,7 @@
 
 def _calls():
     """Yield each call with arguments in the code of a cell's processes."""
-    for folder in ('cell', 'nodes', 'platform'):
+    for folder in ('cell', 'links', 'nodes', 'platform'):
         for path in sorted((ROOT / 'daisygw' / folder).glob('*.py')):
             for node in ast.walk(ast.parse(path.read_text())):
                 if isinstance(node, ast.Call) and node.args:
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -1,7 +1,10 @@
 """Steps that run a cell's processes as the platform does."""
 
 import itertools
+import json
 import signal
+import socket
+from functools import partial
 
 from behave import then, when
 
@@ -275,10 +278,8 @@
         )
 
 
-@when('an entry receives SIGTERM')
-def stop_entry(context):
-    """Send SIGTERM, and call the entry while it shuts down."""
-    entry = ENTRIES[1]
+def _send_sigterm(context, entry):
+    """Send SIGTERM to an entry that is ready; wait until it is not."""
     cell = context.cell
     ready = f'{entry}:{cell.ports.ready}'
     wait_until(
@@ -289,6 +290,14 @@
         lambda: call(ready, 'GET', '/readyz')[0] == 503,
         'the entry to be unready',
     )
+
+
+@when('an entry receives SIGTERM')
+def stop_entry(context):
+    """Send SIGTERM, and call the entry while it shuts down."""
+    entry = ENTRIES[1]
+    cell = context.cell
+    _send_sigterm(context, entry)
     context.status = call_entry(cell, entry, 'GET', '')[0]
     context.exit = cells.stop_host(cell, entry, signal.SIGTERM)
     cells.start(cell, entry)
@@ -300,6 +309,34 @@
     assert (context.status, context.exit) == (200, 0)
 
 
+@when('{count:d} requests are sent at once on a connection to a stopping entry')
+def send_at_once(context, count):
+    """Send them in one segment, and read until the entry closes."""
+    entry = ENTRIES[1]
+    cell = context.cell
+    _send_sigterm(context, entry)
+    head = f'GET {cells.PREFIX} HTTP/1.1\r\nHost: {cells.QUEUE_HOST}\r\n\r\n'
+    with socket.create_connection((entry, cell.ports.callers)) as conn:
+        conn.sendall(head.encode() * count)
+        context.answers = b''.join(iter(partial(conn.recv, 1 << 16), b''))
+    context.requests = count
+    cells.stop_host(cell, entry, signal.SIGTERM)
+    cells.start(cell, entry)
+
+
+@then('each has a complete answer, and then the connection is closed')
+def check_answered(context):
+    """Expect all answers, of which only the last announces the close."""
+    answers = context.answers.split(b'HTTP/1.1 ')[1:]
+    assert len(answers) == context.requests, answers
+    for answer in answers:
+        status = int(answer.split()[0])
+        head, _, body = answer.partition(b'\r\n\r\n')
+        assert (status, 'pending' in json.loads(body)) == (200, True), answer
+        closes = b'connection: close' in head.lower()
+        assert closes == (answer is answers[-1]), answers
+
+
 @when('the leader receives SIGTERM')
 def stop_leader(context):
     """Send SIGTERM to the leader and wait until it has exited."""
