Servers: answer requests that have arrived when a process stops

Callers saw: connections reset, with no answer to a request sent before, when a stopping entry closed its sockets while it was slow to read.

Cause: uvicorn's shutdown closes the listening socket with connections still in its queue, drops those that asyncio accepted in the same turn of the loop (Python 3.11 asserts that the listener is open), and closes idle connections at once, whatever has arrived on them. The kernel answers unread bytes with a reset. The slower the process, the more requests are unread at that moment.

Ruled out: links closed before the calls were answered (no request was read), the grace period (sockets close 2 s before its end).

Fix: a server that stops accepts what waits in the queue together with the close of the listener, in one turn, so nothing can arrive in between; then it reads from idle connections for 0.2 s more, closing each after its answer. The servers of a process now stop at the same time, where they did one after the other: the added 0.2 s would have counted three times.

--- a/daisygw/entries/_process.py
+++ b/daisygw/entries/_process.py
@@ -202,7 +202,9 @@
     sock = listen(address)
     _install_signal_handlers(entry)
     grace = entry.boot_settings.process.grace
-    serving = serving_http(make_app(entry), sock, grace, lambda: entry.stopping)
+    serving = serving_http(
+        ((make_app(entry), sock),), grace, lambda: entry.stopping
+    )
     async with _connected_to_hosts(entry), serving:
         log('entry up', host=host, address=address)
         await entry.stopped.wait()
--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncGenerator, Callable, Generator
+from collections.abc import AsyncGenerator, Callable, Generator, Iterable
 from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 from typing import Any
@@ -15,8 +15,13 @@
 
 # Connections that can wait to be accepted: more than callers open at once.
 _LISTEN_BACKLOG = 2048
+# Turns of the loop until an accepted connection has joined its server.
+_ACCEPT_TURNS = 2
 # How long an idle connection of a caller is kept open.
 _KEEP_ALIVE_S = 60
+# How long a server that stops still reads from idle connections: requests may
+# be on their way on them.
+_LINGER_S = 0.2
 
 
 class _Connection(HttpToolsProtocol):
@@ -63,14 +68,59 @@
         super().connection_lost(exc)
 
 
+def _accept_all(sock: socket.socket) -> list[socket.socket]:
+    """Return the connections that wait in the queue of a listening socket."""
+    accepted: list[socket.socket] = []
+    try:
+        for _ in range(_LISTEN_BACKLOG):
+            accepted.append(sock.accept()[0])
+    except BlockingIOError:
+        return accepted
+    except OSError as exc:
+        log('connections not accepted', reason=str(exc))
+    return accepted
+
+
 class _Server(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
+    """A uvicorn server that installs no signal handlers.
+
+    uvicorn resets connections that it has not accepted when it stops, and
+    closes idle ones at once; this server answers the requests on them first.
+    """
 
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         """Leave the signal handlers of the process as they are."""
         yield
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Stop accepting; answer what was sent; close all connections."""
+        loop = asyncio.get_running_loop()
+        for sock in sockets or ():
+            loop.remove_reader(sock)
+        # Connections that asyncio has accepted reach the server first, as it
+        # drops them once the listening socket is closed.
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        accepted = [
+            conn for sock in sockets or () for conn in _accept_all(sock)
+        ]
+        for server in self.servers:
+            server.close()
+        for conn in accepted:
+            await loop.connect_accepted_socket(self._make_connection, conn)
+        await asyncio.sleep(_LINGER_S)
+        await super().shutdown(sockets)
+
+    def _make_connection(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
 
 def listen(address: str) -> socket.socket:
     """Return a socket bound to host:port; raises ``LinkError`` (PORT_TAKEN)."""
@@ -93,19 +143,9 @@
     return False
 
 
-@asynccontextmanager
-async def serving_http(
-    app: Any,
-    sock: socket.socket,
-    grace: float,
-    is_draining: Callable[[], bool] = _never,
-) -> AsyncGenerator[None, None]:
-    """Serve ``app`` on ``sock`` while the body runs.
-
-    While ``is_draining``, connections are closed after their last response.
-    At the end, wait up to ``grace`` seconds for requests in progress.
-    """
-
+def _make_server(
+    app: Any, grace: float, is_draining: Callable[[], bool]
+) -> _Server:
     def closes_connections() -> bool:
         return server.should_exit or is_draining()
 
@@ -122,9 +162,30 @@
         timeout_graceful_shutdown=int(grace),
     )
     server = _Server(config)
-    task = asyncio.ensure_future(server.serve(sockets=[sock]))
+    return server
+
+
+@asynccontextmanager
+async def serving_http(
+    apps: Iterable[tuple[Any, socket.socket]],
+    grace: float,
+    is_draining: Callable[[], bool] = _never,
+) -> AsyncGenerator[None, None]:
+    """Serve each of ``apps`` on its socket while the body runs.
+
+    While ``is_draining``, connections are closed after their last response.
+    At the end all servers stop at the same time, and wait up to ``grace``
+    seconds for requests in progress.
+    """
+    servers: list[_Server] = []
+    tasks: list[asyncio.Task] = []
+    for app, sock in apps:
+        server = _make_server(app, grace, is_draining)
+        servers.append(server)
+        tasks.append(asyncio.ensure_future(server.serve(sockets=[sock])))
     try:
         yield
     finally:
-        server.should_exit = True
-        await task
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*tasks)
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
 from functools import partial
 from pathlib import Path
 
@@ -70,26 +69,25 @@
 async def run_entry(cfg: PlatformSettings, path: Path) -> None:
     """Run an entry until SIGTERM or SIGINT, then shut down gracefully."""
     grace = cfg.node.grace
-    async with AsyncExitStack() as stack:
-        calls = await stack.enter_async_context(open_calls(cfg.advisor))
-        node = await stack.enter_async_context(running_entry(cfg.node, calls))
+    async with (
+        open_calls(cfg.advisor) as calls,
+        running_entry(cfg.node, calls) as node,
+    ):
         _install_signal_handlers(
             node.stopped, lambda: _reload(node.peers, path)
         )
-        for app, address in (
-            (readiness_app(node), cfg.readiness),
-            (callers_app(node), cfg.callers),
-            (metrics_app(node.meters), cfg.metrics),
+        apps = (
+            (readiness_app(node), listen(cfg.readiness)),
+            (callers_app(node), listen(cfg.callers)),
+            (metrics_app(node.meters), listen(cfg.metrics)),
+        )
+        async with serving_http(
+            apps,
+            grace * _SHUTDOWN_GRACE_FRACTION,
+            partial(_is_stopping, node),
         ):
-            serving = serving_http(
-                app,
-                listen(address),
-                grace * _SHUTDOWN_GRACE_FRACTION,
-                partial(_is_stopping, node),
-            )
-            await stack.enter_async_context(serving)
-        log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
-        await _serve_until_stopped(node, grace)
+            log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
+            await _serve_until_stopped(node, grace)
     log('entry stopped', host=cfg.node.host)
 
 
@@ -104,15 +102,18 @@
 async def run_scheduler(cfg: PlatformSettings, path: Path) -> None:
     """Run a scheduler until SIGTERM or SIGINT, then transfer leadership."""
     sock = listen(cfg.control)
-    grace = cfg.node.grace * _SHUTDOWN_GRACE_FRACTION
     async with (
         open_calls(cfg.advisor) as calls,
         running_scheduler(cfg.node, calls) as node,
         executing_effects(node),
         serving_http(
-            control_app(node), sock, grace, partial(_is_stopping, node)
+            (
+                (control_app(node), sock),
+                (metrics_app(node.meters), listen(cfg.metrics)),
+            ),
+            cfg.node.grace * _SHUTDOWN_GRACE_FRACTION,
+            partial(_is_stopping, node),
         ),
-        serving_http(metrics_app(node.meters), listen(cfg.metrics), grace),
     ):
         _install_signal_handlers(
             node.stopped, lambda: _reload(node.peers, path)
