Entries: give up pending calls before the grace period ends

Callers saw: a request that waited for the leader when its entry stopped was answered 500, which no caller repeats, or not at all.

Cause: the time for pending calls was not taken from the grace period. A call may wait 0.9 of its caller's deadline (2.7 s), or 1.5 s for the next leader. uvicorn cancelled it after the whole seconds of 0.3 of the grace period (1 s of 1.8 at graceS 6, none below 3.4) and wrote its own 500. With what ran before that, a process that noticed SIGTERM 1.3 s late was killed first.

Evidence: the new scenario suspends all schedulers 0.3 s before an entry stops serving and submits a job: answered 500 on the code before (13 passed, 1 failed).

Ruled out: a cancelled call without any answer (uvicorn writes 500 for each).

Fix: a process that stops sets the time by which calls are answered, 0.75 of the grace period after SIGTERM. Each call then ends with what is known: 503 and a time to come back if it was not sent on, else 504. uvicorn's limit only ends requests that were not received whole; it takes fractions of a second. `entry stopped` tells how many calls were open.

After: 504, exit status 0 within the 4 s of the scenario (14 passed, twice).

--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -159,7 +159,7 @@
         access_log=False,
         backlog=_LISTEN_BACKLOG,
         timeout_keep_alive=_KEEP_ALIVE_S,
-        timeout_graceful_shutdown=int(grace),
+        timeout_graceful_shutdown=grace,
     )
     server = _Server(config)
     return server
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -62,7 +62,8 @@
     ``open`` has the pending requests by correlation id.  A scheduler sets
     ``handle_locally``, which handles requests while this process leads.
     ``leader_left_at`` is the loop time (s) when a leader last said that it no
-    longer leads.
+    longer leads.  ``answer_by`` is the loop time (s) at which all pending
+    requests are given up, because this process ends soon.
     """
 
     def __init__(self, own_name: str, host: str, port: int) -> None:
@@ -78,6 +79,7 @@
         self.leader = ''
         self.term = 0
         self.leader_left_at = float('-inf')
+        self.answer_by = float('inf')
         self.seq_numbers = itertools.count(1)
         self.open: dict[int, _PendingRequest] = {}
         self.handle_locally: Callable[[Any], None] | None = None
@@ -223,22 +225,26 @@
     loop = asyncio.get_running_loop()
     last_reachable = loop.time()
     until = last_reachable + patience
-    while not request.fut.done() and loop.time() < until:
+    while not request.fut.done() and _time_left(peers, until) > 0:
         if _is_leader_reachable(peers):
             last_reachable = loop.time()
         elif loop.time() - last_reachable >= _max_leader_wait(peers, request):
             break
         if not request.times_sent:
             _send(peers, request)
-        remaining = max(until - loop.time(), 0)
-        await asyncio.wait(
-            [request.fut], timeout=min(_POLL_INTERVAL_S, remaining)
-        )
+        timeout = min(_POLL_INTERVAL_S, _time_left(peers, until))
+        await asyncio.wait([request.fut], timeout=timeout)
     if request.fut.done():
         return request.fut.result()
     return _failure_response(request, seq)
 
 
+def _time_left(peers: Peers, until: float) -> float:
+    """Return how long a request may still wait for its response (s)."""
+    now = asyncio.get_running_loop().time()
+    return max(min(until, peers.answer_by) - now, 0)
+
+
 def _max_leader_wait(peers: Peers, request: _PendingRequest) -> float:
     """Return how long a request waits for a reachable leader (s).
 
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -39,7 +39,10 @@
 # Part of the grace period in which a stopping entry still serves requests: the
 # load balancer needs three readiness checks, a second apart, to notice.
 _READINESS_GRACE_FRACTION = 0.55
-# Part of the grace period left to finish requests in progress after that.
+# Part of the grace period after which a stopping entry answers the requests
+# that still wait for the leader: well before it is killed.
+_ANSWER_GRACE_FRACTION = 0.75
+# Part of the grace period in which the servers of a process stop.
 _SHUTDOWN_GRACE_FRACTION = 0.3
 _RunProcess = Callable[[PlatformSettings, Path], Awaitable[None]]
 
@@ -88,13 +91,15 @@
         ):
             log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
             await _serve_until_stopped(node, grace)
-    log('entry stopped', host=cfg.node.host)
+        log('entry stopped', host=cfg.node.host, open=len(node.peers.open))
 
 
 async def _serve_until_stopped(node: EntryNode, grace: float) -> None:
     """Wait for a stop signal, then keep serving until callers have left."""
     await node.stopped.wait()
     node.stopping = True
+    stopped_at = asyncio.get_running_loop().time()
+    node.peers.answer_by = stopped_at + grace * _ANSWER_GRACE_FRACTION
     log('entry stopping', open=len(node.peers.open))
     await asyncio.sleep(grace * _READINESS_GRACE_FRACTION)
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -59,6 +59,10 @@
     When 3 requests are sent at once on a connection to a stopping entry
     Then each has a complete answer, and then the connection is closed
 
+  Scenario: A stopping entry answers 500 while no scheduler answers it
+    When no scheduler answers the last request to a stopping entry
+    Then it is answered 504, and the entry exits with status 0 in time
+
   Scenario: A leader that receives SIGTERM hands over its leadership
     When the leader receives SIGTERM
     Then another host leads before the process has ended
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import socket
+import time
 from functools import partial
 
 from behave import then, when
@@ -19,6 +20,9 @@
 
 _ids = itertools.count(1)
 _STATE_TIMEOUT_S = 30
+# When a stopping entry receives its last request, after SIGTERM (s): shortly
+# before it stops to serve.
+_LAST_REQUEST_S = 0.48 * cells.GRACE_S
 
 
 def _new_job_id():
@@ -337,6 +341,39 @@
         assert closes == (answer is answers[-1]), answers
 
 
+def _signal_schedulers(cell, signal_number):
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal_number)
+
+
+@when('no scheduler answers the last request to a stopping entry')
+def submit_without_answer(context):
+    """Suspend the schedulers just before the entry stops serving; submit."""
+    cell = context.cell
+    entry = ENTRIES[1]
+    _send_sigterm(context, entry)
+    sent_at = time.monotonic()
+    time.sleep(_LAST_REQUEST_S)
+    _signal_schedulers(cell, signal.SIGSTOP)
+    name = _new_job_id()
+    response = call_entry(cell, entry, 'POST', name, cells.job())
+    context.status = response[0]
+    context.exit = cells.stop_host(cell, entry, signal.SIGTERM)
+    context.stop_time = time.monotonic() - sent_at
+    _signal_schedulers(cell, signal.SIGCONT)
+    cells.start(cell, entry)
+    wait_until(
+        lambda: call_entry(cell, entry, 'GET', '')[0] == 200, 'the entry'
+    )
+
+
+@then('it is answered 504, and the entry exits with status 0 in time')
+def check_unanswered(context):
+    """Check the answer and the exit, which is to precede SIGKILL."""
+    assert (context.status, context.exit) == (504, 0), context.status
+    assert context.stop_time < cells.GRACE_S, context.stop_time
+
+
 @when('the leader receives SIGTERM')
 def stop_leader(context):
     """Send SIGTERM to the leader and wait until it has exited."""
