Processes: SIGHUP does not end one that starts or exits

Operators saw: a process that was told that its settings had changed while it started or exited was gone, with no line in its log and status -1.

Cause: SIGHUP ends a process without a handler.

Ruled out: requests cut off by it.

Fix: SIGHUP is blocked from the start of the command on, unblocked while the handler is installed, and blocked again before the loop closes. One that came too early is delivered then: the settings are read again, where ignoring it would lose a change made after they were read. The interpreter's own start before that, and its loading of the command line, is not covered.

--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import signal
 from collections.abc import Awaitable, Callable
 from importlib import import_module
 from pathlib import Path
@@ -79,6 +80,8 @@
 
 
 def _run_on_platform(role: str, parsed: ParsedArgs, ctx: Context) -> ExitStatus:
+    # Ends a process that has no handler for it yet.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     tune_garbage_collector()
     run = _import_attribute('daisygw.platform', 'run')
     return run(role, ctx, parsed['metrics'] or METRICS_PORT)
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -4,7 +4,8 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
 
@@ -55,14 +56,23 @@
     return Path(path)
 
 
-def _install_signal_handlers(
-    stopped: asyncio.Event,
-    reload_settings: Callable[[], None],
-) -> None:
+@asynccontextmanager
+async def _handling_signals(
+    node: EntryNode | SchedulerNode, path: Path
+) -> AsyncGenerator[None, None]:
+    """Stop the node on SIGTERM and SIGINT; reload the settings on SIGHUP.
+
+    SIGHUP stays blocked before and after, where it would end the process.
+    """
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings)
+    loop.add_signal_handler(signal.SIGTERM, node.stopped.set)
+    loop.add_signal_handler(signal.SIGINT, node.stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node.peers, path)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 def _is_stopping(node: EntryNode | SchedulerNode) -> bool:
@@ -75,23 +85,20 @@
     async with (
         open_calls(cfg.advisor) as calls,
         running_entry(cfg.node, calls) as node,
-    ):
-        _install_signal_handlers(
-            node.stopped, lambda: _reload(node.peers, path)
-        )
-        apps = (
-            (readiness_app(node), listen(cfg.readiness)),
-            (callers_app(node), listen(cfg.callers)),
-            (metrics_app(node.meters), listen(cfg.metrics)),
-        )
-        async with serving_http(
-            apps,
+        _handling_signals(node, path),
+        serving_http(
+            (
+                (readiness_app(node), listen(cfg.readiness)),
+                (callers_app(node), listen(cfg.callers)),
+                (metrics_app(node.meters), listen(cfg.metrics)),
+            ),
             grace * _SHUTDOWN_GRACE_FRACTION,
             partial(_is_stopping, node),
-        ):
-            log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
-            await _serve_until_stopped(node, grace)
-        log('entry stopped', host=cfg.node.host, open=len(node.peers.open))
+        ),
+    ):
+        log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
+        await _serve_until_stopped(node, grace)
+    log('entry stopped', host=cfg.node.host, open=len(node.peers.open))
 
 
 async def _serve_until_stopped(node: EntryNode, grace: float) -> None:
@@ -111,6 +118,7 @@
         open_calls(cfg.advisor) as calls,
         running_scheduler(cfg.node, calls) as node,
         executing_effects(node),
+        _handling_signals(node, path),
         serving_http(
             (
                 (control_app(node), sock),
@@ -120,9 +128,6 @@
             partial(_is_stopping, node),
         ),
     ):
-        _install_signal_handlers(
-            node.stopped, lambda: _reload(node.peers, path)
-        )
         log('scheduler up', host=cfg.node.host, seeds=cfg.node.seeds)
         await node.stopped.wait()
         log('scheduler stopping', term=node.group.replica.term)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -75,3 +75,7 @@
   Scenario: Schedulers and entries export metrics
     Then the metrics of a scheduler count "accepted" and "placed"
     And the metrics of an entry include its answer times
+
+  Scenario: SIGHUP ends a process that is starting or exiting
+    When processes receive SIGHUP while they load, serve and exit
+    Then they serve, and exit with status 0 after SIGTERM
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -6,10 +6,12 @@
 import socket
 import time
 from functools import partial
+from pathlib import Path
 
 from behave import then, when
 
 from standins import platform_cell as cells
+from standins.cell import is_listening
 from standins.platform_cell import (
     ENTRIES,
     SCHEDULERS,
@@ -23,6 +25,11 @@
 # When a stopping entry receives its last request, after SIGTERM (s): shortly
 # before it stops to serve.
 _LAST_REQUEST_S = 0.48 * cells.GRACE_S
+# Bounds a process that hangs, not the time that a start takes (s).
+_START_TIMEOUT_S = 60
+_RELOAD_INTERVAL_S = 0.01
+# A library that a process loads before it can handle signals.
+_LIBRARY = 'httptools'
 
 
 def _new_job_id():
@@ -374,6 +381,59 @@
     assert context.stop_time < cells.GRACE_S, context.stop_time
 
 
+def _logged(cell, host, event):
+    return [one for one in cells.log_lines(cell, host) if one['event'] == event]
+
+
+def _is_serving(cell, host):
+    """Return whether the main port of a process can be connected to."""
+    ports = cell.ports
+    port = ports.callers if host in ENTRIES else ports.control
+    return is_listening(f'{host}:{port}')
+
+
+def _reload_until(cell, host, is_over):
+    """Send SIGHUP to a process until ``is_over`` or the process has ended."""
+    until = time.monotonic() + _START_TIMEOUT_S
+    process = cell.running[host]
+    while process.poll() is None and not is_over():
+        assert time.monotonic() < until, f'{host} neither serves nor ends'
+        process.send_signal(signal.SIGHUP)
+        time.sleep(_RELOAD_INTERVAL_S)
+
+
+def _reload_through_life(cell, host):
+    """Start a process again and stop it; return whether it served, its exit."""
+    cells.stop_host(cell, host)
+    cells.start(cell, host)
+    maps = Path('/proc') / str(cell.running[host].pid) / 'maps'
+    wait_until(
+        lambda: _LIBRARY in maps.read_text(), 'the process to load libraries'
+    )
+    _reload_until(cell, host, lambda: _is_serving(cell, host))
+    process = cell.running[host]
+    served = process.poll() is None
+    process.send_signal(signal.SIGTERM)
+    _reload_until(cell, host, bool)
+    cells.start(cell, host)
+    return served, process.returncode
+
+
+@when('processes receive SIGHUP while they load, serve and exit')
+def reload_through_life(context):
+    """Restart and stop an entry and a scheduler, one after the other."""
+    context.lives = {
+        host: _reload_through_life(context.cell, host)
+        for host in (ENTRIES[1], SCHEDULERS[2])
+    }
+
+
+@then('they serve, and exit with status 0 after SIGTERM')
+def check_lives(context):
+    """Expect that SIGHUP ended none of them."""
+    assert set(context.lives.values()) == {(True, 0)}, context.lives
+
+
 @when('the leader receives SIGTERM')
 def stop_leader(context):
     """Send SIGTERM to the leader and wait until it has exited."""
@@ -382,10 +442,6 @@
     assert cells.stop_host(context.cell, host, signal.SIGTERM) == 0
 
 
-def _logged(cell, host, event):
-    return [one for one in cells.log_lines(cell, host) if one['event'] == event]
-
-
 @then('another host leads before the process has ended')
 def check_handover(context):
     """Compare the times of both log lines: all hosts share one clock."""
