Tests: requests that a process cuts off show in its log

`requests cut off` had no test of its own. The new scenario stops a server without time while two requests are open on one connection: the first is cancelled and answered 500, the second is cut off and counted in the line. Planned work now also checks that no process writes that line, and that the lines of stops and reloads are there.

Without the line in the code: fails (one line expected, none found).

--- a/tests/steps/planned_work_steps.py
+++ b/tests/steps/planned_work_steps.py
@@ -127,6 +127,11 @@
         context.calls, context.work = asyncio.run(
             _call_during_planned_work(cell, seconds, seed)
         )
+        context.events = Counter(
+            line['event']
+            for host in (*ENTRIES, *SCHEDULERS)
+            for line in cells.log_lines(cell, host)
+        )
 
 
 @then('no request lacks a complete answer after {slack_ms:d} ms')
@@ -148,3 +153,11 @@
     assert not context.calls.statuses[500], context.calls.statuses
     assert not work['failed stops'], work
     assert min(work[one] for one in ('stops', 'reloads', 'changes')), work
+
+
+@then('no process logs that it has cut off a request')
+def check_log(context):
+    """Check the logs, which have the lines of stops and reloads."""
+    events = context.events
+    assert not events['requests cut off'], events
+    assert min(events['entry stopping'], events['settings reloaded']), events
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -1,10 +1,13 @@
 """Steps that stop an HTTP server while requests arrive."""
 
 import asyncio
+import logging as std_logging
 import socket
 import time
+from contextlib import contextmanager
 
 import falcon.asgi
+from absl import logging
 from behave import then, when
 
 from daisygw.links.processes import listen, serving_http
@@ -19,6 +22,8 @@
 _READ_TIMEOUT_S = 5
 _GRACE_S = 1
 _MIN_TURNS = 2
+# Time for the server to start, to read requests and to close connections (s).
+_SETTLE_S = 0.1
 
 
 class _Empty:
@@ -78,7 +83,7 @@
     address = sock.getsockname()
     sent = []
     async with serving_http(((app, sock),), _GRACE_S):
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(_SETTLE_S)
         idle = [await _connect(address) for _ in range(_IDLE_CONNECTIONS)]
         sending = asyncio.ensure_future(
             _send_until_refused(address, idle, sent)
@@ -89,6 +94,60 @@
     return [_answer(conn) for conn in sent]
 
 
+class _Hanging:
+    async def on_get(self, req, resp):
+        await asyncio.Event().wait()
+
+
+@contextmanager
+def _collecting_lines():
+    """Collect the event and the fields of each log line."""
+    lines = []
+    handler = std_logging.Handler()
+    handler.emit = lambda record: lines.append((
+        record.getMessage(),
+        record.daisygw_fields,
+    ))
+    logger = logging.get_absl_logger()
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(std_logging.INFO)
+    try:
+        yield lines
+    finally:
+        logger.setLevel(level)
+        logger.removeHandler(handler)
+
+
+async def _stop_at_once(requests):
+    app = falcon.asgi.App()
+    app.add_route('/', _Hanging())
+    sock = listen('127.0.0.1:0')
+    async with serving_http(((app, sock),), 0):
+        await asyncio.sleep(_SETTLE_S)
+        conn = socket.create_connection(sock.getsockname(), _READ_TIMEOUT_S)
+        conn.sendall(_REQUEST * requests)
+        await asyncio.sleep(_SETTLE_S)
+    await asyncio.sleep(_SETTLE_S)
+    conn.close()
+
+
+@when('a server stops at once with {requests:d} requests on one connection')
+def stop_at_once(context, requests):
+    """Stop a server whose requests never end; collect its log lines."""
+    with _collecting_lines() as lines:
+        asyncio.run(_stop_at_once(requests))
+    context.lines = lines
+
+
+@then('it logs that it has cut off {requests:d} request')
+def check_cut_off(context, requests):
+    """Expect one line with this number; the other request was answered 500."""
+    assert context.lines == [('requests cut off', {'requests': requests})], (
+        context.lines
+    )
+
+
 @when('requests reach a server on idle and new connections until it stops')
 def stop_server(context):
     """Stop the server; read the answers once it has stopped."""
