--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -4,8 +4,9 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 from daisygw.context import Context
@@ -15,6 +16,7 @@
 from daisygw.nodes import (
     EntryNode,
     Peers,
+    SchedulerNode,
     connect_to_hosts,
     executing_effects,
     running_entry,
@@ -38,7 +40,10 @@
 # Part of the grace period in which a stopping entry still serves requests: the
 # load balancer needs three readiness checks, a second apart, to notice.
 _READINESS_GRACE_FRACTION = 0.55
-# Part of the grace period left to finish requests in progress after that.
+# Part of the grace period after which a stopping entry answers the requests
+# that still wait for the leader: well before it is killed.
+_ANSWER_GRACE_FRACTION = 0.75
+# Part of the grace period in which the servers of a process stop.
 _SHUTDOWN_GRACE_FRACTION = 0.3
 _RunProcess = Callable[[PlatformSettings, Path], Awaitable[None]]
 
@@ -51,43 +56,57 @@
     return Path(path)
 
 
-def _install_signal_handlers(
-    stopped: asyncio.Event,
-    reload_settings: Callable[[], None],
-) -> None:
+@asynccontextmanager
+async def _handling_signals(
+    node: EntryNode | SchedulerNode, path: Path
+) -> AsyncGenerator[None, None]:
+    """Stop the node on SIGTERM and SIGINT; reload the settings on SIGHUP.
+
+    SIGHUP stays blocked before and after, where it would end the process.
+    """
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings)
+    loop.add_signal_handler(signal.SIGTERM, node.stopped.set)
+    loop.add_signal_handler(signal.SIGINT, node.stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node.peers, path)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
+def _is_stopping(node: EntryNode | SchedulerNode) -> bool:
+    return node.stopping
 
 
 async def run_entry(cfg: PlatformSettings, path: Path) -> None:
     """Run an entry until SIGTERM or SIGINT, then shut down gracefully."""
     grace = cfg.node.grace
-    async with AsyncExitStack() as stack:
-        calls = await stack.enter_async_context(open_calls(cfg.advisor))
-        node = await stack.enter_async_context(running_entry(cfg.node, calls))
-        _install_signal_handlers(
-            node.stopped, lambda: _reload(node.peers, path)
-        )
-        for app, address in (
-            (readiness_app(node), cfg.readiness),
-            (callers_app(node), cfg.callers),
-            (metrics_app(node.meters), cfg.metrics),
-        ):
-            serving = serving_http(
-                app, listen(address), grace * _SHUTDOWN_GRACE_FRACTION
-            )
-            await stack.enter_async_context(serving)
+    async with (
+        open_calls(cfg.advisor) as calls,
+        running_entry(cfg.node, calls) as node,
+        _handling_signals(node, path),
+        serving_http(
+            (
+                (readiness_app(node), listen(cfg.readiness)),
+                (callers_app(node), listen(cfg.callers)),
+                (metrics_app(node.meters), listen(cfg.metrics)),
+            ),
+            grace * _SHUTDOWN_GRACE_FRACTION,
+            partial(_is_stopping, node),
+        ),
+    ):
         log('entry up', host=cfg.node.host, seeds=cfg.node.seeds)
         await _serve_until_stopped(node, grace)
-    log('entry stopped', host=cfg.node.host)
+    log('entry stopped', host=cfg.node.host, open=len(node.peers.open))
 
 
 async def _serve_until_stopped(node: EntryNode, grace: float) -> None:
     """Wait for a stop signal, then keep serving until callers have left."""
     await node.stopped.wait()
     node.stopping = True
+    stopped_at = asyncio.get_running_loop().time()
+    node.peers.answer_by = stopped_at + grace * _ANSWER_GRACE_FRACTION
     log('entry stopping', open=len(node.peers.open))
     await asyncio.sleep(grace * _READINESS_GRACE_FRACTION)
 
@@ -95,17 +114,20 @@
 async def run_scheduler(cfg: PlatformSettings, path: Path) -> None:
     """Run a scheduler until SIGTERM or SIGINT, then transfer leadership."""
     sock = listen(cfg.control)
-    grace = cfg.node.grace * _SHUTDOWN_GRACE_FRACTION
     async with (
         open_calls(cfg.advisor) as calls,
         running_scheduler(cfg.node, calls) as node,
         executing_effects(node),
-        serving_http(control_app(node), sock, grace),
-        serving_http(metrics_app(node.meters), listen(cfg.metrics), grace),
+        _handling_signals(node, path),
+        serving_http(
+            (
+                (control_app(node), sock),
+                (metrics_app(node.meters), listen(cfg.metrics)),
+            ),
+            cfg.node.grace * _SHUTDOWN_GRACE_FRACTION,
+            partial(_is_stopping, node),
+        ),
     ):
-        _install_signal_handlers(
-            node.stopped, lambda: _reload(node.peers, path)
-        )
         log('scheduler up', host=cfg.node.host, seeds=cfg.node.seeds)
         await node.stopped.wait()
         log('scheduler stopping', term=node.group.replica.term)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -55,6 +55,14 @@
     When an entry receives SIGTERM
     Then it is not ready, still answers, and exits with status 0
 
+  Scenario: A stopping entry drops requests behind its last response
+    When 3 requests are sent at once on a connection to a stopping entry
+    Then each has a complete answer, and then the connection is closed
+
+  Scenario: A stopping entry answers 500 while no scheduler answers it
+    When no scheduler answers the last request to a stopping entry
+    Then it is answered 504, and the entry exits with status 0 in time
+
   Scenario: A leader that receives SIGTERM hands over its leadership
     When the leader receives SIGTERM
     Then another host leads before the process has ended
@@ -67,3 +75,7 @@
   Scenario: Schedulers and entries export metrics
     Then the metrics of a scheduler count "accepted" and "placed"
     And the metrics of an entry include its answer times
+
+  Scenario: SIGHUP ends a process that is starting or exiting
+    When processes receive SIGHUP while they load, serve and exit
+    Then they serve, and exit with status 0 after SIGTERM
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -1,11 +1,17 @@
 """Steps that run a cell's processes as the platform does."""
 
 import itertools
+import json
 import signal
+import socket
+import time
+from functools import partial
+from pathlib import Path
 
 from behave import then, when
 
 from standins import platform_cell as cells
+from standins.cell import is_listening
 from standins.platform_cell import (
     ENTRIES,
     SCHEDULERS,
@@ -16,6 +22,14 @@
 
 _ids = itertools.count(1)
 _STATE_TIMEOUT_S = 30
+# When a stopping entry receives its last request, after SIGTERM (s): shortly
+# before it stops to serve.
+_LAST_REQUEST_S = 0.48 * cells.GRACE_S
+# Bounds a process that hangs, not the time that a start takes (s).
+_START_TIMEOUT_S = 60
+_RELOAD_INTERVAL_S = 0.01
+# A library that a process loads before it can handle signals.
+_LIBRARY = 'httptools'
 
 
 def _new_job_id():
@@ -275,10 +289,8 @@
         )
 
 
-@when('an entry receives SIGTERM')
-def stop_entry(context):
-    """Send SIGTERM, and call the entry while it shuts down."""
-    entry = ENTRIES[1]
+def _send_sigterm(context, entry):
+    """Send SIGTERM to an entry that is ready; wait until it is not."""
     cell = context.cell
     ready = f'{entry}:{cell.ports.ready}'
     wait_until(
@@ -289,6 +301,14 @@
         lambda: call(ready, 'GET', '/readyz')[0] == 503,
         'the entry to be unready',
     )
+
+
+@when('an entry receives SIGTERM')
+def stop_entry(context):
+    """Send SIGTERM, and call the entry while it shuts down."""
+    entry = ENTRIES[1]
+    cell = context.cell
+    _send_sigterm(context, entry)
     context.status = call_entry(cell, entry, 'GET', '')[0]
     context.exit = cells.stop_host(cell, entry, signal.SIGTERM)
     cells.start(cell, entry)
@@ -300,6 +320,120 @@
     assert (context.status, context.exit) == (200, 0)
 
 
+@when('{count:d} requests are sent at once on a connection to a stopping entry')
+def send_at_once(context, count):
+    """Send them in one segment, and read until the entry closes."""
+    entry = ENTRIES[1]
+    cell = context.cell
+    _send_sigterm(context, entry)
+    head = f'GET {cells.PREFIX} HTTP/1.1\r\nHost: {cells.QUEUE_HOST}\r\n\r\n'
+    with socket.create_connection((entry, cell.ports.callers)) as conn:
+        conn.sendall(head.encode() * count)
+        context.answers = b''.join(iter(partial(conn.recv, 1 << 16), b''))
+    context.requests = count
+    cells.stop_host(cell, entry, signal.SIGTERM)
+    cells.start(cell, entry)
+
+
+@then('each has a complete answer, and then the connection is closed')
+def check_answered(context):
+    """Expect all answers, of which only the last announces the close."""
+    answers = context.answers.split(b'HTTP/1.1 ')[1:]
+    assert len(answers) == context.requests, answers
+    for answer in answers:
+        status = int(answer.split()[0])
+        head, _, body = answer.partition(b'\r\n\r\n')
+        assert (status, 'pending' in json.loads(body)) == (200, True), answer
+        closes = b'connection: close' in head.lower()
+        assert closes == (answer is answers[-1]), answers
+
+
+def _signal_schedulers(cell, signal_number):
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal_number)
+
+
+@when('no scheduler answers the last request to a stopping entry')
+def submit_without_answer(context):
+    """Suspend the schedulers just before the entry stops serving; submit."""
+    cell = context.cell
+    entry = ENTRIES[1]
+    _send_sigterm(context, entry)
+    sent_at = time.monotonic()
+    time.sleep(_LAST_REQUEST_S)
+    _signal_schedulers(cell, signal.SIGSTOP)
+    name = _new_job_id()
+    response = call_entry(cell, entry, 'POST', name, cells.job())
+    context.status = response[0]
+    context.exit = cells.stop_host(cell, entry, signal.SIGTERM)
+    context.stop_time = time.monotonic() - sent_at
+    _signal_schedulers(cell, signal.SIGCONT)
+    cells.start(cell, entry)
+    wait_until(
+        lambda: call_entry(cell, entry, 'GET', '')[0] == 200, 'the entry'
+    )
+
+
+@then('it is answered 504, and the entry exits with status 0 in time')
+def check_unanswered(context):
+    """Check the answer and the exit, which is to precede SIGKILL."""
+    assert (context.status, context.exit) == (504, 0), context.status
+    assert context.stop_time < cells.GRACE_S, context.stop_time
+
+
+def _logged(cell, host, event):
+    return [one for one in cells.log_lines(cell, host) if one['event'] == event]
+
+
+def _is_serving(cell, host):
+    """Return whether the main port of a process can be connected to."""
+    ports = cell.ports
+    port = ports.callers if host in ENTRIES else ports.control
+    return is_listening(f'{host}:{port}')
+
+
+def _reload_until(cell, host, is_over):
+    """Send SIGHUP to a process until ``is_over`` or the process has ended."""
+    until = time.monotonic() + _START_TIMEOUT_S
+    process = cell.running[host]
+    while process.poll() is None and not is_over():
+        assert time.monotonic() < until, f'{host} neither serves nor ends'
+        process.send_signal(signal.SIGHUP)
+        time.sleep(_RELOAD_INTERVAL_S)
+
+
+def _reload_through_life(cell, host):
+    """Start a process again and stop it; return whether it served, its exit."""
+    cells.stop_host(cell, host)
+    cells.start(cell, host)
+    maps = Path('/proc') / str(cell.running[host].pid) / 'maps'
+    wait_until(
+        lambda: _LIBRARY in maps.read_text(), 'the process to load libraries'
+    )
+    _reload_until(cell, host, lambda: _is_serving(cell, host))
+    process = cell.running[host]
+    served = process.poll() is None
+    process.send_signal(signal.SIGTERM)
+    _reload_until(cell, host, bool)
+    cells.start(cell, host)
+    return served, process.returncode
+
+
+@when('processes receive SIGHUP while they load, serve and exit')
+def reload_through_life(context):
+    """Restart and stop an entry and a scheduler, one after the other."""
+    context.lives = {
+        host: _reload_through_life(context.cell, host)
+        for host in (ENTRIES[1], SCHEDULERS[2])
+    }
+
+
+@then('they serve, and exit with status 0 after SIGTERM')
+def check_lives(context):
+    """Expect that SIGHUP ended none of them."""
+    assert set(context.lives.values()) == {(True, 0)}, context.lives
+
+
 @when('the leader receives SIGTERM')
 def stop_leader(context):
     """Send SIGTERM to the leader and wait until it has exited."""
@@ -308,10 +442,6 @@
     assert cells.stop_host(context.cell, host, signal.SIGTERM) == 0
 
 
-def _logged(cell, host, event):
-    return [one for one in cells.log_lines(cell, host) if one['event'] == event]
-
-
 @then('another host leads before the process has ended')
 def check_handover(context):
     """Compare the times of both log lines: all hosts share one clock."""
