--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -53,8 +53,8 @@
     """The state of one step in one occurrence of its job.
 
     ``done`` holds the indexes of completed tasks.  The mappings are by task
-    index; ``numbers`` maps to the newest run number.  ``failed_runs`` holds
-    the run numbers that have failed, as a gang's run fails only once.
+    index; ``numbers`` maps to the newest run number.  ``failed_run`` is the
+    number of a gang's newest failed run, which counts as one failure.
     """
 
     def __init__(self, key: StepKey, step: Step) -> None:
@@ -64,7 +64,7 @@
         self.done: set[int] = set()
         self.numbers: dict[int, int] = {}
         self.failures: dict[int, int] = {}
-        self.failed_runs: set[int] = set()
+        self.failed_run = 0
         self.checkpoints: dict[int, str] = {}
         self.runs: dict[int, Run] = {}
 
@@ -275,10 +275,12 @@
     state: StepState,
     record: RunFinished,
 ) -> None:
-    if state.step.gang and record.number in state.failed_runs:
-        return
-    state.failed_runs.add(record.number)
-    index = GANG_INDEX if state.step.gang else record.index
+    index = record.index
+    if state.step.gang:
+        if record.number <= state.failed_run:
+            return
+        state.failed_run = record.number
+        index = GANG_INDEX
     state.failures[index] = state.failures.get(index, 0) + 1
     if state.failures[index] >= max_attempts(cell, job) and not job.over:
         job.failed = True
@@ -292,6 +294,7 @@
     state.failures = dict(record.failures)
     state.checkpoints = dict(record.checkpoint)
     state.done = set(record.done)
+    state.failed_run = record.failed_run
     job.started = job.started or bool(record.numbers)
     job.failed = record.failed
     if state.complete:
@@ -350,4 +353,5 @@
             (run.index, run.number, run.instance) for run in state.runs.values()
         ),
         job.failed,
+        state.failed_run,
     )
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -94,7 +94,8 @@
     ``done`` holds the indexes of completed tasks, ``numbers`` pairs of index
     and newest run number, ``failures`` pairs of index (-1 for the whole gang)
     and failure count, and ``checkpoint`` pairs of index and newest checkpoint.
-    ``failed`` tells whether the job has failed.
+    ``failed`` tells whether the job has failed, and ``failed_run`` is the
+    number of a gang's newest failed run.
     """
 
     step: StepKey
@@ -104,3 +105,4 @@
     checkpoint: tuple[tuple[int, str], ...]
     rows: tuple[tuple[int, int, str], ...]
     failed: bool = False
+    failed_run: int = 0
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -2,7 +2,8 @@
 
 Every message is a frozen data class with a numeric tag.  On the wire it is
 that tag and the tuple of its field values in order, encoded as MessagePack by
-``msgspec``.  A tag is never reused for another type.
+``msgspec``.  A tag is never reused for another type.  A new field is the last
+one and has a default, which it gets where a row from before lacks it.
 """
 
 import dataclasses
@@ -88,18 +89,26 @@
 
 
 def _make_format(tag: int, kind: type) -> _MessageFormat:
-    hints = typing.get_type_hints(kind)
     names = [part.name for part in dataclasses.fields(kind)]
-    row_type = tuple[tuple(hints[name] for name in names)]
+    decoder = msgspec.msgpack.Decoder(_row_type(kind))
     getter = attrgetter(*names)
     if len(names) == 1:
         return _MessageFormat(
-            tag,
-            kind,
-            lambda message: (getter(message),),
-            msgspec.msgpack.Decoder(row_type),
+            tag, kind, lambda message: (getter(message),), decoder
         )
-    return _MessageFormat(tag, kind, getter, msgspec.msgpack.Decoder(row_type))
+    return _MessageFormat(tag, kind, getter, decoder)
+
+
+def _row_type(kind: type) -> type:
+    """Return a type for rows, whose last fields may be absent if optional."""
+    hints = typing.get_type_hints(kind)
+    row_fields = [
+        (part.name, hints[part.name])
+        if part.default is dataclasses.MISSING
+        else (part.name, hints[part.name], part.default)
+        for part in dataclasses.fields(kind)
+    ]
+    return msgspec.defstruct(kind.__name__, row_fields, array_like=True)
 
 
 _FORMATS_BY_TAG = MappingProxyType({
@@ -110,6 +119,7 @@
     for message_format in _FORMATS_BY_TAG.values()
 })
 _encode = msgspec.msgpack.Encoder().encode
+_row_of = msgspec.structs.astuple
 _rows_decoder = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
 
 
@@ -128,7 +138,7 @@
     for tag, raw in _rows_decoder.decode(encoded):
         message_format = _FORMATS_BY_TAG[tag]
         messages.append(
-            message_format.kind(*message_format.decoder.decode(raw))
+            message_format.kind(*_row_of(message_format.decoder.decode(raw)))
         )
     return messages
 
