Let accepted jobs end after their queue is removed

What callers could see: a job in a queue that a later configuration no longer has was shown as `failed` after one failed run instead of `maxAttempts`; its next steps, and tasks to be run again, did not start until a configuration brought the queue back, while a task that already waited at that leader did.

Cause: whatever a job needs of its queue was looked up in the current configuration, where a missing queue meant one attempt and nothing to start.

Attempts, placing and statistics read it. New requests are still matched with the configuration only, so a removed queue answers 404. A removed queue is dropped with the first configuration after the end of its last job. A definition that changes applies to accepted jobs too, as before.

The search is a dictionary's now instead of a pass over all queues.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -18,6 +18,7 @@
     StepState,
     TargetState,
     apply,
+    queue_of,
     step_of,
 )
 from daisygw.contracts import (
@@ -276,18 +277,6 @@
     return records, outgoing
 
 
-def queue_of(lead: CellLeader, job: CellJob) -> Queue | None:
-    """Return the queue that accepted a job, if it is still configured."""
-    cfg = lead.cell.cfg
-    for queue in cfg.queues if cfg else ():
-        if (queue.host, queue.prefix) == (
-            job.enqueued.host,
-            job.enqueued.prefix,
-        ):
-            return queue
-    return None
-
-
 def accepted_at(lead: CellLeader, job: CellJob) -> float:
     """Return when a job was accepted, on the leader's clock (s)."""
     age = min(max(lead.wall - job.enqueued.at, 0), _MAX_JOB_AGE_S)
@@ -345,7 +334,7 @@
 
 def enqueue_job(lead: CellLeader, job: CellJob) -> None:
     """Queue the ready steps of a job for placement."""
-    queue = queue_of(lead, job)
+    queue = queue_of(lead.cell, job)
     if queue is None:
         return
     if job.spec.repeats:
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -20,6 +20,8 @@
     JobEnqueued,
     JobsPurged,
     JobState,
+    Queue,
+    QueueRetained,
     RunEnd,
     RunFinished,
     RunsPlaced,
@@ -132,11 +134,16 @@
 
 
 class Cell:
-    """The state of a cell that its log defines."""
+    """The state of a cell that its log defines.
+
+    ``queues`` holds the configured queues by host and prefix, and those that
+    were removed from the configuration while they had unfinished jobs.
+    """
 
     def __init__(self) -> None:
         """Begin without configuration, jobs and targets."""
         self.cfg: CellConfig | None = None
+        self.queues: dict[tuple[str, str], Queue] = {}
         self.jobs: dict[str, CellJob] = {}
         self.targets: dict[str, TargetState] = {}
 
@@ -147,21 +154,32 @@
     return job.steps.get((key.occurrence, key.step)) if job else None
 
 
-def max_attempts(cell: Cell, job: CellJob) -> int:
-    """Return after how many failures of one task the job fails."""
-    if cell.cfg:
-        for queue in cell.cfg.queues:
-            if (queue.host, queue.prefix) == (
-                job.enqueued.host,
-                job.enqueued.prefix,
-            ):
-                return max(queue.attempts, 1)
-    return 1
+def queue_of(cell: Cell, job: CellJob) -> Queue | None:
+    """Return the newest definition of the queue that accepted a job."""
+    return cell.queues.get((job.enqueued.host, job.enqueued.prefix))
+
+
+def _key_of(queue: Queue) -> tuple[str, str]:
+    return (queue.host, queue.prefix)
 
 
 def _store_config(cell: Cell, record: ConfigStored) -> None:
-    if cell.cfg is None or record.cfg.version > cell.cfg.version:
-        cell.cfg = record.cfg
+    if cell.cfg and record.cfg.version <= cell.cfg.version:
+        return
+    cell.cfg = record.cfg
+    needed = {
+        (job.enqueued.host, job.enqueued.prefix)
+        for job in cell.jobs.values()
+        if not job.over
+    }
+    cell.queues = {
+        key: queue for key, queue in cell.queues.items() if key in needed
+    }
+    cell.queues.update((_key_of(queue), queue) for queue in record.cfg.queues)
+
+
+def _keep_queue(cell: Cell, record: QueueRetained) -> None:
+    cell.queues[_key_of(record.queue)] = record.queue
 
 
 def _add_job(cell: Cell, record: JobEnqueued) -> None:
@@ -282,7 +300,8 @@
         state.failed_run = record.number
         index = GANG_INDEX
     state.failures[index] = state.failures.get(index, 0) + 1
-    if state.failures[index] >= max_attempts(cell, job) and not job.over:
+    queue = queue_of(cell, job)
+    if queue and state.failures[index] >= queue.attempts and not job.over:
         job.failed = True
 
 
@@ -303,6 +322,7 @@
 
 _APPLY: Mapping[type, Callable[[Cell, Any], None]] = MappingProxyType({
     ConfigStored: _store_config,
+    QueueRetained: _keep_queue,
     JobEnqueued: _add_job,
     JobCancelled: _cancel_job,
     JobsPurged: _remove_jobs,
@@ -325,6 +345,10 @@
     """Yield records that rebuild the same state in an empty cell."""
     if cell.cfg:
         yield ConfigStored(cell.cfg)
+        configured = set(map(_key_of, cell.cfg.queues))
+        for key, queue in cell.queues.items():
+            if key not in configured:
+                yield QueueRetained(queue)
     for target in cell.targets.values():
         yield InstanceListed(target.instance)
         if not target.open:
--- a/daisygw/cell/_statistics.py
+++ b/daisygw/cell/_statistics.py
@@ -5,9 +5,8 @@
     CellLeader,
     OutstandingOrder,
     RelativeSpeed,
-    queue_of,
 )
-from daisygw.cell._state import Run, step_of
+from daisygw.cell._state import Run, queue_of, step_of
 from daisygw.contracts import RunEnd
 
 # A target on which this many jobs failed in succession is quarantined.
@@ -56,7 +55,7 @@
 
 def _update_estimate_factor(lead: CellLeader, run: Run, took: float) -> None:
     """Update the ratio of a queue's measured run times to its estimates."""
-    queue = queue_of(lead, lead.cell.jobs[run.step.job])
+    queue = queue_of(lead.cell, lead.cell.jobs[run.step.job])
     estimate = step_of(lead.cell, run.step).step.estimate
     if queue is None or estimate <= 0:
         return
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -5,7 +5,13 @@
 
 from dataclasses import dataclass
 
-from daisygw.contracts._jobs import CellConfig, JobSpec, RunEnd, StepKey
+from daisygw.contracts._jobs import (
+    CellConfig,
+    JobSpec,
+    Queue,
+    RunEnd,
+    StepKey,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +21,13 @@
     cfg: CellConfig
 
 
+@dataclass(frozen=True, slots=True)
+class QueueRetained:
+    """In a snapshot: a queue that is no longer configured but has jobs."""
+
+    queue: Queue
+
+
 @dataclass(frozen=True, slots=True)
 class JobEnqueued:
     """The queue at ``host`` and ``prefix`` accepted a job at time ``at``."""
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -85,6 +85,7 @@
     88: contracts.EndsAcknowledged,
     89: contracts.StepSnapshot,
     90: machines.InstanceListed,
+    91: contracts.QueueRetained,
 })
 
 
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -112,3 +112,15 @@
     Given a cell of one target
     When a job of 3 tasks is submitted and all orders of the leader are lost for a second
     Then each of its tasks ran once
+
+  Scenario Outline: An accepted job ends although its queue is removed, <case>
+    Given a cell of one target
+    When the queue of a job of two steps is removed while its first step runs
+    And <case>
+    Then both steps of the job are completed, and its queue accepts no other
+
+    Examples:
+      | case                      |
+      | the leader stays          |
+      | the leader changes        |
+      | the leader changes twice  |
--- a/tests/features/snapshot.feature
+++ b/tests/features/snapshot.feature
@@ -18,3 +18,9 @@
   Scenario: A step snapshot from a version without the newest failed run
     When a step snapshot without its last field is decoded
     Then the field has its default
+
+  Scenario: A job whose queue is removed fails only after all its attempts
+    Given a cell with a gang of 1 tasks whose job may fail twice
+    When its queue is removed, a snapshot is restored, and its first run fails
+    Then the job has not failed
+    And it has failed after another failed run
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from daisygw.cell import Cell, apply, lease_for, snapshot
-from daisygw.contracts import JobSpec, ResultCode, Size, Step
+from daisygw.contracts import JobSpec, JobState, ResultCode, Size, Step
 from daisygw.machines import is_responsive
 from tests import cell_fault_runs, cell_history, cell_world
 from tests.cell_history import spans
@@ -400,3 +400,49 @@
     submit(world, _job(1, count))
     world.drops_output_until = world.now + 1
     run_for(world, 30)
+
+
+@when(
+    'the queue of a job of two steps is removed while its first step runs',
+)
+def remove_queue(context):
+    """Leave the other queue in the configuration."""
+    world = context.world
+    size = Size(1000, 500, 0, 0)
+    steps = (Step(1, size, 1), Step(1, size, 1, after=(0,)))
+    submit(world, JobSpec(f'{1:016x}', 'work', steps))
+    run_for(world, 0.3)
+    assert _placed_runs(world)
+    cell_world.configure(world, 2, queues=(cell_world.queue('/b/', 1),))
+
+
+@when('the leader stays')
+def keep_leader(context):
+    """Change nothing."""
+
+
+@when('the leader changes')
+def change_once(context):
+    """Start the next leader from a snapshot."""
+    cell_world.fail_over(context.world)
+
+
+@when('the leader changes twice')
+def change_twice(context):
+    """Start two more leaders, each from a snapshot."""
+    cell_world.fail_over(context.world)
+    run_for(context.world, 0.5)
+    cell_world.fail_over(context.world)
+
+
+@then('both steps of the job are completed, and its queue accepts no other')
+def check_completed_without_queue(context):
+    """Read the job's state, and submit another one to the queue."""
+    world = context.world
+    run_for(world, 12)
+    (job,) = world.cell.jobs.values()
+    assert job.state is JobState.COMPLETED, job.state
+    submit(world, _job(2))
+    run_for(world, 0.1)
+    codes = [answer.code for answer in world.responses.values()]
+    assert codes[-1] == ResultCode.UNKNOWN_QUEUE, codes
--- a/tests/steps/snapshot_steps.py
+++ b/tests/steps/snapshot_steps.py
@@ -122,6 +122,25 @@
     apply(context.cell, RunFinished(key, 1, 1, RunEnd.FAILED))
 
 
+@when(
+    'its queue is removed, a snapshot is restored, and its first run fails',
+)
+def fail_without_queue(context):
+    """Store a configuration without the job's queue first."""
+    apply(context.cell, ConfigStored(config(2, ())))
+    context.cell = restored(context.cell)
+    apply(context.cell, RunFinished(StepKey(JOB, 0, 0), 0, 1, RunEnd.FAILED))
+
+
+@then('it has failed after another failed run')
+def check_failed(context):
+    """Place the second run, and let it fail while the queue is removed."""
+    key = StepKey(JOB, 0, 0)
+    apply(context.cell, RunsPlaced(key, ((0, 2, 't0@1'),)))
+    apply(context.cell, RunFinished(key, 0, 2, RunEnd.FAILED))
+    assert context.cell.jobs[JOB].state is JobState.FAILED
+
+
 @then('the job has not failed')
 def check_not_failed(context):
     """Expect the job to be shown as running."""
