Keep listed checkpoints out of the replicated state until they are logged

Found by reading, shown by tests.

Cause: the checkpoints that a renewal lists were written into `StepState.checkpoints` by the leader without a record.

Change: they are kept with the run's open order and enter the state with the record of the run's end, as the checkpoint of a run that ends without naming one. The end of a gang's member passes its checkpoint on to the members that have not ended, as the value of any member is valid for all and a lost member's was listed before its target was lost.

Evidence: the random runs of `cell.feature` now feed a follower from the log, list checkpoints, and compare all fields of both at each change of leader and at the end.

Ruled out: members of one gang's run that start from different checkpoints.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -99,7 +99,8 @@
     Times are on the leader's clock (s), except ``deadline``, which is on the
     target's clock (ms): the target refuses a copy that arrives later.
     ``answered`` is when the target was first known to have the run (inf: not
-    yet), ``unanswered`` the number of start orders without an answer.
+    yet), ``unanswered`` the number of start orders without an answer, and
+    ``checkpoint`` names the newest checkpoint that the target has listed.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
+        self.checkpoint = ''
         self.stop_due = float('inf')
         self.stop_confirmed_at = float('inf')
 
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -10,7 +10,7 @@
     StopOrder,
     lease_for,
 )
-from daisygw.cell._state import Run, TargetState, step_of
+from daisygw.cell._state import Run, TargetState
 from daisygw.cell._targets import (
     end_instance,
     finish,
@@ -153,9 +153,7 @@
         outstanding = OutstandingOrder(run, lead.now)
         outstanding.answered = lead.now
         lead.orders[run.step, run.index] = outstanding
-    state = step_of(lead.cell, run.step)
-    if row.checkpoint and state:
-        state.checkpoints[run.index] = row.checkpoint
+    outstanding.checkpoint = row.checkpoint or outstanding.checkpoint
 
 
 def _resolve_unlisted(
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -99,8 +99,10 @@
     job = lead.cell.jobs.get(run.step.job)
     outstanding = lead.orders.pop((run.step, run.index), None)
     was_over = job is None or job.over
-    if not checkpoint and state:
-        checkpoint = state.checkpoints.get(run.index, '')
+    if checkpoint and state and state.step.gang:
+        _share_checkpoint(lead, state, checkpoint)
+    elif outstanding:
+        checkpoint = checkpoint or outstanding.checkpoint
     lead.record(RunFinished(run.step, run.index, run.number, how, checkpoint))
     lead.log_event(
         'run over',
@@ -122,6 +124,16 @@
     _continue_job(lead, job, state, run, how)
 
 
+def _share_checkpoint(
+    lead: CellLeader, state: StepState, checkpoint: str
+) -> None:
+    """Use the checkpoint of a gang's ended member for the others too."""
+    for run in state.runs.values():
+        outstanding = lead.orders.get((run.step, run.index))
+        if outstanding:
+            outstanding.checkpoint = checkpoint
+
+
 def _continue_job(
     lead: CellLeader,
     job: CellJob,
--- a/tests/cell_fault_runs.py
+++ b/tests/cell_fault_runs.py
@@ -36,6 +36,7 @@
                 random.choice((0.3, 1, 2)),
                 (index - 1,) if index else (),
                 gang=gang,
+                checkpoints=count > 1,
                 spread=random.choice((0, 0, 0, 2)),
             )
         )
--- a/tests/cell_history.py
+++ b/tests/cell_history.py
@@ -47,6 +47,7 @@
     _check_order(world, found, ended)
     _check_budget(world, found)
     _check_cancelled(world, found)
+    _check_checkpoints(world)
 
 
 def _check_workers(world: World) -> None:
@@ -90,6 +91,13 @@
         assert failed <= 3, ('more failures than attempts', key, index, rows)
 
 
+def _check_checkpoints(world: World) -> None:
+    """Expect all members of a gang's run to start from one checkpoint."""
+    for (key, number), names in world.start_checkpoints.items():
+        if world.jobs[key.job].steps[key.step].gang:
+            assert len(names) == 1, ('several checkpoints', key, number, names)
+
+
 def _check_cancelled(world: World, found: Any) -> None:
     for (key, _), rows in found.items():
         at = world.cancelled.get(key.job)
--- a/tests/cell_records.py
+++ b/tests/cell_records.py
@@ -72,14 +72,20 @@
     return state
 
 
-def differing_fields(one: Any, other: Any, path: str = '') -> list[str]:
+def check_same_state(one: Cell, other: Cell) -> None:
+    """Compare all fields of two cells."""
+    differing = _differing_fields(fields_of(one), fields_of(other))
+    assert not differing, differing
+
+
+def _differing_fields(one: Any, other: Any, path: str = '') -> list[str]:
     """Return the paths and values of the fields that differ."""
     if not (isinstance(one, dict) and isinstance(other, dict)):
         return [] if one == other else [f'{path}: {one!r} / {other!r}']
     return [
         line
         for key in {**one, **other}
-        for line in differing_fields(
+        for line in _differing_fields(
             one.get(key), other.get(key), f'{path}/{key}'
         )
     ]
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -65,6 +65,7 @@
     instance_key,
 )
 from standins import worker_model as workers
+from tests.cell_records import check_same_state
 
 TICK_S = 0.02
 WORKER_CPUS = 8000  # thousandths of a CPU
@@ -107,7 +108,8 @@
         self.cancelled: dict[str, float] = {}
         self.failing: dict[tuple, int] = defaultdict(int)
         self.next_renewals: dict[str, float] = {}
-        self.log: list[Any] = []
+        self.follower = Cell()
+        self.start_checkpoints: dict[tuple, set[str]] = defaultdict(set)
         start_leading(self.lead)
         configure(self, 1)
         for number in range(targets):
@@ -199,11 +201,15 @@
 
 
 def fail_over(world: World) -> None:
-    """Start the next leader from a snapshot of the committed state."""
+    """Start the next leader from a snapshot of the committed state.
+
+    Checks that a follower that applied the log has the same state.
+    """
     _perform_effects(world)
     rebuilt = Cell()
     for record in snapshot(world.cell):
         apply(rebuilt, record)
+    check_same_state(rebuilt, world.follower)
     world.cell = rebuilt
     term = world.lead.term + 1
     world.lead = CellLeader(
@@ -250,6 +256,8 @@
     if deadline is None or target is None:
         return
     sent = world.now
+    started = (order.run.step, order.run.number)
+    world.start_checkpoints[started].add(order.checkpoint)
     task = (order.run.step, order.run.index)
     worker_order = (task, order.run.number, deadline, lead.term)
 
@@ -380,7 +388,8 @@
     if lists is None:
         return None
     active = tuple(
-        ActiveRun(task[0], task[1], number, '', 0) for task, number in lists[0]
+        ActiveRun(*task, number, _checkpoint_of(world, task, number), 0)
+        for task, number in lists[0]
     )
     ended = tuple(
         EndedRun(position, task[0], task[1], number, RunEnd(how), '')
@@ -390,6 +399,13 @@
     return RenewalReply(int(worker.born * MS_PER_S), clock, active, ended)
 
 
+def _checkpoint_of(world: World, task: tuple, number: int) -> str:
+    """Return a checkpoint; each member of a gang has its own."""
+    key, index = task
+    step = world.jobs[key.job].steps[key.step]
+    return f'{number}-{index}' if step.checkpoints else ''
+
+
 def _advise(world: World, request: AdviceRequest) -> None:
     lead = world.lead
 
@@ -414,7 +430,9 @@
 
 def _perform_effects(world: World) -> None:
     place_waiting(world.lead)
-    _, outbox = collect_output(world.lead)
+    records, outbox = collect_output(world.lead)
+    for record in records:
+        apply(world.follower, record)
     for outgoing in outbox:
         message = outgoing.message
         if world.now < world.drops_output_until and not outgoing.before_commit:
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -4,6 +4,7 @@
     When a cell runs with random faults from seed <seed>
     Then no task ran twice, out of order, over its attempts or over capacity
     And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
 
     Examples:
       | seed |
@@ -20,6 +21,7 @@
     When a cell with leases of 10 s runs with random faults from seed <seed>
     Then no task ran twice, out of order, over its attempts or over capacity
     And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
 
     Examples:
       | seed |
@@ -124,3 +126,15 @@
       | the leader stays          |
       | the leader changes        |
       | the leader changes twice  |
+
+  Scenario: A checkpoint that a target lists is used after the target is lost
+    Given a cell of one target
+    When a gang that saves checkpoints loses its target and another one joins
+    Then its next run starts from the checkpoint that was listed last
+    And a replica that applied the log has the leader's state
+
+  Scenario: A gang resumes from the checkpoint of the member that ended last
+    Given a cell of one target
+    When one member of a gang ends with a newer checkpoint than a lost one
+    Then its next run starts from the newer checkpoint
+    And a replica that applied the log has the leader's state
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -2,11 +2,13 @@
 
 from behave import given, then, when
 
-from daisygw.cell import Cell, apply, lease_for, snapshot
+from daisygw.cell import Cell, apply, lease_for, on_renewal_reply, snapshot
 from daisygw.contracts import JobSpec, JobState, ResultCode, Size, Step
-from daisygw.machines import is_responsive
+from daisygw.machines import EndedRun, RenewalReply, is_responsive
+from standins import worker_model
 from tests import cell_fault_runs, cell_history, cell_world
 from tests.cell_history import spans
+from tests.cell_records import check_same_state
 from tests.cell_world import World, run_for, submit
 
 _FAULTS_S = 40
@@ -446,3 +448,59 @@
     run_for(world, 0.1)
     codes = [answer.code for answer in world.responses.values()]
     assert codes[-1] == ResultCode.UNKNOWN_QUEUE, codes
+
+
+@then("a replica that applied the log has the leader's state")
+def check_replica(context):
+    """Compare all fields of the leader's state and of a follower's."""
+    check_same_state(context.world.cell, context.world.follower)
+
+
+@when('a gang that saves checkpoints loses its target and another one joins')
+def lose_checkpointing_gang(context):
+    """Cut the target off with the gang at work, for good."""
+    world = context.world
+    submit(world, _job(1, 2, estimate=4, gang=True, checkpoints=True))
+    run_for(world, 1)
+    assert _placed_runs(world)
+    check_replica(context)
+    world.cut.add('w1')
+    cell_world.add_worker(world, 'w3')
+    run_for(world, 12)
+
+
+@then('its next run starts from the checkpoint that was listed last')
+def check_checkpoint(context):
+    """Expect one name for both members, that of one of them."""
+    (first, second) = context.world.start_checkpoints.values()
+    assert first == {''}, first
+    assert second in ({'1-0'}, {'1-1'}), second
+
+
+@when('one member of a gang ends with a newer checkpoint than a lost one')
+def end_one_member(context):
+    """Cut one target off, and let the other list the end of its member."""
+    world = context.world
+    cell_world.add_worker(world, 'w3')
+    run_for(world, 1)
+    gang = _job(1, 2, estimate=4, gang=True, checkpoints=True, spread=1)
+    submit(world, gang)
+    run_for(world, 1)
+    world.cut.add('w3')
+    target = next(
+        one for one in world.cell.targets.values() if one.instance.name == 'w1'
+    )
+    (run,) = target.runs.values()
+    end = EndedRun(1, run.step, run.index, run.number, 'broken', 'newer')
+    clock = worker_model.clock_ms(world.workers['w1'], world.now)
+    reply = RenewalReply(target.instance.born, clock, (), (end,))
+    on_renewal_reply(world.lead, target, reply, world.now)
+    cell_world.add_worker(world, 'w4')
+    run_for(world, 12)
+
+
+@then('its next run starts from the newer checkpoint')
+def check_newer(context):
+    """Expect the checkpoint for both members."""
+    (_, second) = context.world.start_checkpoints.values()
+    assert second == {'newer'}, second
--- a/tests/steps/snapshot_steps.py
+++ b/tests/steps/snapshot_steps.py
@@ -26,10 +26,9 @@
 from daisygw.machines import InstanceListed
 from tests.cell_records import (
     REQUEST_HOST,
+    check_same_state,
     config,
     constant_fields,
-    differing_fields,
-    fields_of,
     next_record,
     queue,
     record_values,
@@ -81,8 +80,7 @@
         apply(cell, record)
         apply(rebuilt, record)
         rebuilt = restored(rebuilt)
-        differing = differing_fields(fields_of(cell), fields_of(rebuilt))
-        assert not differing, (record, differing)
+        check_same_state(cell, rebuilt)
         record_values(cell, values)
 
 
