Write the truncation first, so that a torn save commits nothing replaced

What callers could see: after a loss of power of all hosts, a replica whose disk has everything, but which can not follow any leader. Where two disks of five are lost at the same moment it is one of the three that are needed, so nothing is served and all that was acknowledged stays unreadable.

Cause: a save wrote the commit index before the truncation of the entries that a new leader replaces. Torn between the two, the file has the new commit index over the old entries: the restored replica takes them for committed.

Change: the truncation is the first record of a save. Each beginning of a save is now a state that the replica may have: the truncated entries conflict with those of an elected leader, so none of them is committed, and the commit index covers only entries that agree with the leader's.

The order of records is free for reading, so journals from before load.

--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -113,10 +113,15 @@
 
 
 def _records(persist: Persist) -> Iterator[bytes]:
-    hard_state = (persist.term, persist.vote, persist.members, persist.commit)
-    yield _frame(_encode((_HARD_STATE, hard_state)))
+    """Yield the records of a save, so that each beginning of it is valid.
+
+    The truncation is first, because the commit index must not cover entries
+    that are replaced.
+    """
     if persist.cut:
         yield _frame(_encode((_TRUNCATION, persist.cut)))
+    hard_state = (persist.term, persist.vote, persist.members, persist.commit)
+    yield _frame(_encode((_HARD_STATE, hard_state)))
     for entry in persist.entries:
         yield _frame(_encode((_LOG_ENTRY, entry)))
 
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -38,3 +38,8 @@
   Scenario: A configuration snapshot from a version that listed no changes
     When a configuration snapshot without a change list is read
     Then its version is restored, and its change list is empty
+
+  Scenario: A torn save never takes replaced entries for committed ones
+    Given a journal with 20 entries in 5 saves
+    When the entries from 11 on are replaced by 3 others, all committed, and the save is torn at any byte
+    Then no restored replica has an entry of the old term among its committed ones
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -11,7 +11,16 @@
 
 from daisygw.contracts import JournalError
 from daisygw.links import journal_files
-from daisygw.zones import LogEntry, Members, Persist, SnapshotTaken
+from daisygw.zones import (
+    LogEntry,
+    Members,
+    Persist,
+    Replica,
+    SnapshotTaken,
+    Timing,
+    last_index,
+    restore_replica,
+)
 from standins.cell import (
     LOOPBACK,
     CellPlan,
@@ -178,3 +187,40 @@
     """Check that the process stopped when it could not write its journal."""
     assert context.done.returncode == 1, context.done
     assert f'"code": {code}' in context.done.stderr.decode(), context.done
+
+
+@when(
+    'the entries from {first:d} on are replaced by {count:d} others, all '
+    'committed, and the save is torn at any byte',
+)
+def tear_replacement(context, first, count):
+    """Restore a replica from each beginning of the save."""
+    context.first = first
+    before = context.log.read_bytes()
+    last = first + count - 1
+    others = _entries(first, last, 4)
+    persist = Persist(4, 'b#1', _MEMBERS, others, first, commit=last)
+    journal_files.save(context.journal, persist)
+    after = context.log.read_bytes()
+    context.replicas = []
+    for end in range(len(before), len(after) + 1):
+        context.log.write_bytes(after[:end])
+        replica = Replica('g', 'a#1', (), Timing(), 1)
+        restore_replica(replica, _load(context), 0)
+        context.replicas.append(replica)
+
+
+@then(
+    'no restored replica has an entry of the old term among its committed ones',
+)
+def check_committed(context):
+    """Compare the terms of the committed entries."""
+    for replica in context.replicas:
+        committed = replica.log[: replica.commit]
+        replaced = [
+            entry
+            for entry in committed
+            if entry.index >= context.first and entry.term == 3
+        ]
+        assert not replaced, (replica.commit, replaced)
+    assert replica.commit == last_index(replica)
