Tell a new replica the members' hosts, so that it reaches the leader

What callers could see: after the loss of two disks and of all power at one moment, nothing acknowledged can be read any more and no leader is elected, although no more disks were lost than allowed: an earlier lost disk still counted.

Cause: a host that lost its disk is a new replica. It asks to join at its seeds, and only a leader acts on that. Five hosts vote, three of them are seeds. While one of the other two leads, no seed passes the request on and the leader never hears of it; it sends to the old replica's name, which the new one ignores. So the lost replica stays among the voters for as long as that leader leads: a third lost machine, long after `catchUpS`.

Change: the reply to a hello names the hosts of the members, which become contacts, so that the next hello reaches the leader. The field is the last of its message and has a default.

Evidence: `group.feature`, five hosts led by one that is not a seed: 4 s after the seed is back the voters were a#1 to e#1 before (failed), with b#2 in the place of b#1 now.

Ruled out: that the links carry it. The processes connect to all hosts of a scheduler list, but a hello goes to `Replica.contacts` only, which had the seeds and the senders of hellos; members send none while they hear a leader. Three hosts, as in the tests so far, are all seeds.

--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -12,6 +12,7 @@
     Members,
     SnapshotTaken,
     host_of,
+    member_hosts,
 )
 from daisygw.zones._replica import (
     Peer,
@@ -63,15 +64,17 @@
         replica.name,
         hello.sender,
         is_formed(replica),
+        member_hosts(replica.members),
     )
     send(replica, reply)
 
 
 def on_hello_reply(replica: Replica, reply: HelloReply, now: float) -> None:
-    """Form the group once all voter hosts are known to be new.
+    """Add the members' hosts to the contacts, and form the group if it is new.
 
-    Only the first voter host does so.
+    Only the first voter host does so, once all are known to be new.
     """
+    replica.contacts.update(reply.hosts)
     _record_formed(replica, reply.sender, formed=reply.formed)
     _form_if_all_new(replica, now)
 
@@ -141,8 +144,7 @@
 
 
 def _desired_voters(replica: Replica) -> int:
-    members = replica.members
-    hosts = {host_of(name) for name in (*members.voters, *members.learners)}
+    hosts = member_hosts(replica.members)
     return _MIN_VOTERS if len(hosts) < _MAX_VOTERS else _MAX_VOTERS
 
 
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -23,6 +23,12 @@
     learners: tuple[str, ...] = ()
 
 
+def member_hosts(members: Members) -> tuple[str, ...]:
+    """Return the hosts of all members."""
+    names = (*members.voters, *members.learners)
+    return tuple(sorted({host_of(name) for name in names}))
+
+
 @dataclass(frozen=True, slots=True)
 class LogEntry:
     """One log entry: encoded records in ``body``, or a membership change."""
@@ -49,12 +55,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HelloReply:
-    """Reply to ``Hello``; ``formed`` as there, for the replying replica."""
+    """Reply to ``Hello``; ``formed`` as there, for the replying replica.
+
+    ``hosts`` are those of the members that it knows: one of them leads.
+    """
 
     group: str
     sender: str
     to: str
     formed: bool
+    hosts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -63,3 +63,8 @@
     And it pauses, and late acknowledgements of its peers commit the turn
     Then the request was sent and the response was not
     And the response is sent once the peers answer its heartbeat
+
+  Scenario: A host that lost its disk votes again although no seed leads
+    Given an open group of five hosts, led by one that is not a seed
+    When a seed loses its disk and comes back
+    Then it votes again 4 seconds later, and its lost replica does not
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -150,3 +150,39 @@
     assert context.host in {host_of(one) for one in names}, members
     replica = context.hosts.replicas[context.host]
     assert replica.commit == leader.commit
+
+
+@given('an open group of five hosts, led by one that is not a seed')
+def open_group_of_five(context):
+    """Let two hosts join the seeds, and cut leaders off until one leads."""
+    hosts = _SimulatedHosts()
+    for host in ('a', 'b', 'c'):
+        _add_replica(hosts, host, 1, ('a', 'b', 'c'))
+    for host in ('d', 'e'):
+        _add_replica(hosts, host, 1, ())
+    _pass_time(hosts, 5)
+    while host_of(_current_leader(hosts).name) not in {'d', 'e'}:
+        hosts.cut = {host_of(_current_leader(hosts).name)}
+        _pass_time(hosts, 3)
+        hosts.cut = set()
+        _pass_time(hosts, 3)
+    assert len(_current_leader(hosts).members.voters) == 5
+    context.hosts = hosts
+
+
+@when('a seed loses its disk and comes back')
+def wipe_seed(context):
+    """Restart it as a new replica that knows the seeds only."""
+    hosts = context.hosts
+    hosts.replicas.pop('b')
+    _pass_time(hosts, 1)
+    _add_replica(hosts, 'b', 2, ())
+
+
+@then('it votes again {seconds:d} seconds later, and its lost replica does not')
+def check_votes_again(context, seconds):
+    """Read the voters that the leader knows."""
+    _pass_time(context.hosts, seconds)
+    voters = _current_leader(context.hosts).members.voters
+    assert len(voters) == 5, voters
+    assert 'b#2' in voters, voters
