Remove a replaced voter before its successor votes

Two of five machines are lost, as many as allowed, but no leader is elected any more.

Cause: the new replica voted before the one that it replaces was removed. In between, five voters were six, one of them lost for good, and the majority four: with the new one and another lost, three were left. The time is a commit and a heartbeat, longer where entries are slow.

Change: once the learner has caught up, its predecessor is removed, and then it votes; the same for a voter that is replaced by another host. Of n - 1 voters (n odd) the majority is that of n, so the lost one costs nothing. Each step is still one change that adds or removes one voter. Swapping both in one entry was ruled out: a vote of the lost replica that is still on its way may elect a leader next to a majority that includes its successor.

Evidence: `group.feature` checks after each tick of a replacement that the loss of the host and any other leaves every replica a majority of its voters.

--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -1,8 +1,10 @@
 """Membership: forming a group, and replacing a replica that lost its state.
 
-A new replica joins as a learner and becomes a voter once it has caught up;
-only then is the replica that it replaces removed.  Each of these is one
-membership change, and the next one waits until it is committed.
+A new replica joins as a learner.  Once it has caught up, the replica that it
+replaces is removed, and then it becomes a voter.  Each of these is one
+membership change, and the next one waits until it is committed.  In this
+order the majority stays as large as it was: it never includes a voter more
+because of the one that is lost.
 """
 
 from daisygw.zones._messages import (
@@ -134,11 +136,29 @@
     return None
 
 
-def _remove_replaced(replica: Replica) -> Members | None:
+def _is_ready(replica: Replica, learner: str, now: float) -> bool:
+    """Tell whether a learner is live and has the committed entries."""
+    peer = replica.peers.get(learner)
+    if peer is None or now - peer.heard > _LEARNER_LIVE_S:
+        return False
+    return peer.match >= replica.commit
+
+
+def _ready_learners(replica: Replica, now: float) -> list[str]:
+    return [
+        name
+        for name in replica.members.learners
+        if _is_ready(replica, name, now)
+    ]
+
+
+def _remove_replaced(replica: Replica, now: float) -> Members | None:
+    """Remove a voter that lost its state, when its successor is ready."""
     voters = replica.members.voters
-    newest: dict[str, str] = {}
-    for name in voters:
-        newest[host_of(name)] = name
+    newest = {
+        host_of(name): name
+        for name in (*voters, *_ready_learners(replica, now))
+    }
     kept = tuple(name for name in voters if newest[host_of(name)] == name)
     return None if kept == voters else Members(kept, replica.members.learners)
 
@@ -159,42 +179,33 @@
 
 
 def _remove_unreachable(replica: Replica, now: float) -> Members | None:
-    """Remove an unreachable voter once another one has taken its place."""
+    """Remove an unreachable voter, when a learner can take its place."""
     members = replica.members
     unreachable = _unreachable_voters(replica, now)
-    desired = _desired_voters(replica)
-    if (
-        not replica.accepts_new_hosts
-        or not unreachable
-        or len(members.voters) <= desired
-    ):
+    surplus = len(members.voters) - _desired_voters(replica)
+    replaceable = surplus > 0 or (
+        surplus == 0 and bool(_ready_learners(replica, now))
+    )
+    if not replica.accepts_new_hosts or not unreachable or not replaceable:
         return None
     kept = tuple(name for name in members.voters if name != unreachable[0])
     return Members(kept, members.learners)
 
 
-def _may_vote(replica: Replica, name: str, now: float) -> bool:
-    """Tell whether a learner may become a voter."""
-    if not replica.accepts_new_hosts:
-        return host_of(name) in replica.voter_hosts
+def _may_vote(replica: Replica, name: str) -> bool:
+    """Tell whether a ready learner may become a voter."""
     voters = replica.members.voters
-    if now - replica.peers[name].heard > _LEARNER_LIVE_S:
-        return False
     if host_of(name) in {host_of(voter) for voter in voters}:
-        return True
-    desired = _desired_voters(replica)
-    too_few = len(voters) < desired
-    return too_few or (
-        len(voters) == desired and bool(_unreachable_voters(replica, now))
-    )
+        return False
+    if not replica.accepts_new_hosts:
+        return host_of(name) in replica.voter_hosts
+    return len(voters) < _desired_voters(replica)
 
 
 def _promote_learner(replica: Replica, now: float) -> Members | None:
     members = replica.members
-    for name in members.learners:
-        peer = replica.peers.get(name)
-        ready = peer is not None and peer.match >= replica.commit
-        if ready and _may_vote(replica, name, now):
+    for name in _ready_learners(replica, now):
+        if _may_vote(replica, name):
             learners = tuple(
                 other for other in members.learners if other != name
             )
@@ -207,7 +218,7 @@
     if not _no_change_pending(replica):
         return
     change = (
-        _remove_replaced(replica)
+        _remove_replaced(replica, now)
         or _remove_unreachable(replica, now)
         or _promote_learner(replica, now)
         or _add_learner(replica, now)
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -68,3 +68,8 @@
     Given an open group of five hosts, led by one that is not a seed
     When a seed loses its disk and comes back
     Then it votes again 4 seconds later, and its lost replica does not
+
+  Scenario: While a host is replaced, it and another one may be lost
+    Given an open group of five hosts
+    When a host loses its disk, comes back and votes again
+    Then at no time would the loss of it and another host have left no majority
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -152,22 +152,29 @@
     assert replica.commit == leader.commit
 
 
-@given('an open group of five hosts, led by one that is not a seed')
+@given('an open group of five hosts')
 def open_group_of_five(context):
-    """Let two hosts join the seeds, and cut leaders off until one leads."""
+    """Let two hosts join the seeds."""
     hosts = _SimulatedHosts()
     for host in ('a', 'b', 'c'):
         _add_replica(hosts, host, 1, ('a', 'b', 'c'))
     for host in ('d', 'e'):
         _add_replica(hosts, host, 1, ())
     _pass_time(hosts, 5)
+    assert len(_current_leader(hosts).members.voters) == 5
+    context.hosts = hosts
+
+
+@given('an open group of five hosts, led by one that is not a seed')
+def led_by_other(context):
+    """Cut leaders off until another host than a seed leads."""
+    open_group_of_five(context)
+    hosts = context.hosts
     while host_of(_current_leader(hosts).name) not in {'d', 'e'}:
         hosts.cut = {host_of(_current_leader(hosts).name)}
         _pass_time(hosts, 3)
         hosts.cut = set()
         _pass_time(hosts, 3)
-    assert len(_current_leader(hosts).members.voters) == 5
-    context.hosts = hosts
 
 
 @when('a seed loses its disk and comes back')
@@ -186,3 +193,44 @@
     voters = _current_leader(context.hosts).members.voters
     assert len(voters) == 5, voters
     assert 'b#2' in voters, voters
+
+
+@when('a host loses its disk, comes back and votes again')
+def replace_voter(context):
+    """Check after each tick which hosts could be lost."""
+    hosts = context.hosts
+    host = _follower_host(hosts)
+    hosts.replicas.pop(host)
+    _pass_time(hosts, 1)
+    _add_replica(hosts, host, 2, ())
+    context.fatal_losses = []
+    for _ in range(200):
+        _pass_time(hosts, TICK_S)
+        context.fatal_losses += _fatal_losses(hosts, host)
+    voters = _current_leader(hosts).members.voters
+    assert len(voters) == 5, voters
+    assert f'{host}#2' in voters, voters
+
+
+def _fatal_losses(hosts, lost):
+    """Return other hosts whose loss would leave some replica no majority."""
+    return [
+        (other, replica.name, replica.members.voters)
+        for other in set(hosts.replicas) - {lost}
+        for host, replica in hosts.replicas.items()
+        if host not in {lost, other}
+        and not _have_majority(set(hosts.replicas) - {lost, other}, replica)
+    ]
+
+
+def _have_majority(left, replica):
+    voters = replica.members.voters
+    return 2 * sum(host_of(name) in left for name in voters) > len(voters)
+
+
+@then(
+    'at no time would the loss of it and another host have left no majority',
+)
+def check_majority_left(context):
+    """Expect no replica with too few of its voters left."""
+    assert not context.fatal_losses, context.fatal_losses[0]
