--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -58,6 +58,15 @@
         self.probed_at = float('-inf')
 
 
+class IncomingSnapshot:
+    """The parts received so far of the snapshot of a term and an index."""
+
+    def __init__(self, term: int = 0, index: int = 0) -> None:
+        """Begin without parts."""
+        self.source = (term, index)
+        self.state = bytearray()
+
+
 class Replica:
     """One replica: its term, vote, log, members and role.
 
@@ -111,7 +120,7 @@
         self.pre_vote = False
         self.join_requests: dict[str, tuple[str, float]] = {}
         self.unformed_replicas: dict[str, str] = {}
-        self.incoming_snapshot = bytearray()
+        self.incoming = IncomingSnapshot()
         self.heard = float('-inf')
         self.election_due = 0.0
         self.heartbeat_due = 0.0
--- a/daisygw/zones/_replication.py
+++ b/daisygw/zones/_replication.py
@@ -11,6 +11,7 @@
     SnapshotTaken,
 )
 from daisygw.zones._replica import (
+    IncomingSnapshot,
     Peer,
     Replica,
     Role,
@@ -262,14 +263,18 @@
     message: SnapshotPart,
     now: float,
 ) -> None:
-    """Collect the parts of a snapshot; install it when it is complete."""
+    """Collect the parts of a snapshot; install it when it is complete.
+
+    A part of another snapshot than the one before starts the collection anew.
+    """
     if message.term < replica.term:
         return
     _follow(replica, message.sender, message.term, now)
-    if message.offset == 0:
-        replica.incoming_snapshot = bytearray()
-    if message.offset == len(replica.incoming_snapshot):
-        replica.incoming_snapshot += message.part
+    source = (message.term, message.index)
+    if message.offset == 0 or replica.incoming.source != source:
+        replica.incoming = IncomingSnapshot(*source)
+    if message.offset == len(replica.incoming.state):
+        replica.incoming.state += message.part
         if message.last:
             _install_snapshot(replica, message)
     reply = SnapshotReply(
@@ -278,7 +283,7 @@
         message.sender,
         replica.term,
         message.index,
-        len(replica.incoming_snapshot),
+        len(replica.incoming.state),
         message.sent_at,
     )
     send(replica, reply)
@@ -291,7 +296,7 @@
         message.index,
         message.index_term,
         message.members,
-        bytes(replica.incoming_snapshot),
+        bytes(replica.incoming.state),
     )
     is_in_log = term_at(replica, message.index) == message.index_term
     kept = entries_from(replica, message.index + 1) if is_in_log else ()
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -73,3 +73,8 @@
     Given an open group of five hosts
     When a host loses its disk, comes back and votes again
     Then at no time would the loss of it and another host have left no majority
+
+  Scenario: Parts of two snapshots are never joined
+    Given a leader that sends its snapshot in 3 parts to a peer
+    When it takes a newer snapshot before the second part is acknowledged
+    Then the peer installs the newer snapshot, whole
