--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -244,7 +244,7 @@
         _apply_record(state, payload)
         valid_bytes = end
     if valid_bytes != path.stat().st_size:
-        os.truncate(path, valid_bytes)
+        _truncate_torn_end(path, valid_bytes)
     return Persist(
         state.term,
         state.vote,
@@ -256,6 +256,13 @@
     )
 
 
+def _truncate_torn_end(path: Path, valid_bytes: int) -> None:
+    """Truncate a log durably, so that no later torn write meets the rest."""
+    with path.open('r+b') as log:
+        log.truncate(valid_bytes)
+        os.fsync(log.fileno())
+
+
 def _rename_damaged_folder(folder: Path) -> None:
     number = 0
     while True:
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -43,3 +43,8 @@
     Given a journal with 20 entries in 5 saves
     When the entries from 11 on are replaced by 3 others, all committed, and the save is torn at any byte
     Then no restored replica has an entry of the old term among its committed ones
+
+  Scenario: A second loss of power after a torn save damages nothing
+    Given a journal with 20 entries in 5 saves
+    When its last save was torn, it is opened, and the next save is torn at any byte
+    Then 19 entries or more are read again each time
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -1,11 +1,13 @@
 """Steps that write, damage and read back a journal's files."""
 
+import os
 import resource
 import subprocess  # noqa: S404  a scheduler under a limit on file size
 import sys
 import tempfile
 from pathlib import Path
 from types import MappingProxyType
+from unittest import mock
 
 from behave import fixture, given, then, use_fixture, when
 
@@ -224,3 +226,39 @@
         ]
         assert not replaced, (replica.commit, replaced)
     assert replica.commit == last_index(replica)
+
+
+@when(
+    'its last save was torn, it is opened, and the next save is torn at any '
+    'byte',
+)
+def tear_twice(context):
+    """Lay each beginning of the next save over the bytes that were synced."""
+    context.log.write_bytes(context.log.read_bytes()[:-3])
+    synced = [context.log.read_bytes()]
+
+    def sync(descriptor):
+        synced.append(context.log.read_bytes())
+
+    with (
+        mock.patch.object(os, 'fsync', sync),
+        mock.patch.object(os, 'fdatasync', sync),
+    ):
+        journal, _ = journal_files.load(context.folder)
+        at_open = synced[-1]
+        start = journal.end
+        others = _entries(20, 30)
+        journal_files.save(journal, Persist(3, 'b#1', _MEMBERS, others))
+    journal_files.close(journal)
+    written = context.log.read_bytes()[start:]
+    context.read = []
+    for end in range(len(written) + 1):
+        rest = at_open[start + end :]
+        context.log.write_bytes(at_open[:start] + written[:end] + rest)
+        context.read.append(len(_load(context).entries))
+
+
+@then('{least:d} entries or more are read again each time')
+def check_read_each_time(context, least):
+    """Expect the entries of the complete saves."""
+    assert min(context.read) >= least, min(context.read)
