--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -6,6 +6,7 @@
 the replica abandons its files and joins its group as a new replica.
 """
 
+import itertools
 import os
 import struct
 import time
@@ -264,13 +265,12 @@
 
 
 def _rename_damaged_folder(folder: Path) -> None:
-    number = 0
-    while True:
-        new_path = folder.with_name(f'{folder.name}.damaged-{number}')
-        if not new_path.exists():
-            folder.rename(new_path)
-            return
-        number += 1
+    new_paths = (
+        folder.with_name(f'{folder.name}.damaged-{number}')
+        for number in itertools.count()
+    )
+    folder.rename(next(path for path in new_paths if not path.exists()))
+    _sync_folder(folder.parent)
 
 
 def load(folder: Path) -> tuple[Journal, Persist] | None:
@@ -300,6 +300,7 @@
     """
     with _disk_errors():
         folder.mkdir(parents=True, exist_ok=True)
+        _sync_folder(folder.parent)
         _replace(folder / _LOG_FILE, b'')
         _replace(folder / _NAME_FILE, name.encode('ascii'))
     journal = Journal(folder, name)
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -48,3 +48,13 @@
     Given a journal with 20 entries in 5 saves
     When its last save was torn, it is opened, and the next save is torn at any byte
     Then 19 entries or more are read again each time
+
+  Scenario Outline: The name of a journal's folder is synced, <case>
+    Given a journal with 20 entries in 5 saves
+    When <case>
+    Then the folder that holds it was synced after that
+
+    Examples:
+      | case                          |
+      | another journal is created    |
+      | a damaged journal is set aside |
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -5,6 +5,7 @@
 import subprocess  # noqa: S404  a scheduler under a limit on file size
 import sys
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from types import MappingProxyType
 from unittest import mock
@@ -262,3 +263,40 @@
 def check_read_each_time(context, least):
     """Expect the entries of the complete saves."""
     assert min(context.read) >= least, min(context.read)
+
+
+def _record_syncs(context, work):
+    """Store the paths that were synced during some work, in order."""
+    context.synced = []
+
+    def sync(descriptor):
+        path = Path(f'/proc/self/fd/{descriptor}').readlink()
+        context.synced.append(path)
+
+    with mock.patch.object(os, 'fsync', sync):
+        work()
+
+
+@when('another journal is created')
+def create_another(context):
+    """Create it beside the first one."""
+    folder = context.folder.with_name('another')
+    _record_syncs(context, lambda: journal_files.create(folder, 'a#2'))
+
+
+@when('a damaged journal is set aside')
+def set_aside(context):
+    """Flip a bit, and load the journal."""
+    flip(context, 'in the middle')
+
+    def load():
+        with suppress(JournalError):
+            _load(context)
+
+    _record_syncs(context, load)
+
+
+@then('the folder that holds it was synced after that')
+def check_parent_synced(context):
+    """Look for the parent folder among the synced paths."""
+    assert context.folder.parent in context.synced, context.synced
