Number a leader's requests for advice by its term

What callers could see: an accepted job that stands still beside free capacity (LOST, third kind) for as long as the leader leads.

Cause: each leader numbered its requests from 1, and answers are matched by number only. A process that leads again within the time of a call (up to 3 s with its queue) takes the answer to a request of its earlier term for that of another step. The targets of that step which the answer does not name are denied to it, and a denial holds as long as the target's instance; its tickets are those of another step, so the starts are refused.

Change: the numbers of a term begin above those of all earlier terms.

The timer that gives a call up, which outlives a term too, had the same effect: it ended another call, whose answer was then ignored.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -49,6 +49,9 @@
 START_SEND_TIMEOUT_S = 1.0
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
+# Bits of a request's number that are below the leader's term, so that the
+# terms of a process never share a number.
+_SEQ_BITS = 32
 # Upper bound of a job's age; a larger value comes from a clock that jumped.
 _MAX_JOB_AGE_S = 60.0
 
@@ -218,7 +221,7 @@
         self.run_times: dict[StepKey, list[float]] = {}
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
-        self.seq_numbers = itertools.count(1)
+        self.seq_numbers = itertools.count(term << _SEQ_BITS)
         self.repeating: set[str] = set()
         self.changed = True
         self.scan_due = now
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -138,3 +138,8 @@
     When one member of a gang ends with a newer checkpoint than a lost one
     Then its next run starts from the newer checkpoint
     And a replica that applied the log has the leader's state
+
+  Scenario: Advice that an earlier leader asked for denies nothing to the next
+    Given a cell of one target
+    When the leader changes during a call, whose answer reaches the next leader
+    Then each of its tasks ran
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -2,8 +2,22 @@
 
 from behave import given, then, when
 
-from daisygw.cell import Cell, apply, lease_for, on_renewal_reply, snapshot
-from daisygw.contracts import JobSpec, JobState, ResultCode, Size, Step
+from daisygw.cell import (
+    Cell,
+    apply,
+    lease_for,
+    on_advice,
+    on_renewal_reply,
+    snapshot,
+)
+from daisygw.contracts import (
+    AdviceResponse,
+    JobSpec,
+    JobState,
+    ResultCode,
+    Size,
+    Step,
+)
 from daisygw.machines import EndedRun, RenewalReply, is_responsive
 from standins import worker_model
 from tests import cell_fault_runs, cell_history, cell_world
@@ -504,3 +518,27 @@
     """Expect the checkpoint for both members."""
     (_, second) = context.world.start_checkpoints.values()
     assert second == {'newer'}, second
+
+
+def _wait_for_call(world):
+    for _ in range(50):
+        run_for(world, cell_world.TICK_S)
+        if world.lead.pending_advice:
+            return
+    raise AssertionError('no call to the advisor')
+
+
+@when(
+    'the leader changes during a call, whose answer reaches the next leader',
+)
+def answer_earlier_leader(context):
+    """Deliver an answer without approvals while the next call is open."""
+    world = context.world
+    submit(world, _job(1))
+    _wait_for_call(world)
+    earlier = list(world.lead.pending_advice)
+    cell_world.fail_over(world)
+    _wait_for_call(world)
+    for seq in earlier:
+        on_advice(world.lead, AdviceResponse(seq, answered=True))
+    run_for(world, 5)
