Number a process's requests from its start time

What callers could see: a submit answered 200 although no leader has the job, which is then unknown (LOST, third kind), or a state that is another job's. It takes an entry that is restarted twice within seconds while the leader holds a response back.

Cause: each process numbered its requests from 1, and the leader sends a response to whichever process has the name of the one that asked. A response held back for a commit or a lease goes to the next process, and ends its request of the same number.

Change: the numbers begin at the start time in microseconds, as the names of replicas do.

--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -14,6 +14,7 @@
 from daisygw.contracts import CellResponse, ResultCode, SchedulerList
 from daisygw.links import log
 from daisygw.links.processes import Link, LinkTiming, keep_connected, post
+from daisygw.nodes import _clock
 
 # How long an unsent request waits for a reachable leader.  Most elections
 # finish in this time; beyond it, callers are better served by a prompt
@@ -42,6 +43,7 @@
 _LEADER_MAX_SILENCE_S = 0.7
 # How often a pending request checks for a reachable leader.
 _POLL_INTERVAL_S = 0.1
+_US_PER_S = 1_000_000
 
 
 class _PendingRequest:
@@ -59,7 +61,9 @@
 class Peers:
     """Links to the known schedulers, and the pending requests.
 
-    ``open`` has the pending requests by correlation id.  A scheduler sets
+    ``open`` has the pending requests by correlation id; ids begin at the start
+    time (us), as a response may come for a request of an earlier process of
+    the same name.  A scheduler sets
     ``handle_locally``, which handles requests while this process leads.
     ``leader_left_at`` is the loop time (s) when a leader last said that it no
     longer leads.
@@ -78,7 +82,8 @@
         self.leader = ''
         self.term = 0
         self.leader_left_at = float('-inf')
-        self.seq_numbers = itertools.count(1)
+        started_at = int(_clock.wall() * _US_PER_S)
+        self.seq_numbers = itertools.count(started_at)
         self.open: dict[int, _PendingRequest] = {}
         self.handle_locally: Callable[[Any], None] | None = None
         self.on_message: Callable[[Link, Any], None] = _ignore_message
--- a/tests/features/questions.feature
+++ b/tests/features/questions.feature
@@ -25,3 +25,8 @@
     Given a process that heard from its leader 0 seconds ago
     When it calls the leader
     Then the answer is OUTCOME_UNKNOWN after 2.2 seconds, with a retry after 1 s
+
+  Scenario: A response to an earlier process of the same name is ignored
+    Given a process that heard from its leader 0 seconds ago
+    When it calls the leader, which answers a call of the process before it
+    Then the answer is OUTCOME_UNKNOWN after 2.2 seconds, with a retry after 1 s
--- a/tests/steps/question_steps.py
+++ b/tests/steps/question_steps.py
@@ -90,6 +90,23 @@
         on_response(peers, CellResponse(call.seq, ResultCode.ANSWERED))
 
 
+@when('it calls the leader, which answers a call of the process before it')
+def answer_earlier_process(context):
+    """Answer with the number of the first call of an earlier process."""
+    earlier = next(Peers('entry/me', '10.0.0.9', 1).seq_numbers)
+    make_peers = context.make_peers
+
+    def make_answered_peers():
+        peers = make_peers()
+        response = CellResponse(earlier, ResultCode.ACCEPTED)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, on_response, peers, response)
+        return peers
+
+    context.make_peers = make_answered_peers
+    call(context)
+
+
 @when('it calls the leader')
 def call(context):
     """Call the leader and wait for the answer."""
