--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -78,3 +78,9 @@
     Given a leader that sends its snapshot in 3 parts to a peer
     When it takes a newer snapshot before the second part is acknowledged
     Then the peer installs the newer snapshot, whole
+
+  Scenario: A leader whose lease has run out answers nothing
+    Given a group with a disk whose leader has decided a record
+    When it runs its turn with both peers answering
+    And its turn is committed, and it is asked once its lease has run out
+    Then it answers only after its peers have answered a heartbeat
--- a/tests/steps/group_disk_steps.py
+++ b/tests/steps/group_disk_steps.py
@@ -193,3 +193,19 @@
     """Deliver answers to a message sent after the pause."""
     _acknowledge_all(context, 9, 9.1)
     assert context.outgoing == ['request', 'response'], context.outgoing
+
+
+@when('its turn is committed, and it is asked once its lease has run out')
+def ask_late(context):
+    """Queue a response that needs no record, 8 s after the last message."""
+    _acknowledge_all(context, 1.1, 1.15)
+    context.state.outbox.append(OutgoingMessage('entry', 'response'))
+    carry_out(context.group, 9, context.transport)
+
+
+@then('it answers only after its peers have answered a heartbeat')
+def check_answered_late(context):
+    """Expect the response once the lease is valid again."""
+    assert not context.outgoing, context.outgoing
+    _acknowledge_all(context, 9, 9.1)
+    assert context.outgoing == ['response'], context.outgoing
