Drop a torn last save that lacks a sector

The platform says that the writes since the last sync are present, missing or torn; whether a torn one may lack its middle is not known.

Cause: only a last save that ends early counted as torn. A disk writes sectors in any order; a sector that was not written reads as zeros, and the record in it fails its checksum, which was taken for a damaged disk.

Change: damage counts as a torn save if a sector of zeros is in it and no record of another save follows; each save has a hard state. The records of a file have a module of their own, `links/_frames.py`.

Not covered: a torn save that lacks the sector with its truncation but has the one with its hard state, where the two are on different ones.

--- a/daisygw/links/_journal.py
+++ b/daisygw/links/_journal.py
@@ -1,16 +1,13 @@
 """The journal: term, vote and log of a replica, in files of a data folder.
 
-A record is a header (length, checksum of the length, checksum of the payload)
-and a payload.  A truncated record at the end is a write that was never
-acknowledged, and is dropped.  Any other checksum mismatch means corruption:
-the replica abandons its files and joins its group as a new replica.
+A torn last save was never acknowledged, and is dropped from the first damaged
+record on.  Any other checksum mismatch means corruption: the replica abandons
+its files and joins its group as a new replica.
 """
 
 import itertools
 import os
-import struct
 import time
-import zlib
 from collections.abc import Generator, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -19,9 +16,9 @@
 import msgspec
 
 from daisygw.contracts import JournalError, ResultCode
+from daisygw.links._frames import damaged_record_error, frame, read_frames
 from daisygw.zones import LogEntry, Members, Persist, SnapshotTaken
 
-_HEADER = struct.Struct('<III')
 _LOG_FILE = 'log'
 _SNAPSHOT_FILE = 'snapshot'
 _NAME_FILE = 'name'
@@ -33,6 +30,9 @@
 # Weight of the newest sync in the moving average of sync times.
 _NEWEST_SYNC_WEIGHT = 0.3
 _encode = msgspec.msgpack.Encoder().encode
+# How the record of a hard state begins, which each save has: a pair of the type
+# and the values.
+_HARD_STATE_PREFIX = _encode((_HARD_STATE, None))[:2]
 _decode_record = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
 _decode_hard_state = msgspec.msgpack.Decoder(
     tuple[int, str, Members, int],
@@ -60,41 +60,6 @@
         self.sync_time = 0.0
 
 
-def _frame(payload: bytes) -> bytes:
-    length = len(payload).to_bytes(4, 'little')
-    header = _HEADER.pack(
-        len(payload),
-        zlib.crc32(length),
-        zlib.crc32(payload),
-    )
-    return header + payload
-
-
-def _damaged_record_error(path: Path, offset: int) -> JournalError:
-    return JournalError(
-        ResultCode.JOURNAL_CORRUPT,
-        f'{path.parent.name}/{path.name}: damaged record at byte {offset}',
-    )
-
-
-def _read_frames(path: Path) -> Iterator[tuple[int, bytes]]:
-    stored = path.read_bytes()
-    offset = 0
-    while offset + _HEADER.size <= len(stored):
-        length, length_check, check = _HEADER.unpack_from(stored, offset)
-        if zlib.crc32(length.to_bytes(4, 'little')) != length_check:
-            raise _damaged_record_error(path, offset)
-        start = offset + _HEADER.size
-        end = start + length
-        if end > len(stored):
-            return
-        payload = stored[start:end]
-        if zlib.crc32(payload) != check:
-            raise _damaged_record_error(path, offset)
-        yield end, payload
-        offset = end
-
-
 def _sync_folder(folder: Path) -> None:
     handle = os.open(folder, os.O_RDONLY)
     try:
@@ -120,11 +85,11 @@
     that are replaced.
     """
     if persist.cut:
-        yield _frame(_encode((_TRUNCATION, persist.cut)))
+        yield frame(_encode((_TRUNCATION, persist.cut)))
     hard_state = (persist.term, persist.vote, persist.members, persist.commit)
-    yield _frame(_encode((_HARD_STATE, hard_state)))
+    yield frame(_encode((_HARD_STATE, hard_state)))
     for entry in persist.entries:
-        yield _frame(_encode((_LOG_ENTRY, entry)))
+        yield frame(_encode((_LOG_ENTRY, entry)))
 
 
 @contextmanager
@@ -179,7 +144,7 @@
     After a crash in between, loading skips the old log's entries that the
     snapshot already covers.
     """
-    snapshot = _frame(_encode(persist.snapshot))
+    snapshot = frame(_encode(persist.snapshot))
     _replace(journal.folder / _SNAPSHOT_FILE, snapshot)
     if journal.log:
         journal.log.close()
@@ -200,10 +165,10 @@
     path = folder / _SNAPSHOT_FILE
     if not path.exists():
         return None
-    frame = next(_read_frames(path), None)
-    if frame is None:
-        raise _damaged_record_error(path, 0)
-    return _decode_snapshot(frame[1])
+    stored = next(read_frames(path, _HARD_STATE_PREFIX), None)
+    if stored is None:
+        raise damaged_record_error(path, 0)
+    return _decode_snapshot(stored[1])
 
 
 class _LogState:
@@ -241,7 +206,7 @@
     state = _LogState(snapshot)
     path = folder / _LOG_FILE
     valid_bytes = 0
-    for end, payload in _read_frames(path):
+    for end, payload in read_frames(path, _HARD_STATE_PREFIX):
         _apply_record(state, payload)
         valid_bytes = end
     if valid_bytes != path.stat().st_size:
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -58,3 +58,13 @@
       | case                          |
       | another journal is created    |
       | a damaged journal is set aside |
+
+  Scenario: A save of which any sector was not written is dropped
+    Given a journal with 20 entries in 5 saves
+    When a save of 100 entries follows, and any of its sectors reads as zeros
+    Then 20 entries or more are read again each time
+
+  Scenario: A sector of zeros before a complete save is an error
+    Given a journal with 20 entries in 5 saves
+    When a save of 100 entries follows, and the sector before it reads as zeros
+    Then reading ends with code 703, and the next start finds no journal
--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -19,6 +19,7 @@
 from daisygw.links import codec
 from daisygw.links.processes import (
     Group,
+    Journal,
     StateMachine,
     Transport,
     carry_out,
@@ -49,6 +50,8 @@
 _MAX_LOG_ENTRIES = 30
 _LOSS_PROBABILITY = 0.1
 _DELAY_PROBABILITY = 0.3
+_SECTOR_LOSS_PROBABILITY = 0.4
+_SECTOR_BYTES = 512
 
 
 class PowerLossError(Exception):
@@ -126,13 +129,27 @@
 
 
 def _tear(world: World, descriptor: int) -> None:
-    """Keep any beginning of a log's newest write."""
+    """Keep any beginning of a log's newest write, or all but a sector."""
     groups = [host.group for host in world.hosts.values() if host.group]
     for journal in (group.journal for group in groups):
         if not journal.log.closed and journal.log.fileno() == descriptor:
             size = os.fstat(descriptor).st_size
             end = world.random.randint(journal.end, size)
-            os.ftruncate(descriptor, end)
+            if world.random.random() < _SECTOR_LOSS_PROBABILITY:
+                _lose_sector(journal, end)
+            else:
+                os.ftruncate(descriptor, end)
+
+
+def _lose_sector(journal: Journal, position: int) -> None:
+    """Replace the newest write in the sector of a position by zeros."""
+    path = journal.folder / 'log'
+    content = path.read_bytes()
+    first = position - position % _SECTOR_BYTES
+    last = min(first + _SECTOR_BYTES, len(content))
+    first = max(first, journal.end)
+    zeros = bytes(max(last - first, 0))
+    path.write_bytes(content[:first] + zeros + content[last:])
 
 
 def _decode(encoded: bytes) -> list[int]:
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -36,6 +36,7 @@
 _MEMBERS = Members(('a#1', 'b#1', 't#1'))
 _BODY = b'x' * 50
 _DISK_FULL_TIMEOUT_S = 60
+_SECTOR_BYTES = 512
 
 
 @fixture
@@ -300,3 +301,43 @@
 def check_parent_synced(context):
     """Look for the parent folder among the synced paths."""
     assert context.folder.parent in context.synced, context.synced
+
+
+def _save_more(context, count):
+    """Save entries; return the bytes of the log and where the save begins."""
+    start = context.journal.end
+    more = _entries(21, 20 + count)
+    journal_files.save(context.journal, Persist(3, 'b#1', _MEMBERS, more))
+    return context.log.read_bytes(), start
+
+
+def _without_sector(content, number, start):
+    """Return a log whose bytes of one sector read as zeros from a position."""
+    first = max(number * _SECTOR_BYTES, start)
+    last = min((number + 1) * _SECTOR_BYTES, len(content))
+    return content[:first] + bytes(last - first) + content[last:]
+
+
+@when(
+    'a save of {count:d} entries follows, and any of its sectors reads as '
+    'zeros',
+)
+def lose_sector_of_save(context, count):
+    """Load the journal without each of the sectors of the save in turn."""
+    content, start = _save_more(context, count)
+    context.read = []
+    for number in range(start // _SECTOR_BYTES, len(content) // _SECTOR_BYTES):
+        context.log.write_bytes(_without_sector(content, number, start))
+        context.read.append(len(_load(context).entries))
+    assert len(context.read) > 10
+
+
+@when(
+    'a save of {count:d} entries follows, and the sector before it reads as '
+    'zeros',
+)
+def lose_sector_before(context, count):
+    """Replace a whole sector of the earlier saves."""
+    content, start = _save_more(context, count)
+    number = start // _SECTOR_BYTES - 1
+    context.log.write_bytes(_without_sector(content, number, 0))
