--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -61,9 +61,11 @@
 from daisygw.nodes._state_machine import CellState, cell_state_machine
 from daisygw.zones import (
     Hello,
+    Members,
     OutgoingMessage,
     Role,
     host_of,
+    member_hosts,
     receive,
     tick,
     transfer_leadership,
@@ -114,6 +116,7 @@
         self.next_transfer_at = 0.0
         self.sessions: dict[str, Link] = {}
         self.scheduler_list = SchedulerList((), '', 0)
+        self.members = Members()
         self.background_tasks: set[asyncio.Task] = set()
         self.execute_effect: Callable[[Any], None] = _ignore_effect
         self.meters = Meters()
@@ -247,12 +250,10 @@
     leader = host_of(replica.leader)
     if leads(node.group) and node.stopping:
         leader = ''
-    members = replica.members
-    hosts = {host_of(name) for name in (*members.voters, *members.learners)}
-    for host in sorted(hosts - {node.cfg.host}):
-        connect_to_hosts(node.peers, (host,))
+    hosts = member_hosts(replica.members)
+    connect_to_hosts(node.peers, hosts)
     replica.contacts.update(hosts)
-    scheduler_list = SchedulerList(tuple(sorted(hosts)), leader, replica.term)
+    scheduler_list = SchedulerList(hosts, leader, replica.term)
     if scheduler_list == node.scheduler_list:
         return
     node.scheduler_list = scheduler_list
@@ -269,9 +270,18 @@
         purge_old_jobs(node.state.lead)
     tick(node.group.replica, now)
     _carry_out_effects(node)
+    _log_members(node)
     _publish_scheduler_list(node)
 
 
+def _log_members(node: SchedulerNode) -> None:
+    """Log the group's members if they have changed."""
+    members = node.group.replica.members
+    if members != node.members:
+        node.members = members
+        log('members', voters=members.voters, learners=members.learners)
+
+
 def _carry_out_effects(node: SchedulerNode) -> None:
     """Carry out pending effects; send nothing while disk writes fail.
 
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -46,6 +46,7 @@
     VoteReply,
     VoteRequest,
     host_of,
+    member_hosts,
 )
 from daisygw.zones._placement import place_waiting
 from daisygw.zones._replica import (
@@ -101,6 +102,7 @@
     'flush',
     'holds_leader_lease',
     'host_of',
+    'member_hosts',
     'last_index',
     'lease_end',
     'on_announcement',
