--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -84,3 +84,9 @@
     When it runs its turn with both peers answering
     And its turn is committed, and it is asked once its lease has run out
     Then it answers only after its peers have answered a heartbeat
+
+  Scenario: A learner does not vote before it has the committed entries
+    Given an open group of five hosts
+    When a host loses its disk and comes back, and gets no entries for 5 seconds
+    Then it does not vote, and its lost replica is still a voter
+    And it votes again 4 seconds after it gets entries
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 
 from daisygw.zones import (
+    Append,
     Replica,
     Role,
+    SnapshotPart,
     Timing,
     drain,
     host_of,
@@ -28,6 +30,7 @@
         self.now = 0.0
         self.replicas = {}
         self.cut = set()
+        self.without_entries = set()
         self.queue = deque()
 
 
@@ -59,11 +62,20 @@
         while hosts.queue:
             host, message = hosts.queue.popleft()
             to = hosts.replicas.get(host_of(message.to))
-            cut = host in hosts.cut or host_of(message.to) in hosts.cut
-            if to and not cut:
+            if to and not _is_dropped(hosts, host, message):
                 receive(to, message, hosts.now)
 
 
+def _is_dropped(hosts, sender, message):
+    ends = {sender, host_of(message.to)}
+    has_entries = isinstance(message, SnapshotPart) or (
+        isinstance(message, Append) and bool(message.entries)
+    )
+    return bool(ends & hosts.cut) or (
+        has_entries and host_of(message.to) in hosts.without_entries
+    )
+
+
 def _current_leader(hosts):
     leaders = [
         one
@@ -234,3 +246,37 @@
 def check_majority_left(context):
     """Expect no replica with too few of its voters left."""
     assert not context.fatal_losses, context.fatal_losses[0]
+
+
+@when(
+    'a host loses its disk and comes back, and gets no entries for '
+    '{seconds:d} seconds',
+)
+def wipe_without_entries(context, seconds):
+    """Deliver only heartbeats to the new replica."""
+    hosts = context.hosts
+    context.host = _follower_host(hosts)
+    hosts.replicas.pop(context.host)
+    _pass_time(hosts, 1)
+    hosts.without_entries.add(context.host)
+    _add_replica(hosts, context.host, 2, ())
+    _pass_time(hosts, seconds)
+
+
+@then('it does not vote, and its lost replica is still a voter')
+def check_not_replaced(context):
+    """Read the members that the leader knows."""
+    members = _current_leader(context.hosts).members
+    assert members.learners == (f'{context.host}#2',), members
+    assert f'{context.host}#1' in members.voters, members
+
+
+@then('it votes again {seconds:d} seconds after it gets entries')
+def check_replaced(context, seconds):
+    """Deliver all messages from now on."""
+    hosts = context.hosts
+    hosts.without_entries.clear()
+    _pass_time(hosts, seconds)
+    voters = _current_leader(hosts).members.voters
+    assert len(voters) == 5, voters
+    assert f'{context.host}#2' in voters, voters
