Let a seed that restarts before its group has formed form it

Not seen; found by reading.

Change: it may form the group if the restored replica knows no members. Members are durable before any other seed is told of them, so a replica without them has formed nothing; one that only voted holds no entries.

--- a/daisygw/nodes/_replica_store.py
+++ b/daisygw/nodes/_replica_store.py
@@ -35,20 +35,19 @@
 def open_replica(cfg: NodeSettings) -> tuple[Replica, Journal | None]:
     """Return this host's replica, and its journal if it has a disk.
 
-    Without a usable journal, the replica gets a new name.  It then founds the
-    group if the cell is bootstrapped and this host is a seed; otherwise it
-    joins as a new member.
+    Without a usable journal, the replica gets a new name.  One that has been
+    in no group founds it if the cell is bootstrapped and this host is a seed;
+    otherwise it joins as a new member.
     """
     replica_name = f'{cfg.host}#{int(_clock.wall() * _US_PER_S):x}'
     journal, stored = (None, None)
     if cfg.data:
         journal, stored = _open_journal(cfg, replica_name)
         replica_name = journal.name
-    founding = cfg.first_start and stored is None and cfg.host in cfg.seeds
     replica = Replica(
         GROUP,
         replica_name,
-        tuple(sorted(cfg.seeds)) if founding else (),
+        (),
         TIMING,
         xxhash.xxh32_intdigest(replica_name.encode('ascii')),
     )
@@ -56,10 +55,13 @@
     replica.contacts.update(cfg.seeds)
     if stored:
         restore_replica(replica, stored, _clock.now())
+    is_founder = cfg.first_start and cfg.host in cfg.seeds
+    if is_founder and not replica.members.voters:
+        replica.voter_hosts = tuple(sorted(cfg.seeds))
     log(
         'replica',
         name=replica_name,
-        founding=founding,
+        founding=bool(replica.voter_hosts),
         term=replica.term,
         entries=len(replica.log),
         commit=replica.commit,
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -68,3 +68,13 @@
     Given a journal with 20 entries in 5 saves
     When a save of 100 entries follows, and the sector before it reads as zeros
     Then reading ends with code 703, and the next start finds no journal
+
+  Scenario: A seed that restarts before its group has formed still forms it
+    Given a seed that has started for the first time
+    When it is killed and started again
+    Then it is the same replica, and it may form the group
+
+  Scenario: A seed that restarts after its group has formed forms no other
+    Given a seed that has started for the first time
+    When its group forms, and it is killed and started again
+    Then it is the same replica, and it may not form a group
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -14,14 +14,19 @@
 
 from daisygw.contracts import JournalError
 from daisygw.links import journal_files
+from daisygw.nodes import NodeSettings
+from daisygw.nodes._replica_store import open_replica
 from daisygw.zones import (
+    FormGroup,
     LogEntry,
     Members,
     Persist,
     Replica,
     SnapshotTaken,
     Timing,
+    drain,
     last_index,
+    receive,
     restore_replica,
 )
 from standins.cell import (
@@ -341,3 +346,54 @@
     content, start = _save_more(context, count)
     number = start // _SECTOR_BYTES - 1
     context.log.write_bytes(_without_sector(content, number, 0))
+
+
+def _open_seed(context):
+    """Open the replica of a seed whose settings are still those of the boot."""
+    place = context.folder
+    seeds = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+    cfg = NodeSettings('n', seeds[0], 'zone', 1, seeds, True, place, 4, 10)
+    replica, context.journal = open_replica(cfg)
+    return replica
+
+
+@given('a seed that has started for the first time')
+def start_seed(context):
+    """Create its journal."""
+    context.folder = use_fixture(folder, context)
+    context.replica = _open_seed(context)
+    assert context.replica.voter_hosts
+
+
+@when('it is killed and started again')
+def restart_seed(context):
+    """Open the journal that it left."""
+    journal_files.close(context.journal)
+    context.name = context.replica.name
+    context.replica = _open_seed(context)
+
+
+@when('its group forms, and it is killed and started again')
+def form_and_restart(context):
+    """Save what the replica makes durable when the group forms."""
+    replica = context.replica
+    members = Members((replica.name, '10.0.0.2#1', '10.0.0.3#1'))
+    receive(replica, FormGroup(replica.group, 'b', replica.name, members), 1)
+    persist = next(one for one in drain(replica) if isinstance(one, Persist))
+    journal_files.save(context.journal, persist)
+    restart_seed(context)
+
+
+@then('it is the same replica, and it may form the group')
+def check_may_form(context):
+    """Expect its voter hosts."""
+    assert context.replica.name == context.name
+    assert len(context.replica.voter_hosts) == 3
+
+
+@then('it is the same replica, and it may not form a group')
+def check_may_not_form(context):
+    """Expect no voter hosts, but the members of its group."""
+    assert context.replica.name == context.name
+    assert not context.replica.voter_hosts
+    assert len(context.replica.members.voters) == 3
