--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -18,6 +18,7 @@
     StepState,
     TargetState,
     apply,
+    queue_of,
     step_of,
 )
 from daisygw.contracts import (
@@ -48,6 +49,9 @@
 START_SEND_TIMEOUT_S = 1.0
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
+# Bits of a request's number that are below the leader's term, so that the
+# terms of a process never share a number.
+_SEQ_BITS = 32
 # Upper bound of a job's age; a larger value comes from a clock that jumped.
 _MAX_JOB_AGE_S = 60.0
 
@@ -98,7 +102,8 @@
     Times are on the leader's clock (s), except ``deadline``, which is on the
     target's clock (ms): the target refuses a copy that arrives later.
     ``answered`` is when the target was first known to have the run (inf: not
-    yet), ``unanswered`` the number of start orders without an answer.
+    yet), ``unanswered`` the number of start orders without an answer, and
+    ``checkpoint`` names the newest checkpoint that the target has listed.
     """
 
     def __init__(
@@ -112,6 +117,7 @@
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
+        self.checkpoint = ''
         self.stop_due = float('inf')
         self.stop_confirmed_at = float('inf')
 
@@ -217,7 +223,7 @@
         self.run_times: dict[StepKey, list[float]] = {}
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
-        self.seq_numbers = itertools.count(1)
+        self.seq_numbers = itertools.count(term << _SEQ_BITS)
         self.repeating: set[str] = set()
         self.changed = True
         self.scan_due = now
@@ -278,18 +284,6 @@
     return records, outgoing
 
 
-def queue_of(lead: CellLeader, job: CellJob) -> Queue | None:
-    """Return the queue that accepted a job, if it is still configured."""
-    cfg = lead.cell.cfg
-    for queue in cfg.queues if cfg else ():
-        if (queue.host, queue.prefix) == (
-            job.enqueued.host,
-            job.enqueued.prefix,
-        ):
-            return queue
-    return None
-
-
 def accepted_at(lead: CellLeader, job: CellJob) -> float:
     """Return when a job was accepted, on the leader's clock (s)."""
     age = min(max(lead.wall - job.enqueued.at, 0), _MAX_JOB_AGE_S)
@@ -347,7 +341,7 @@
 
 def enqueue_job(lead: CellLeader, job: CellJob) -> None:
     """Queue the ready steps of a job for placement."""
-    queue = queue_of(lead, job)
+    queue = queue_of(lead.cell, job)
     if queue is None:
         return
     if job.spec.repeats:
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -5,7 +5,13 @@
 
 from dataclasses import dataclass
 
-from daisygw.contracts._jobs import CellConfig, JobSpec, RunEnd, StepKey
+from daisygw.contracts._jobs import (
+    CellConfig,
+    JobSpec,
+    Queue,
+    RunEnd,
+    StepKey,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +21,13 @@
     cfg: CellConfig
 
 
+@dataclass(frozen=True, slots=True)
+class QueueRetained:
+    """In a snapshot: a queue that is no longer configured but has jobs."""
+
+    queue: Queue
+
+
 @dataclass(frozen=True, slots=True)
 class JobEnqueued:
     """The queue at ``host`` and ``prefix`` accepted a job at time ``at``."""
@@ -94,7 +107,8 @@
     ``done`` holds the indexes of completed tasks, ``numbers`` pairs of index
     and newest run number, ``failures`` pairs of index (-1 for the whole gang)
     and failure count, and ``checkpoint`` pairs of index and newest checkpoint.
-    ``failed`` tells whether the job has failed.
+    ``failed`` tells whether the job has failed, and ``failed_run`` is the
+    number of a gang's newest failed run.
     """
 
     step: StepKey
@@ -104,3 +118,4 @@
     checkpoint: tuple[tuple[int, str], ...]
     rows: tuple[tuple[int, int, str], ...]
     failed: bool = False
+    failed_run: int = 0
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -66,6 +66,7 @@
     Role,
     host_of,
     last_index,
+    member_hosts,
     receive,
     tick,
     transfer_leadership,
@@ -251,12 +252,10 @@
     leader = host_of(replica.leader)
     if leads(node.group) and node.stopping:
         leader = ''
-    members = replica.members
-    hosts = {host_of(name) for name in (*members.voters, *members.learners)}
-    for host in sorted(hosts - {node.cfg.host}):
-        connect_to_hosts(node.peers, (host,))
+    hosts = member_hosts(replica.members)
+    connect_to_hosts(node.peers, hosts)
     replica.contacts.update(hosts)
-    scheduler_list = SchedulerList(tuple(sorted(hosts)), leader, replica.term)
+    scheduler_list = SchedulerList(hosts, leader, replica.term)
     if scheduler_list == node.scheduler_list:
         return
     node.scheduler_list = scheduler_list
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -23,6 +23,12 @@
     learners: tuple[str, ...] = ()
 
 
+def member_hosts(members: Members) -> tuple[str, ...]:
+    """Return the hosts of all members."""
+    names = (*members.voters, *members.learners)
+    return tuple(sorted({host_of(name) for name in names}))
+
+
 @dataclass(frozen=True, slots=True)
 class LogEntry:
     """One log entry: encoded records in ``body``, or a membership change."""
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -4,6 +4,7 @@
     When a cell runs with random faults from seed <seed>
     Then no task ran twice, out of order, over its attempts or over capacity
     And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
 
     Examples:
       | seed |
@@ -20,6 +21,7 @@
     When a cell with leases of 10 s runs with random faults from seed <seed>
     Then no task ran twice, out of order, over its attempts or over capacity
     And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
 
     Examples:
       | seed |
@@ -112,3 +114,32 @@
     Given a cell of one target
     When a job of 3 tasks is submitted and all orders of the leader are lost for a second
     Then each of its tasks ran once
+
+  Scenario Outline: An accepted job ends although its queue is removed, <case>
+    Given a cell of one target
+    When the queue of a job of two steps is removed while its first step runs
+    And <case>
+    Then both steps of the job are completed, and its queue accepts no other
+
+    Examples:
+      | case                      |
+      | the leader stays          |
+      | the leader changes        |
+      | the leader changes twice  |
+
+  Scenario: A checkpoint that a target lists is used after the target is lost
+    Given a cell of one target
+    When a gang that saves checkpoints loses its target and another one joins
+    Then its next run starts from the checkpoint that was listed last
+    And a replica that applied the log has the leader's state
+
+  Scenario: A gang resumes from the checkpoint of the member that ended last
+    Given a cell of one target
+    When one member of a gang ends with a newer checkpoint than a lost one
+    Then its next run starts from the newer checkpoint
+    And a replica that applied the log has the leader's state
+
+  Scenario: Advice that an earlier leader asked for denies nothing to the next
+    Given a cell of one target
+    When the leader changes during a call, whose answer reaches the next leader
+    Then each of its tasks ran
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -74,3 +74,30 @@
     And it pauses, and late acknowledgements of its peers commit the turn
     Then the request was sent and the response was not
     And the response is sent once the peers answer its heartbeat
+
+  Scenario: A host that lost its disk votes again although no seed leads
+    Given an open group of five hosts, led by one that is not a seed
+    When a seed loses its disk and comes back
+    Then it votes again 4 seconds later, and its lost replica does not
+
+  Scenario: While a host is replaced, it and another one may be lost
+    Given an open group of five hosts
+    When a host loses its disk, comes back and votes again
+    Then at no time would the loss of it and another host have left no majority
+
+  Scenario: Parts of two snapshots are never joined
+    Given a leader that sends its snapshot in 3 parts to a peer
+    When it takes a newer snapshot before the second part is acknowledged
+    Then the peer installs the newer snapshot, whole
+
+  Scenario: A leader whose lease has run out answers nothing
+    Given a group with a disk whose leader has decided a record
+    When it runs its turn with both peers answering
+    And its turn is committed, and it is asked once its lease has run out
+    Then it answers only after its peers have answered a heartbeat
+
+  Scenario: A learner does not vote before it has the committed entries
+    Given an open group of five hosts
+    When a host loses its disk and comes back, and gets no entries for 5 seconds
+    Then it does not vote, and its lost replica is still a voter
+    And it votes again 4 seconds after it gets entries
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -5,9 +5,11 @@
 from behave import given, then, when
 
 from daisygw.zones import (
+    Append,
     Persist,
     Replica,
     Role,
+    SnapshotPart,
     Timing,
     drain,
     entries_from,
@@ -31,6 +33,7 @@
         self.now = 0.0
         self.replicas = {}
         self.cut = set()
+        self.without_entries = set()
         self.queue = deque()
 
 
@@ -65,11 +68,20 @@
         while hosts.queue:
             host, message = hosts.queue.popleft()
             to = hosts.replicas.get(host_of(message.to))
-            cut = host in hosts.cut or host_of(message.to) in hosts.cut
-            if to and not cut:
+            if to and not _is_dropped(hosts, host, message):
                 receive(to, message, hosts.now)
 
 
+def _is_dropped(hosts, sender, message):
+    ends = {sender, host_of(message.to)}
+    has_entries = isinstance(message, SnapshotPart) or (
+        isinstance(message, Append) and bool(message.entries)
+    )
+    return bool(ends & hosts.cut) or (
+        has_entries and host_of(message.to) in hosts.without_entries
+    )
+
+
 def _current_leader(hosts):
     leaders = [
         one
@@ -226,3 +238,115 @@
     assert context.host in {host_of(one) for one in names}, members
     replica = context.hosts.replicas[context.host]
     assert replica.commit == leader.commit
+
+
+@given('an open group of five hosts')
+def open_group_with_two_more(context):
+    """Let two hosts join the seeds."""
+    context.hosts = _form_group((*_SEEDS, 'd', 'e'))
+    assert len(_current_leader(context.hosts).members.voters) == 5
+
+
+@given('an open group of five hosts, led by one that is not a seed')
+def led_by_other(context):
+    """Cut leaders off until another host than a seed leads."""
+    open_group_with_two_more(context)
+    hosts = context.hosts
+    while host_of(_current_leader(hosts).name) not in {'d', 'e'}:
+        hosts.cut = {host_of(_current_leader(hosts).name)}
+        _pass_time(hosts, 3)
+        hosts.cut = set()
+        _pass_time(hosts, 3)
+
+
+@when('a seed loses its disk and comes back')
+def wipe_seed(context):
+    """Restart it as a new replica that knows the seeds only."""
+    hosts = context.hosts
+    hosts.replicas.pop('b')
+    _pass_time(hosts, 1)
+    _add_replica(hosts, 'b', 2, ())
+
+
+@then('it votes again {seconds:d} seconds later, and its lost replica does not')
+def check_votes_again(context, seconds):
+    """Read the voters that the leader knows."""
+    _pass_time(context.hosts, seconds)
+    voters = _current_leader(context.hosts).members.voters
+    assert len(voters) == 5, voters
+    assert 'b#2' in voters, voters
+
+
+@when('a host loses its disk, comes back and votes again')
+def replace_voter(context):
+    """Check after each tick which hosts could be lost."""
+    hosts = context.hosts
+    host = _follower_host(hosts)
+    hosts.replicas.pop(host)
+    _pass_time(hosts, 1)
+    _add_replica(hosts, host, 2, ())
+    context.fatal_losses = []
+    for _ in range(200):
+        _pass_time(hosts, TICK_S)
+        context.fatal_losses += _fatal_losses(hosts, host)
+    voters = _current_leader(hosts).members.voters
+    assert len(voters) == 5, voters
+    assert f'{host}#2' in voters, voters
+
+
+def _fatal_losses(hosts, lost):
+    """Return other hosts whose loss would leave some replica no majority."""
+    return [
+        (other, replica.name, replica.members.voters)
+        for other in set(hosts.replicas) - {lost}
+        for host, replica in hosts.replicas.items()
+        if host not in {lost, other}
+        and not _have_majority(set(hosts.replicas) - {lost, other}, replica)
+    ]
+
+
+def _have_majority(left, replica):
+    voters = replica.members.voters
+    return 2 * sum(host_of(name) in left for name in voters) > len(voters)
+
+
+@then(
+    'at no time would the loss of it and another host have left no majority',
+)
+def check_majority_left(context):
+    """Expect no replica with too few of its voters left."""
+    assert not context.fatal_losses, context.fatal_losses[0]
+
+
+@when(
+    'a host loses its disk and comes back, and gets no entries for '
+    '{seconds:d} seconds',
+)
+def wipe_without_entries(context, seconds):
+    """Deliver only heartbeats to the new replica."""
+    hosts = context.hosts
+    context.host = _follower_host(hosts)
+    hosts.replicas.pop(context.host)
+    _pass_time(hosts, 1)
+    hosts.without_entries.add(context.host)
+    _add_replica(hosts, context.host, 2, ())
+    _pass_time(hosts, seconds)
+
+
+@then('it does not vote, and its lost replica is still a voter')
+def check_not_replaced(context):
+    """Read the members that the leader knows."""
+    members = _current_leader(context.hosts).members
+    assert members.learners == (f'{context.host}#2',), members
+    assert f'{context.host}#1' in members.voters, members
+
+
+@then('it votes again {seconds:d} seconds after it gets entries')
+def check_replaced(context, seconds):
+    """Deliver all messages from now on."""
+    hosts = context.hosts
+    hosts.without_entries.clear()
+    _pass_time(hosts, seconds)
+    voters = _current_leader(hosts).members.voters
+    assert len(voters) == 5, voters
+    assert f'{context.host}#2' in voters, voters
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -1,17 +1,34 @@
 """Steps that write, damage and read back a journal's files."""
 
+import os
 import resource
 import subprocess  # noqa: S404  a scheduler under a limit on file size
 import sys
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from types import MappingProxyType
+from unittest import mock
 
 from behave import fixture, given, then, use_fixture, when
 
 from daisygw.contracts import JournalError
 from daisygw.links import journal_files
-from daisygw.zones import LogEntry, Members, Persist, SnapshotTaken
+from daisygw.nodes import NodeSettings
+from daisygw.nodes._replica_store import open_replica
+from daisygw.zones import (
+    FormGroup,
+    LogEntry,
+    Members,
+    Persist,
+    Replica,
+    SnapshotTaken,
+    Timing,
+    drain,
+    last_index,
+    receive,
+    restore_replica,
+)
 from standins.cell import (
     LOOPBACK,
     CellPlan,
@@ -24,6 +41,7 @@
 _MEMBERS = Members(('a#1', 'b#1', 't#1'))
 _BODY = b'x' * 50
 _DISK_FULL_TIMEOUT_S = 60
+_SECTOR_BYTES = 512
 
 
 @fixture
@@ -178,3 +196,204 @@
     """Check that the process stopped when it could not write its journal."""
     assert context.done.returncode == 1, context.done
     assert f'"code": {code}' in context.done.stderr.decode(), context.done
+
+
+@when(
+    'the entries from {first:d} on are replaced by {count:d} others, all '
+    'committed, and the save is torn at any byte',
+)
+def tear_replacement(context, first, count):
+    """Restore a replica from each beginning of the save."""
+    context.first = first
+    before = context.log.read_bytes()
+    last = first + count - 1
+    others = _entries(first, last, 4)
+    persist = Persist(4, 'b#1', _MEMBERS, others, first, commit=last)
+    journal_files.save(context.journal, persist)
+    after = context.log.read_bytes()
+    context.replicas = []
+    for end in range(len(before), len(after) + 1):
+        context.log.write_bytes(after[:end])
+        replica = Replica('g', 'a#1', (), Timing(), 1)
+        restore_replica(replica, _load(context), 0)
+        context.replicas.append(replica)
+
+
+@then(
+    'no restored replica has an entry of the old term among its committed ones',
+)
+def check_committed(context):
+    """Compare the terms of the committed entries."""
+    for replica in context.replicas:
+        committed = replica.log[: replica.commit]
+        replaced = [
+            entry
+            for entry in committed
+            if entry.index >= context.first and entry.term == 3
+        ]
+        assert not replaced, (replica.commit, replaced)
+    assert replica.commit == last_index(replica)
+
+
+@when(
+    'its last save was torn, it is opened, and the next save is torn at any '
+    'byte',
+)
+def tear_twice(context):
+    """Lay each beginning of the next save over the bytes that were synced."""
+    context.log.write_bytes(context.log.read_bytes()[:-3])
+    synced = [context.log.read_bytes()]
+
+    def sync(descriptor):
+        synced.append(context.log.read_bytes())
+
+    with (
+        mock.patch.object(os, 'fsync', sync),
+        mock.patch.object(os, 'fdatasync', sync),
+    ):
+        journal, _ = journal_files.load(context.folder)
+        at_open = synced[-1]
+        start = journal.end
+        others = _entries(20, 30)
+        journal_files.save(journal, Persist(3, 'b#1', _MEMBERS, others))
+    journal_files.close(journal)
+    written = context.log.read_bytes()[start:]
+    context.read = []
+    for end in range(len(written) + 1):
+        rest = at_open[start + end :]
+        context.log.write_bytes(at_open[:start] + written[:end] + rest)
+        context.read.append(len(_load(context).entries))
+
+
+@then('{least:d} entries or more are read again each time')
+def check_read_each_time(context, least):
+    """Expect the entries of the complete saves."""
+    assert min(context.read) >= least, min(context.read)
+
+
+def _record_syncs(context, work):
+    """Store the paths that were synced during some work, in order."""
+    context.synced = []
+
+    def sync(descriptor):
+        path = Path(f'/proc/self/fd/{descriptor}').readlink()
+        context.synced.append(path)
+
+    with mock.patch.object(os, 'fsync', sync):
+        work()
+
+
+@when('another journal is created')
+def create_another(context):
+    """Create it beside the first one."""
+    folder = context.folder.with_name('another')
+    _record_syncs(context, lambda: journal_files.create(folder, 'a#2'))
+
+
+@when('a damaged journal is set aside')
+def set_aside(context):
+    """Flip a bit, and load the journal."""
+    flip(context, 'in the middle')
+
+    def load():
+        with suppress(JournalError):
+            _load(context)
+
+    _record_syncs(context, load)
+
+
+@then('the folder that holds it was synced after that')
+def check_parent_synced(context):
+    """Look for the parent folder among the synced paths."""
+    assert context.folder.parent in context.synced, context.synced
+
+
+def _save_more(context, count):
+    """Save entries; return the bytes of the log and where the save begins."""
+    start = context.journal.end
+    more = _entries(21, 20 + count)
+    journal_files.save(context.journal, Persist(3, 'b#1', _MEMBERS, more))
+    return context.log.read_bytes(), start
+
+
+def _without_sector(content, number, start):
+    """Return a log whose bytes of one sector read as zeros from a position."""
+    first = max(number * _SECTOR_BYTES, start)
+    last = min((number + 1) * _SECTOR_BYTES, len(content))
+    return content[:first] + bytes(last - first) + content[last:]
+
+
+@when(
+    'a save of {count:d} entries follows, and any of its sectors reads as '
+    'zeros',
+)
+def lose_sector_of_save(context, count):
+    """Load the journal without each of the sectors of the save in turn."""
+    content, start = _save_more(context, count)
+    context.read = []
+    for number in range(start // _SECTOR_BYTES, len(content) // _SECTOR_BYTES):
+        context.log.write_bytes(_without_sector(content, number, start))
+        context.read.append(len(_load(context).entries))
+    assert len(context.read) > 10
+
+
+@when(
+    'a save of {count:d} entries follows, and the sector before it reads as '
+    'zeros',
+)
+def lose_sector_before(context, count):
+    """Replace a whole sector of the earlier saves."""
+    content, start = _save_more(context, count)
+    number = start // _SECTOR_BYTES - 1
+    context.log.write_bytes(_without_sector(content, number, 0))
+
+
+def _open_seed(context):
+    """Open the replica of a seed whose settings are still those of the boot."""
+    place = context.folder
+    seeds = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+    cfg = NodeSettings('n', seeds[0], 'zone', 1, seeds, True, place, 4, 10)
+    replica, context.journal = open_replica(cfg)
+    return replica
+
+
+@given('a seed that has started for the first time')
+def start_seed(context):
+    """Create its journal."""
+    context.folder = use_fixture(folder, context)
+    context.replica = _open_seed(context)
+    assert context.replica.voter_hosts
+
+
+@when('it is killed and started again')
+def restart_seed(context):
+    """Open the journal that it left."""
+    journal_files.close(context.journal)
+    context.name = context.replica.name
+    context.replica = _open_seed(context)
+
+
+@when('its group forms, and it is killed and started again')
+def form_and_restart(context):
+    """Save what the replica makes durable when the group forms."""
+    replica = context.replica
+    members = Members((replica.name, '10.0.0.2#1', '10.0.0.3#1'))
+    receive(replica, FormGroup(replica.group, 'b', replica.name, members), 1)
+    persist = next(one for one in drain(replica) if isinstance(one, Persist))
+    journal_files.save(context.journal, persist)
+    restart_seed(context)
+
+
+@then('it is the same replica, and it may form the group')
+def check_may_form(context):
+    """Expect its voter hosts."""
+    assert context.replica.name == context.name
+    assert len(context.replica.voter_hosts) == 3
+
+
+@then('it is the same replica, and it may not form a group')
+def check_may_not_form(context):
+    """Expect no voter hosts, but the members of its group."""
+    assert context.replica.name == context.name
+    assert not context.replica.voter_hosts
+    assert len(context.replica.members.voters) == 3
