Log steps that wait long and starts that stay unconfirmed

A step that waits writes nothing between two lines of advice, and one that is never looked at, that lacks room, approvals or valid tickets looks the same.

`step waits` is written when a step has waited 3 s, and again each time the wait has doubled: tasks that wait, usable targets, room on them, room on approved ones, valid tickets, denied targets and open calls. `placed` has `waited_s`, and the gauge daisygw_longest_step_wait_seconds gives the longest wait. At most one line per waiting step and doubling.

Two scenarios read the lines; both fail before, as the events did not exist. No decision changes.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -33,6 +33,7 @@
 from daisygw.cell._state import Cell, Run, TargetState, apply, snapshot
 from daisygw.cell._targets import on_target_report
 from daisygw.cell._timeouts import advance_clock
+from daisygw.cell._waits import longest_wait
 
 __all__ = (
     'LOCAL_PROCESS',
@@ -53,6 +54,7 @@
     'enqueue_job',
     'purge_old_jobs',
     'lease_for',
+    'longest_wait',
     'next_renewal',
     'on_advice',
     'on_config_request',
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -46,6 +46,9 @@
 # An unsent start is emitted again after this time: it was lost before it was
 # sent, for example by a pause of the process.  A commit takes far less.
 START_SEND_TIMEOUT_S = 1.0
+# A start that is not confirmed, or a step that waits, for this long is logged;
+# a step again each time that its wait has doubled.
+LONG_WAIT_S = 3.0
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
 # Upper bound of a job's age; a larger value comes from a clock that jumped.
@@ -109,6 +112,7 @@
         self.at = at
         self.start = start
         self.start_due = at + START_SEND_TIMEOUT_S if start else float('inf')
+        self.report_due = at + LONG_WAIT_S if start else float('inf')
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
@@ -150,6 +154,8 @@
     """A step with tasks to start; ``due`` is the latest start in time (s).
 
     ``avoid`` maps the index of a task to the targets on which it failed.
+    ``since`` is when it began to wait, or when some of its tasks were placed
+    last; its wait is logged once it is ``next_report`` long (s).
     """
 
     def __init__(
@@ -158,6 +164,7 @@
         state: StepState,
         queue: Queue,
         times: tuple[float, float],
+        since: float,
     ) -> None:
         """Queue a step; ``times`` are ``due`` and ``worthless_at`` (s).
 
@@ -167,6 +174,8 @@
         self.state = state
         self.queue = queue
         self.due, self.worthless_at = times
+        self.since = since
+        self.next_report = LONG_WAIT_S
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
@@ -356,7 +365,7 @@
             continue
         if is_ready(lead, job, state):
             times = _latest_starts(lead, job, queue, key.step)
-            lead.waiting[key] = WaitingStep(job, state, queue, times)
+            lead.waiting[key] = WaitingStep(job, state, queue, times, lead.now)
             lead.changed = True
 
 
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -23,6 +23,7 @@
 )
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
+    LONG_WAIT_S,
     CellLeader,
     OutstandingOrder,
     StartOrder,
@@ -185,7 +186,10 @@
         rows=placed,
         age_s=round(lead.wall - waiting.job.enqueued.at, 3),
         slack_s=round(waiting.due - lead.now, 3),
+        waited_s=round(lead.now - waiting.since, 3),
     )
+    waiting.since = lead.now
+    waiting.next_report = LONG_WAIT_S
     for index, _, key in placed:
         _order_start(lead, waiting, index, key)
         free_capacity.free[key] = free_capacity.targets[key].free
--- a/daisygw/cell/_timeouts.py
+++ b/daisygw/cell/_timeouts.py
@@ -11,6 +11,7 @@
 from daisygw.cell._starts import STOP_RETRY_S
 from daisygw.cell._state import TargetState
 from daisygw.cell._targets import end_instance, lose_runs
+from daisygw.cell._waits import report_long_waits
 from daisygw.machines import LeaseState
 
 # Interval of placement passes without any change: tickets expire, targets
@@ -29,6 +30,7 @@
         lead.scan_due = now + SCAN_INTERVAL_S
         lead.changed = True
         enqueue_due(lead)
+        report_long_waits(lead)
     for outstanding in list(lead.orders.values()):
         if now >= outstanding.stop_due:
             outstanding.stop_due = now + STOP_RETRY_S
--- /dev/null
+++ b/daisygw/cell/_waits.py
@@ -0,0 +1,84 @@
+"""Log lines about steps that wait long for a start, and what they lack."""
+
+from daisygw.cell._capacity import (
+    FreeCapacity,
+    fitting_tasks,
+    suitable_targets,
+)
+from daisygw.cell._leader import (
+    Approval,
+    CellLeader,
+    OutstandingOrder,
+    WaitingStep,
+    pending_indexes,
+)
+
+
+def longest_wait(lead: CellLeader) -> float:
+    """Return how long the waiting step that waits longest has waited (s)."""
+    return max(
+        (lead.now - waiting.since for waiting in lead.waiting.values()),
+        default=0,
+    )
+
+
+def report_long_waits(lead: CellLeader) -> None:
+    """Log the steps, and the unanswered starts, that have waited long."""
+    for outstanding in lead.orders.values():
+        if lead.now >= outstanding.report_due:
+            outstanding.report_due = float('inf')
+            _report_start(lead, outstanding)
+    overdue = [
+        waiting
+        for waiting in lead.waiting.values()
+        if lead.now - waiting.since >= waiting.next_report
+    ]
+    if not overdue:
+        return
+    free_capacity = FreeCapacity(lead)
+    for waiting in overdue:
+        waiting.next_report = 2 * (lead.now - waiting.since)
+        _report_wait(lead, free_capacity, waiting)
+
+
+def _report_start(lead: CellLeader, outstanding: OutstandingOrder) -> None:
+    """Log a start that its target has not confirmed, unless it has."""
+    if outstanding.answered < float('inf'):
+        return
+    run = outstanding.run
+    lead.log_event(
+        'start unconfirmed',
+        id=run.step.job,
+        step=run.step.step,
+        index=run.index,
+        run=run.number,
+        target=run.instance,
+        unanswered=outstanding.unanswered,
+        stopping=outstanding.stop_due < float('inf'),
+    )
+
+
+def _report_wait(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> None:
+    key = waiting.state.key
+    approval = lead.approvals.get(key) or Approval()
+    fitting = {
+        target.key: fitting_tasks(free_capacity, waiting, target.key)
+        for target in suitable_targets(lead, free_capacity, waiting)
+    }
+    lead.log_event(
+        'step waits',
+        id=key.job,
+        step=key.step,
+        tasks=len(pending_indexes(waiting.state)),
+        runs=len(waiting.state.runs),
+        waited_s=round(lead.now - waiting.since, 3),
+        slack_s=round(waiting.due - lead.now, 3),
+        targets=len(free_capacity.targets),
+        room=sum(fitting.values()),
+        approved_room=sum(fitting.get(name, 0) for name in approval.tickets),
+        tickets=sum(until > lead.now for _, until in approval.tickets.values()),
+        denied=len(approval.denied),
+        calls=approval.calls,
+    )
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -15,6 +15,7 @@
 from daisygw.cell import (
     LOCAL_PROCESS,
     advance_clock,
+    longest_wait,
     on_advice,
     on_config_request,
     on_job_request,
@@ -139,6 +140,11 @@
         ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
         ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
         ('steps_waiting', 'Steps that wait', lambda: _waiting_steps(node)),
+        (
+            'longest_step_wait_seconds',
+            'Longest wait of a step for a start',
+            lambda: _longest_wait(node),
+        ),
         ('sync_seconds', 'Mean time of a sync', lambda: _sync_time(node)),
         ('sessions', 'Links to this process', lambda: len(node.sessions)),
     )
@@ -155,6 +161,10 @@
     return len(node.state.lead.waiting) if node.state.lead else 0
 
 
+def _longest_wait(node: SchedulerNode) -> float:
+    return longest_wait(node.state.lead) if node.state.lead else 0
+
+
 def _sync_time(node: SchedulerNode) -> float:
     journal = node.group.journal
     return journal.sync_time if journal else 0
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -16,6 +16,7 @@
     Cell,
     CellLeader,
     EndsCommitted,
+    LogEvent,
     OrderOutcome,
     Probe,
     Run,
@@ -107,7 +108,7 @@
         self.cancelled: dict[str, float] = {}
         self.failing: dict[tuple, int] = defaultdict(int)
         self.next_renewals: dict[str, float] = {}
-        self.log: list[Any] = []
+        self.log: list[LogEvent] = []
         start_leading(self.lead)
         configure(self, 1)
         for number in range(targets):
@@ -430,6 +431,8 @@
                 acknowledge_ends(world.lead, message)
             case Probe():
                 _renew_lease(world, message.instance)
+            case LogEvent():
+                world.log.append(message)
             case CellResponse() if outgoing.entry != LOCAL_PROCESS:
                 world.responses[message.seq] = message
 
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -112,3 +112,13 @@
     Given a cell of one target
     When a job of 3 tasks is submitted and all orders of the leader are lost for a second
     Then each of its tasks ran once
+
+  Scenario: A step that waits long is logged with what it lacks
+    Given a cell of 6 targets
+    When a gang of 9 tasks is submitted, and 8 fit on its approved targets
+    Then 7 s later it was logged twice, with room for 8 of 9 tasks
+
+  Scenario: A start that stays unconfirmed is logged
+    Given a cell of one target that is cut off
+    When a job of 1 tasks is submitted and its first starts stay unanswered
+    Then 3 s later its start was logged as unconfirmed, once
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -400,3 +400,45 @@
     submit(world, _job(1, count))
     world.drops_output_until = world.now + 1
     run_for(world, 30)
+
+
+@given('a cell of {count:d} targets')
+def cell_of_targets(context, count):
+    """Start a cell whose targets have reported."""
+    context.world = World(1, targets=count)
+    run_for(context.world, 1)
+
+
+def _logged(world, event):
+    return [dict(row.fields) for row in world.log if row.event == event]
+
+
+@when(
+    'a gang of {count:d} tasks is submitted, and {fitting:d} fit on its '
+    'approved targets'
+)
+def submit_unplaceable(context, count, fitting):
+    """Submit a gang for which four of the six targets are approved."""
+    size = Size(cell_world.WORKER_CPUS * 4 // fitting, 100, 0, 0)
+    submit(context.world, _job(1, count, size=size, gang=True, estimate=30))
+
+
+@then(
+    '{seconds:d} s later it was logged twice, with room for {room:d} of '
+    '{count:d} tasks'
+)
+def check_wait_logged(context, seconds, room, count):
+    """Read the lines about the step's wait."""
+    run_for(context.world, seconds)
+    rows = _logged(context.world, 'step waits')
+    assert [round(row['waited_s']) for row in rows] == [3, 6], rows
+    for row in rows:
+        assert (row['approved_room'], row['tasks']) == (room, count), row
+
+
+@then('{seconds:d} s later its start was logged as unconfirmed, once')
+def check_unconfirmed_logged(context, seconds):
+    """Read the lines about the run, whose lease has not expired yet."""
+    run_for(context.world, seconds)
+    (row,) = _logged(context.world, 'start unconfirmed')
+    assert row['unanswered'] > 1, row
