Give steps behind the 64 most urgent ones their turn

What callers could see: an accepted job stands still beside free capacity while 64 more urgent steps cannot start.

Cause: a placement pass considered the first 64 waiting steps in placement order and nothing else, whether or not these could start. A step that lacks approvals, room or an answer of the advisor stays among the first until it is late, and then comes back into the next class, so the 65th never had a turn.

Evidence: 64 gangs for which the advisor approves too few targets, and a job of one task that fits: on the code before it starts after 61.5 s on the simulated clock, when the gangs' latest start has passed.

Now each pass considers 16 of the others too, those first whose last turn is longest ago. They ask for advice while their queue has under 64 calls open, which was the bound before. They reserve nothing.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -155,7 +155,8 @@
 
     ``avoid`` maps the index of a task to the targets on which it failed.
     ``since`` is when it began to wait, or when some of its tasks were placed
-    last; its wait is logged once it is ``next_report`` long (s).
+    last; its wait is logged once it is ``next_report`` long (s).  ``last_turn``
+    is when it was last considered behind more urgent steps (s).
     """
 
     def __init__(
@@ -176,6 +177,7 @@
         self.due, self.worthless_at = times
         self.since = since
         self.next_report = LONG_WAIT_S
+        self.last_turn = float('-inf')
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -6,9 +6,11 @@
 taking them.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 from functools import partial
 from heapq import nsmallest
+from operator import attrgetter
 
 from daisygw.cell._advice import (
     may_request_approvals,
@@ -35,9 +37,12 @@
 
 # Share of all targets that waiting gangs may reserve.
 MAX_RESERVED_SHARE = 0.6
-# Most steps considered in one pass; the others, which come last in the
-# placement order, wait for the next pass.
+# The steps that come first in the placement order are considered in every
+# pass, up to this number.
 MAX_STEPS_PER_PASS = 64
+# Of the other steps this many are considered in a pass, in turn: those before
+# them may be unable to start for a long time.
+TURNS_PER_PASS = 16
 
 
 def order_key(waiting: WaitingStep, now: float) -> tuple[int, float]:
@@ -56,12 +61,44 @@
     lead.changed = False
     free_capacity = FreeCapacity(lead)
     by_urgency = partial(order_key, now=lead.now)
-    for waiting in nsmallest(
+    urgent = nsmallest(
         MAX_STEPS_PER_PASS, lead.waiting.values(), key=by_urgency
-    ):
+    )
+    others = _take_turns(lead, urgent)
+    for waiting in urgent:
         placed = _place_step(lead, free_capacity, waiting)
         if waiting.state.step.gang and not placed:
             _reserve_for_gang(lead, free_capacity, waiting)
+    for waiting in others:
+        _place_step(lead, free_capacity, waiting)
+
+
+def _take_turns(
+    lead: CellLeader, urgent: list[WaitingStep]
+) -> list[WaitingStep]:
+    """Return the steps behind the urgent ones that have their turn now.
+
+    They must not delay the advisor's answers about the urgent steps, so those
+    of a queue with many open calls are left out.
+    """
+    if len(urgent) == len(lead.waiting):
+        return []
+    first = {waiting.state.key for waiting in urgent}
+    open_calls = Counter(
+        lead.waiting[key].queue.name
+        for key, _, _ in lead.pending_advice.values()
+        if key in lead.waiting
+    )
+    others = [
+        waiting
+        for key, waiting in lead.waiting.items()
+        if key not in first
+        and open_calls[waiting.queue.name] < MAX_STEPS_PER_PASS
+    ]
+    turns = nsmallest(TURNS_PER_PASS, others, key=attrgetter('last_turn'))
+    for waiting in turns:
+        waiting.last_turn = lead.now
+    return turns
 
 
 def _place_step(
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -122,3 +122,15 @@
     Given a cell of one target that is cut off
     When a job of 1 tasks is submitted and its first starts stay unanswered
     Then 3 s later its start was logged as unconfirmed, once
+
+  Scenario: A step that fits starts behind 64 more urgent ones that do not
+    Given a cell of 6 targets
+    When 64 gangs wait that do not fit on their approved targets
+    And a less urgent job of 1 tasks is submitted
+    Then the less urgent job starts within 1 s
+
+  Scenario: More steps than one placement pass looks at all get their turn
+    Given a cell of 6 targets
+    When 64 gangs wait that do not fit on their approved targets
+    And 60 less urgent jobs are submitted
+    Then all less urgent jobs start within 3 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -442,3 +442,41 @@
     run_for(context.world, seconds)
     (row,) = _logged(context.world, 'start unconfirmed')
     assert row['unanswered'] > 1, row
+
+
+@when('{count:d} gangs wait that do not fit on their approved targets')
+def submit_unplaceable_gangs(context, count):
+    """Submit gangs for which too few of the targets are approved."""
+    size = Size(cell_world.WORKER_CPUS // 2, 100, 0, 0)
+    for number in range(count):
+        gang = _job(0x100 + number, 9, size=size, gang=True, estimate=30)
+        submit(context.world, gang)
+    run_for(context.world, 0.5)
+
+
+@when('a less urgent job of 1 tasks is submitted')
+def submit_less_urgent(context):
+    """Submit a job whose latest useful start is after those of the gangs."""
+    submit_many_less_urgent(context, 1)
+
+
+@when('{count:d} less urgent jobs are submitted')
+def submit_many_less_urgent(context, count):
+    """Submit jobs whose latest useful start is after those of the gangs."""
+    size = Size(100, 10, 0, 0)
+    context.less_urgent = [
+        _job(0x1000 + number, size=size, estimate=40, payload='steady')
+        for number in range(count)
+    ]
+    for job in context.less_urgent:
+        submit(context.world, job)
+
+
+@then('the less urgent job starts within {seconds:g} s')
+@then('all less urgent jobs start within {seconds:g} s')
+def check_less_urgent_started(context, seconds):
+    """Run for the time and expect a run of each of the jobs."""
+    run_for(context.world, seconds)
+    started = {key.job for key, _ in spans(context.world)}
+    waiting = [job.id for job in context.less_urgent if job.id not in started]
+    assert not waiting, waiting
