Number advisor calls uniquely over all terms

What callers could see: after a change of leader an accepted job is never started although targets are free, for good; or its starts are refused for want of a valid ticket.

Cause: the correlation ids of advisor calls began at 1 in every term. A process that loses the lead and wins it back within the time of a call (1.3 s and more for gangs) applies the answer to a call of its earlier term, and also the timeout of that call, to the call of the same number in the new term, which is about another step. Targets that were not approved there count as denied for that step, and a denial is never forgotten; the real answer is then unknown and dropped.

Evidence: the scenario, which fails before: the step that the answer did not concern has its only target denied and does not run (unfinished after 5 s, and nothing asks about that target again).

Ruled out: naming the step in the answer; a second call about the same step would still be taken for the first one.

Now ids carry the term in their upper bits, so an answer or a timeout of an earlier term is unknown and ignored, for all callers: peers, entries and the process itself.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -51,6 +51,9 @@
 LONG_WAIT_S = 3.0
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
+# Correlation ids contain the term above this many bits: a process that leads
+# again must not take an answer to its earlier calls for one to the new calls.
+_SEQ_BITS = 32
 # Upper bound of a job's age; a larger value comes from a clock that jumped.
 _MAX_JOB_AGE_S = 60.0
 
@@ -226,7 +229,7 @@
         self.run_times: dict[StepKey, list[float]] = {}
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
-        self.seq_numbers = itertools.count(1)
+        self.seq_numbers = itertools.count((term << _SEQ_BITS) + 1)
         self.repeating: set[str] = set()
         self.changed = True
         self.scan_due = now
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -134,3 +134,9 @@
     When 64 gangs wait that do not fit on their approved targets
     And 60 less urgent jobs are submitted
     Then all less urgent jobs start within 3 s
+
+  Scenario: Advice for an earlier leader is not taken for another step's
+    Given a cell of one target
+    When the leader changes while the advisor is asked about a step
+    And the advisor denies the target to that step, after the next leader asked about another
+    Then the other step's job ends within 5 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from daisygw.cell import Cell, apply, lease_for, snapshot
-from daisygw.contracts import JobSpec, ResultCode, Size, Step
+from daisygw.cell import Cell, apply, lease_for, on_advice, snapshot
+from daisygw.contracts import AdviceResponse, JobSpec, ResultCode, Size, Step
 from daisygw.machines import is_responsive
 from tests import cell_fault_runs, cell_history, cell_world
 from tests.cell_history import spans
@@ -480,3 +480,46 @@
     started = {key.job for key, _ in spans(context.world)}
     waiting = [job.id for job in context.less_urgent if job.id not in started]
     assert not waiting, waiting
+
+
+def _open_call(world, job):
+    """Return the correlation id of the advisor call about a job's step."""
+    calls = world.lead.pending_advice.items()
+    return next(seq for seq, (key, _, _) in calls if key.job == job.id)
+
+
+@when('the leader changes while the advisor is asked about a step')
+def change_leader_during_advice(context):
+    """Cancel the first of two jobs, so that the next leader asks once less."""
+    world = context.world
+    first, context.denied_job = _job(1), _job(2)
+    submit(world, first)
+    submit(world, context.denied_job)
+    run_for(world, cell_world.TICK_S)
+    context.early_call = _open_call(world, context.denied_job)
+    cell_world.cancel(world, first.id)
+    cell_world.fail_over(world)
+
+
+@when(
+    'the advisor denies the target to that step, after the next leader asked '
+    'about another'
+)
+def deny_to_earlier_leader(context):
+    """Deliver the answer to the earlier leader's call to the next leader.
+
+    The next leader hears from the target first.
+    """
+    world = context.world
+    run_for(world, 0.3)
+    submit(world, _job(4))
+    run_for(world, cell_world.TICK_S)
+    on_advice(world.lead, AdviceResponse(context.early_call, answered=True))
+
+
+@then("the other step's job ends within {seconds:g} s")
+def check_other_job(context, seconds):
+    """Expect that only the job without an approved target has not ended."""
+    run_for(context.world, seconds)
+    unfinished = cell_history.unfinished_jobs(context.world)
+    assert unfinished == [context.denied_job.id], unfinished
