Stop a gang and ask its target as soon as a member's start is refused

What callers could see: a gang with a member whose first start had no answer and whose repeat is refused (409 ticket or late) stands still for up to two renewals, 2 s, and then for another round of advice.

Cause, two waits one after the other: (1) the stop of such a member is confirmed at once, but that it never started is proved by a reply to a renewal sent later, and a target with nothing to list waits its second with that reply, the one under way too; (2) only then were the other members stopped.

Ruled out: taking the confirmed stop for the proof. A copy of the start may have arrived before it, and then an end is listed.

Now the confirmed stop of a start that nothing has confirmed makes the leader ask the target at once, without a wait; probes never wait for an end any more. A refusal after an unanswered copy stops all members, as an end does.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -416,6 +416,12 @@
     outstanding.stop_due = lead.now
 
 
+def request_gang_stop(lead: CellLeader, state: StepState) -> None:
+    """Order all members of a gang to stop, as they run together or not."""
+    for run in list(state.runs.values()):
+        request_stop(lead, run)
+
+
 def clean_up_job(lead: CellLeader, job: CellJob) -> None:
     """Stop what still runs of an ended job and drop its working state."""
     stop_runs(lead, job)
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -9,9 +9,10 @@
     OutstandingOrder,
     Probe,
     StartOrder,
+    request_gang_stop,
     request_stop,
 )
-from daisygw.cell._state import Run
+from daisygw.cell._state import Run, step_of
 from daisygw.cell._targets import (
     end_instance,
     finish,
@@ -87,9 +88,23 @@
     elif result.outcome is OrderOutcome.NO_ANSWER:
         outstanding.unanswered += 1
         _retry_start(lead, result, outstanding)
-    elif result.outcome is OrderOutcome.REFUSED and not outstanding.unanswered:
+    elif result.outcome is OrderOutcome.REFUSED:
         _expire_ticket(lead, run)
+        _end_refused_run(lead, result, outstanding)
+    else:
+        request_stop(lead, run)
+
+
+def _end_refused_run(
+    lead: CellLeader, result: StartResult, outstanding: OutstandingOrder
+) -> None:
+    """End a refused run, once no earlier copy of its start can arrive."""
+    run = result.order.run
+    state = step_of(lead.cell, run.step)
+    if not outstanding.unanswered:
         finish(lead, run, RunEnd.REFUSED, why=result.reason)
+    elif state and state.step.gang:
+        request_gang_stop(lead, state)
     else:
         request_stop(lead, run)
 
@@ -126,7 +141,13 @@
 def on_stopped(lead: CellLeader, run: Run, outcome: OrderOutcome) -> None:
     """Handle the result of a stop order."""
     outstanding = lead.orders.get((run.step, run.index))
-    if outstanding and outstanding.run == run and outcome is OrderOutcome.TAKEN:
-        outstanding.stop_confirmed_at = min(
-            outstanding.stop_confirmed_at, lead.now
-        )
+    if outstanding is None or outstanding.run != run:
+        return
+    if outcome is not OrderOutcome.TAKEN:
+        return
+    if outstanding.stop_confirmed_at == float('inf'):
+        # The target lists an end unless the run never started, which only a
+        # reply to a later renewal proves.
+        outstanding.stop_confirmed_at = lead.now
+        if outstanding.answered == float('inf'):
+            lead.send_message(LOCAL_PROCESS, Probe(run.instance))
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -8,7 +8,7 @@
     CellLeader,
     clean_up_job,
     enqueue_job,
-    request_stop,
+    request_gang_stop,
 )
 from daisygw.cell._state import CellJob, Run, StepState, TargetState, step_of
 from daisygw.cell._statistics import record_result
@@ -130,8 +130,7 @@
     how: RunEnd,
 ) -> None:
     if state.step.gang and how is not RunEnd.DONE:
-        for other in list(state.runs.values()):
-            request_stop(lead, other)
+        request_gang_stop(lead, state)
     if state.complete:
         lead.waiting.pop(state.key, None)
         lead.approvals.pop(state.key, None)
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from functools import partial
 from math import ceil
 from types import MappingProxyType
@@ -11,6 +12,7 @@
 from daisygw.cell import (
     CellLeader,
     EndsCommitted,
+    LeaseRenewal,
     LogEvent,
     OrderOutcome,
     Probe,
@@ -119,9 +121,11 @@
 
 
 async def _renew_once(
-    executor: EffectExecutor, lead: CellLeader, target: TargetState
+    executor: EffectExecutor,
+    lead: CellLeader,
+    target: TargetState,
+    renewal: LeaseRenewal,
 ) -> None:
-    renewal = next_renewal(lead, target)
     sent = _clock.now()
     try:
         reply = await executor.node.calls.renew(
@@ -172,7 +176,8 @@
         if _current_lead(executor) is None:
             await asyncio.sleep(_POLL_INTERVAL_S)
             continue
-        await _renew_once(executor, lead, target)
+        renewal = next_renewal(lead, target)
+        await _renew_once(executor, lead, target, renewal)
 
 
 async def _manage_renewals(executor: EffectExecutor) -> None:
@@ -324,7 +329,8 @@
     lead = _current_lead(executor)
     target = lead.cell.targets.get(probe.instance) if lead else None
     if target and target.key in lead.lease_states:
-        await _renew_once(executor, lead, target)
+        renewal = replace(next_renewal(lead, target), wait=0)
+        await _renew_once(executor, lead, target, renewal)
 
 
 def _log_decision(executor: EffectExecutor, event_record: LogEvent) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 from collections import defaultdict
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -78,7 +79,12 @@
     'fence': OrderOutcome.FENCED,
     'old': OrderOutcome.UNSURE,
     'late': OrderOutcome.REFUSED,
+    'ticket': OrderOutcome.REFUSED,
 }
+# Interval of a target's lease renewals while targets do not wait with their
+# reply, and delay of an extra one (s).
+_RENEWAL_INTERVAL_S = 0.25
+_PROBE_DELAY_S = 0.005
 
 
 class World:
@@ -100,6 +106,12 @@
         self.drops_output_until = 0.0
         self.late_probability = 0.0
         self.faulty: set[str] = set()
+        # Workers that leave starts and stops unanswered, and the reasons with
+        # which others refuse starts.  With a wait (s), targets reply to a
+        # renewal when a run has ended, or after the wait.
+        self.ignoring_orders: set[str] = set()
+        self.refusing_starts: dict[str, str] = {}
+        self.renewal_wait = 0.0
         self.cell = Cell()
         self.longest_lease = longest_lease
         self.lead = CellLeader(self.cell, 1, self.now, self.now, longest_lease)
@@ -264,10 +276,7 @@
         ):
             status, reason = 421, ''
         else:
-            load = _load_of(world, order.run)
-            status, reason = workers.start(
-                worker, world.now, worker_order, load
-            )
+            status, reason = _worker_start(world, worker, order, worker_order)
         if answer_arrives:
             call_later(world, 0.002, lambda: answer(status, reason))
 
@@ -290,10 +299,25 @@
             on_started(lead, StartResult(order, outcome, sent))
 
     answered: list[bool] = []
-    _transmit(world, deliver)
+    if target.instance.name not in world.ignoring_orders:
+        _transmit(world, deliver)
     call_later(world, 0.2, on_timeout)
 
 
+def _worker_start(
+    world: World,
+    worker: workers.WorkerModel,
+    order: StartOrder,
+    worker_order: tuple,
+) -> tuple[int, str]:
+    """Return a worker's HTTP status for a start, and its reason."""
+    reason = world.refusing_starts.get(worker.name, '')
+    if reason:
+        return 409, reason
+    load = _load_of(world, order.run)
+    return workers.start(worker, world.now, worker_order, load)
+
+
 def _is_same_instance(worker: workers.WorkerModel, target: Any) -> bool:
     return int(worker.born * MS_PER_S) == target.instance.born
 
@@ -332,7 +356,8 @@
             lead.now = world.now
             on_stopped(lead, order.run, OrderOutcome.TAKEN)
 
-    _transmit(world, deliver)
+    if target.instance.name not in world.ignoring_orders:
+        _transmit(world, deliver)
 
 
 def _renew_lease(world: World, key: str) -> None:
@@ -430,7 +455,8 @@
             case EndsCommitted():
                 acknowledge_ends(world.lead, message)
             case Probe():
-                _renew_lease(world, message.instance)
+                renew = partial(_renew_lease, world, message.instance)
+                call_later(world, _PROBE_DELAY_S, renew)
             case LogEvent():
                 world.log.append(message)
             case CellResponse() if outgoing.entry != LOCAL_PROCESS:
@@ -457,7 +483,15 @@
         key = instance_key(_instance_of(world.workers[name]))
         if key not in world.cell.targets:
             report(world, name)
-    for key in list(world.cell.targets):
-        if world.now >= world.next_renewals.get(key, 0):
-            world.next_renewals[key] = world.now + 0.25
+    for key, target in list(world.cell.targets.items()):
+        due = world.now >= world.next_renewals.get(key, 0)
+        if due or (world.renewal_wait and _lists_new_end(world, target)):
+            interval = max(world.renewal_wait, _RENEWAL_INTERVAL_S)
+            world.next_renewals[key] = world.now + interval
             _renew_lease(world, key)
+
+
+def _lists_new_end(world: World, target: Any) -> bool:
+    worker = world.workers.get(target.instance.name)
+    reachable = worker and target.instance.name not in world.cut
+    return bool(reachable and worker.position > target.position)
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -140,3 +140,10 @@
     When the leader changes while the advisor is asked about a step
     And the advisor denies the target to that step, after the next leader asked about another
     Then the other step's job ends within 5 s
+
+  Scenario: A gang with a refused member is free before the next renewal
+    Given a cell of 6 targets that wait 2 seconds for an end
+    When a gang starts on three targets, and one leaves its start unanswered
+    And that target then refuses the start for its ticket
+    Then all members of the gang are over within 0.3 s
+    And the gang ends within 15 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -523,3 +523,51 @@
     run_for(context.world, seconds)
     unfinished = cell_history.unfinished_jobs(context.world)
     assert unfinished == [context.denied_job.id], unfinished
+
+
+@given('a cell of {count:d} targets that wait {seconds:d} seconds for an end')
+def waiting_cell(context, count, seconds):
+    """Let targets reply to a renewal when a run ends, or after the time."""
+    cell_of_targets(context, count)
+    context.world.renewal_wait = seconds
+    run_for(context.world, 0.5)
+
+
+@when('a gang starts on three targets, and one leaves its start unanswered')
+def start_gang_in_part(context):
+    """Run until the start has timed out; the first copy is lost."""
+    world = context.world
+    world.ignoring_orders.add('w1')
+    size = Size(cell_world.WORKER_CPUS // 2, 100, 0, 0)
+    gang = _job(1, 6, size=size, gang=True, payload='steady', estimate=4)
+    submit(world, gang)
+    run_for(world, 0.1)
+    context.gang = world.cell.jobs[gang.id].steps[0, 0]
+    assert len(context.gang.runs) == 6
+    run_for(world, 0.1)
+
+
+@when('that target then refuses the start for its ticket')
+def refuse_for_ticket(context):
+    """Answer orders again, but refuse the repeated starts at first."""
+    world = context.world
+    world.ignoring_orders.clear()
+    world.refusing_starts['w1'] = 'ticket'
+    context.refused_at = world.now
+
+
+@then('all members of the gang are over within {seconds:g} s')
+def check_gang_over(context, seconds):
+    """Expect none of the gang's first runs; another one may have started."""
+    run_for(context.world, seconds)
+    numbers = [run.number for run in context.gang.runs.values()]
+    assert 1 not in numbers, numbers
+
+
+@then('the gang ends within {seconds:g} s')
+def check_gang_done(context, seconds):
+    """Accept the starts again and expect the job to end."""
+    context.world.refusing_starts.clear()
+    run_for(context.world, seconds)
+    assert not cell_history.unfinished_jobs(context.world)
+    cell_history.check_history(context.world)
