Give a target that refuses a start no new work for a second

What callers could see: a job stands still although other targets are free; starts that are refused for want of room, several in every turn.

Cause: a refused run returned its task to the waiting ones and its room to the target, and left no trace of the refusal. The target then looks the same as before, so without an advisor the next pass chooses it again, as long as it refuses. With an advisor only its ticket was dropped, although 409 room, 429 and 503 say nothing about the ticket; the next call renewed it.

Ruled out: only avoiding the target for that task. The next task of any job is refused just the same.

Now 409 room, 429 and 503 are an outcome of their own, `unavailable`: nothing new goes to the target for 1 s, its ticket stays.

--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -23,6 +23,9 @@
 # An unanswered start is sent again this long after the previous attempt: many
 # times what a healthy target needs to answer.
 START_RETRY_S = 0.2
+# A target without room, or an unhealthy one, gets no new work for this time
+# after it refused a start: the ends of stopped runs are listed by then.
+UNAVAILABLE_S = 1.0
 # An unconfirmed stop is sent again at this interval.
 STOP_RETRY_S = 0.5
 
@@ -31,14 +34,17 @@
 class OrderOutcome(enum.StrEnum):
     """The outcome of an order that was sent to a target.
 
-    After ``UNSURE`` the order may have been carried out.  ``FENCED`` means
-    that the target knows a newer leader, ``OTHER_INSTANCE`` that its process
-    has been replaced by another one.
+    After ``UNSURE`` the order may have been carried out.  ``REFUSED`` means
+    that the order is not valid (any more), ``UNAVAILABLE`` that the target
+    takes no order of this kind now.  ``FENCED`` means that the target knows a
+    newer leader, ``OTHER_INSTANCE`` that its process has been replaced by
+    another one.
     """
 
     TAKEN = 'taken'
     NO_ANSWER = 'no answer'
     REFUSED = 'refused'
+    UNAVAILABLE = 'unavailable'
     UNSURE = 'unsure'
     FENCED = 'fenced'
     OTHER_INSTANCE = 'other life'
@@ -91,6 +97,9 @@
     elif result.outcome is OrderOutcome.REFUSED:
         _expire_ticket(lead, run)
         _end_refused_run(lead, result, outstanding)
+    elif result.outcome is OrderOutcome.UNAVAILABLE:
+        _set_aside(lead, run)
+        _end_refused_run(lead, result, outstanding)
     else:
         request_stop(lead, run)
 
@@ -109,6 +118,14 @@
         request_stop(lead, run)
 
 
+def _set_aside(lead: CellLeader, run: Run) -> None:
+    lease_state = lead.lease_states.get(run.instance)
+    if lease_state:
+        lease_state.quarantined_until = max(
+            lease_state.quarantined_until, lead.now + UNAVAILABLE_S
+        )
+
+
 def _expire_ticket(lead: CellLeader, run: Run) -> None:
     approval = lead.approvals.get(run.step)
     if approval and run.instance in approval.tickets:
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -28,8 +29,13 @@
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
 _HTTP_OTHER_INSTANCE = 421
-_HTTP_REFUSALS = frozenset({400, 429, 503})
-_INCONCLUSIVE_REASONS = frozenset({'old'})
+_HTTP_BAD_REQUEST = 400
+_HTTP_UNAVAILABLE = frozenset({429, 503})
+_CONFLICT_OUTCOMES = MappingProxyType({
+    'fence': OrderOutcome.FENCED,
+    'old': OrderOutcome.UNSURE,
+    'room': OrderOutcome.UNAVAILABLE,
+})
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
 
@@ -62,16 +68,14 @@
         return OrderOutcome.TAKEN, ''
     if status == _HTTP_OTHER_INSTANCE:
         return OrderOutcome.OTHER_INSTANCE, ''
-    if status in _HTTP_REFUSALS:
+    if status in _HTTP_UNAVAILABLE:
+        return OrderOutcome.UNAVAILABLE, f'status {status}'
+    if status == _HTTP_BAD_REQUEST:
         return OrderOutcome.REFUSED, f'status {status}'
     if status != _HTTP_CONFLICT:
         return OrderOutcome.UNSURE, f'status {status}'
     reason = _refusal_reason(raw)
-    if reason == 'fence':
-        return OrderOutcome.FENCED, reason
-    if reason in _INCONCLUSIVE_REASONS:
-        return OrderOutcome.UNSURE, reason
-    return OrderOutcome.REFUSED, reason
+    return _CONFLICT_OUTCOMES.get(reason, OrderOutcome.REFUSED), reason
 
 
 def _refusal_reason(raw: bytes) -> str:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -80,6 +80,7 @@
     'old': OrderOutcome.UNSURE,
     'late': OrderOutcome.REFUSED,
     'ticket': OrderOutcome.REFUSED,
+    'room': OrderOutcome.UNAVAILABLE,
 }
 # Interval of a target's lease renewals while targets do not wait with their
 # reply, and delay of an extra one (s).
@@ -111,6 +112,7 @@
         # renewal when a run has ended, or after the wait.
         self.ignoring_orders: set[str] = set()
         self.refusing_starts: dict[str, str] = {}
+        self.refused_starts = 0
         self.renewal_wait = 0.0
         self.cell = Cell()
         self.longest_lease = longest_lease
@@ -313,6 +315,7 @@
     """Return a worker's HTTP status for a start, and its reason."""
     reason = world.refusing_starts.get(worker.name, '')
     if reason:
+        world.refused_starts += 1
         return 409, reason
     load = _load_of(world, order.run)
     return workers.start(worker, world.now, worker_order, load)
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -147,3 +147,15 @@
     And that target then refuses the start for its ticket
     Then all members of the gang are over within 0.3 s
     And the gang ends within 15 s
+
+  Scenario: A target that refuses every start is not chosen again at once
+    Given a cell of 2 targets without an advisor
+    When a job of 2 tasks is submitted, and the target tried first has no room
+    Then the job ends within 5 s
+    And at most 4 starts were refused
+
+  Scenario: A gang is not placed again on a target that refuses its starts
+    Given a cell of 4 targets without an advisor
+    When a gang is submitted, and a target that it is placed on has no room
+    Then the job ends within 8 s
+    And at most 8 starts were refused
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -1,5 +1,7 @@
 """Steps that run a cell's decisions against simulated workers."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from daisygw.cell import Cell, apply, lease_for, on_advice, snapshot
@@ -571,3 +573,45 @@
     run_for(context.world, seconds)
     assert not cell_history.unfinished_jobs(context.world)
     cell_history.check_history(context.world)
+
+
+@given('a cell of {count:d} targets without an advisor')
+def unadvised_cell(context, count):
+    """Start a cell whose queue has no placement advisor."""
+    cell_of_targets(context, count)
+    queue = replace(cell_world.queue('/a/', 0), advisor=None)
+    cell_world.configure(context.world, 2, queues=(queue,))
+
+
+@when(
+    'a job of {count:d} tasks is submitted, and the target tried first has no '
+    'room'
+)
+def submit_to_full_target(context, count):
+    """Targets that are alike are tried in the order in which they joined."""
+    context.world.refusing_starts['w0'] = 'room'
+    submit(context.world, _job(1, count, payload='steady'))
+
+
+@when('a gang is submitted, and a target that it is placed on has no room')
+def submit_gang_to_full_target(context):
+    """Let one of four targets refuse; the gang needs three."""
+    context.world.refusing_starts['w0'] = 'room'
+    size = Size(cell_world.WORKER_CPUS // 2, 100, 0, 0)
+    submit(context.world, _job(1, 6, size=size, gang=True, payload='steady'))
+
+
+@then('the job ends within {seconds:g} s')
+def check_job_ends(context, seconds):
+    """Expect no unfinished job, and no broken invariant."""
+    run_for(context.world, seconds)
+    assert not cell_history.unfinished_jobs(context.world)
+    cell_history.check_history(context.world)
+
+
+@then('at most {count:d} starts were refused')
+def check_refused_starts(context, count):
+    """Read the number of refused starts, but expect some."""
+    assert 0 < context.world.refused_starts <= count, (
+        context.world.refused_starts
+    )
