End an advisor call by its caller's answer or loss, not by an estimate

What callers could see: a step waits for rounds of advice whose answers arrive and are not used, or 2 s for a process that is known to be gone.

Cause: the leader took a call for failed 0.6 s after its expected end. That estimate starts at zero with each leader and was never corrected by an answer: where a process still works off calls of an earlier leader, or the advisor is slower, the answer arrives later, is thrown away, and the leader gives the same process the next call, behind the first. On the other hand a call given to a process whose link was lost waited for the same estimate.

Ruled out: a longer margin only; it makes lost callers cost more.

Now a call ends with its caller's answer, which reports failures too, or when the caller's link is lost or silent for 0.9 s, in any case 0.6 s after the caller must have given it up. Answers correct how long a process is taken for busy, and one that owes an answer is asked last. A check that was late itself is left out, as nothing was read meanwhile. The calls have a module of their own, _advisor_calls.py; a class for their state, functions for the rest.

--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -5,7 +5,6 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from functools import partial
-from math import ceil
 from types import MappingProxyType
 from typing import Any
 
@@ -33,6 +32,7 @@
 from daisygw.links import log
 from daisygw.links.processes import Link, post, running
 from daisygw.nodes import _clock
+from daisygw.nodes._advisor_calls import AdvisorCalls, assign_call, end_call
 from daisygw.nodes._entry import call_advisor
 from daisygw.nodes._meters import count
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
@@ -49,26 +49,13 @@
 _POLL_INTERVAL_S = 0.1
 # How long the next renewal waits for the commit of the ends just listed.
 _COMMIT_WAIT_S = 0.5
-# How long the leader waits for advice beyond the call's expected duration: a
-# few turns of both processes.
-_ADVICE_TIMEOUT_MARGIN_S = 0.6
-# Advisor calls that take longer than this are restricted to a part of the
-# processes, so that a short call always finds a free one.
-_LONG_CALL_S = 0.3
-# The share of the processes that long calls may use; the others stay free for
-# short calls.
-_LONG_CALL_SHARE = 0.75
-# A process that sent nothing for this long is not asked to call the advisor:
-# two heartbeats of a link and some margin.
-_PEER_MAX_SILENCE_S = 0.6
 
 
 class EffectExecutor:
     """State of the effects in progress on the leader.
 
-    ``renewal_tasks`` has one task per target; ``advisor_busy_until`` is the
-    time (s) at which each process will have finished its assigned advisor
-    calls; ``noted`` wakes renewals that wait for a commit.
+    ``renewal_tasks`` has one task per target; ``noted`` wakes renewals that
+    wait for a commit.
     """
 
     def __init__(self, node: SchedulerNode) -> None:
@@ -76,7 +63,11 @@
         self.node = node
         self.renewal_tasks: dict[str, asyncio.Task] = {}
         self.noted = asyncio.Event()
-        self.advisor_busy_until: dict[str, float] = {}
+        self.advisor_calls = AdvisorCalls(
+            partial(_advisor_callers, node),
+            partial(_apply_advice, self),
+            partial(_start_background_task, self),
+        )
 
 
 def _current_lead(executor: EffectExecutor) -> CellLeader | None:
@@ -245,65 +236,34 @@
         on_stopped(lead, order.run, outcome)
 
 
-def _advisor_callers(node: SchedulerNode) -> dict[str, Link | None]:
-    """Return the processes that may call the advisor, by name.
-
-    Each maps to its link, this process itself to None.
-    """
-    since = asyncio.get_running_loop().time() - _PEER_MAX_SILENCE_S
-    callers: dict[str, Link | None] = {
-        name: link
+def _advisor_callers(node: SchedulerNode, max_silence: float) -> list[str]:
+    """Return this process and the linked ones heard within a time (s)."""
+    since = asyncio.get_running_loop().time() - max_silence
+    linked = [
+        name
         for name, link in node.sessions.items()
         if link.up and link.heard > since
-    }
-    callers[node.cfg.host] = None
-    return callers
+    ]
+    return [node.cfg.host, *linked]
 
 
 def _delegate_advice(executor: EffectExecutor, request: AdviceRequest) -> None:
-    """Assign an advisor call to the process expected to be free first."""
-    now = _clock.now()
-    callers = _advisor_callers(executor.node)
-    names = sorted(callers)
-    if request.work > _LONG_CALL_S:
-        names = names[: ceil(_LONG_CALL_SHARE * len(names))]
-    least_busy = min(
-        names,
-        key=lambda name: max(executor.advisor_busy_until.get(name, 0), now),
-    )
-    executor.advisor_busy_until[least_busy] = (
-        max(executor.advisor_busy_until.get(least_busy, 0), now) + request.work
-    )
-    link = callers[least_busy]
+    """Let the process expected to be free first call the advisor."""
+    caller = assign_call(executor.advisor_calls, request)
+    link = executor.node.sessions.get(caller)
     if link is None:
         _start_background_task(
             executor, _call_advisor_locally(executor, request)
         )
     else:
         post(link, request)
-    _start_background_task(
-        executor,
-        _expire_advice(
-            executor, request, executor.advisor_busy_until[least_busy] - now
-        ),
-    )
 
 
 async def _call_advisor_locally(
     executor: EffectExecutor, request: AdviceRequest
 ) -> None:
-    _apply_advice(executor, await call_advisor(executor.node.calls, request))
-
-
-async def _expire_advice(
-    executor: EffectExecutor, request: AdviceRequest, expected: float
-) -> None:
-    """Treat advice that did not arrive in time as a failed call.
-
-    ``expected`` is how long the call should take (s).
-    """
-    await asyncio.sleep(expected + _ADVICE_TIMEOUT_MARGIN_S)
-    _apply_advice(executor, AdviceResponse(request.seq, answered=False))
+    answer = await call_advisor(executor.node.calls, request)
+    end_call(executor.advisor_calls, answer)
 
 
 def _apply_advice(executor: EffectExecutor, answer: AdviceResponse) -> None:
@@ -341,6 +301,9 @@
 
 _HANDLERS = MappingProxyType({
     AdviceRequest: _delegate_advice,
+    AdviceResponse: lambda executor, answer: end_call(
+        executor.advisor_calls, answer
+    ),
     LogEvent: _log_decision,
     Probe: lambda executor, probe: _start_background_task(
         executor, _probe(executor, probe)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -16,7 +16,6 @@
     LOCAL_PROCESS,
     advance_clock,
     longest_wait,
-    on_advice,
     on_config_request,
     on_job_request,
     on_target_report,
@@ -200,9 +199,7 @@
         case AdviceRequest():
             node.execute_effect((link, message))
         case AdviceResponse():
-            if node.state.lead:
-                node.state.lead.now = _clock.now()
-                on_advice(node.state.lead, message)
+            node.execute_effect(message)
         case JobRequest() | ConfigRequest() | TargetReport():
             _handle_as_leader(node, link.peer, message)
         case _:
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -136,6 +136,10 @@
         """Return the virtual time (s)."""
         return self._now
 
+    def jump(self, seconds: float) -> None:
+        """Let time pass without running a timer, as a suspended process."""
+        self._now += seconds
+
     def _run_once(self) -> None:
         if not self._ready and self._scheduled:
             self._now = max(self._now, self._scheduled[0]._when)
