Quarantine at most three of ten targets at once

What callers could see: during and after a burst of jobs that fail wherever they run, accepted jobs stand still on an idle cell.

Cause: three jobs that fail on a target without one that succeeds there quarantine it for 3 s, each further failure prolongs it, and nothing bounds how many targets that is. Jobs that fail everywhere close every target that they reach, and with all of them closed no success can open one.

Ruled out: forgetting the failures of a job that failed on two targets. A wide job meets several targets that are at fault.

Now at most 0.3 of a service's available targets are left out, those on which most jobs failed in succession: a target at fault has no success between, a sound one has.

--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -1,5 +1,7 @@
 """Free capacity of the usable targets during one placement pass."""
 
+from collections import Counter
+
 from daisygw.cell._leader import DEFAULT_SPEED, CellLeader, WaitingStep
 from daisygw.cell._state import TargetState, task_size
 from daisygw.contracts import Queue, Size, Step, dominant_share
@@ -8,6 +10,9 @@
 # A target that has not answered for this long gets no new work: the longest
 # wait of a lease renewal plus the timeout of a call.
 ANSWER_TIMEOUT_S = 3.2
+# At most this share of a service's available targets is left out because jobs
+# fail there.
+MAX_QUARANTINED_SHARE = 0.3
 # The relative slowness of targets is rounded to multiples of this.
 _SLOWNESS_STEP = 0.5
 
@@ -17,22 +22,59 @@
 
     def __init__(self, lead: CellLeader) -> None:
         """Read the free capacity of every usable target."""
+        available = [
+            target
+            for target in lead.cell.targets.values()
+            if is_available(lead, target)
+        ]
+        quarantined = _quarantined_targets(lead, available)
         self.targets = {
             target.key: target
-            for target in lead.cell.targets.values()
-            if is_usable(lead, target)
+            for target in available
+            if target.key not in quarantined
         }
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
 
 
-def is_usable(lead: CellLeader, target: TargetState) -> bool:
-    """Tell whether a target may get new work now."""
+def is_available(lead: CellLeader, target: TargetState) -> bool:
+    """Tell whether a target answers and takes new work now."""
     lease_state = lead.lease_states.get(target.key)
     if lease_state is None or not target.open or not is_responsive(lease_state):
         return False
     timed_out = lead.now - lease_state.last_answer_at > ANSWER_TIMEOUT_S
-    return not timed_out and lead.now >= lease_state.quarantined_until
+    return not timed_out and lead.now >= lease_state.unavailable_until
+
+
+def _quarantined_targets(
+    lead: CellLeader, available: list[TargetState]
+) -> set[str]:
+    """Return the targets to leave out: those where most jobs failed.
+
+    Where they are many, the jobs themselves are likely to be at fault.
+    """
+    candidates = [
+        target
+        for target in available
+        if lead.now < lead.lease_states[target.key].quarantined_until
+    ]
+    if not candidates:
+        return set()
+    candidates.sort(
+        key=lambda target: len(lead.failed_jobs.get(target.key, ())),
+        reverse=True,
+    )
+    services = Counter(target.instance.service for target in available)
+    quarantined: Counter[str] = Counter()
+    keys = set()
+    for target in candidates:
+        service = target.instance.service
+        if quarantined[service] < int(
+            services[service] * MAX_QUARANTINED_SHARE
+        ):
+            quarantined[service] += 1
+            keys.add(target.key)
+    return keys
 
 
 def fit_count(need: Size, free: Size, limit: int) -> int:
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -121,9 +121,7 @@
 def _set_aside(lead: CellLeader, run: Run) -> None:
     lease_state = lead.lease_states.get(run.instance)
     if lease_state:
-        lease_state.quarantined_until = max(
-            lease_state.quarantined_until, lead.now + UNAVAILABLE_S
-        )
+        lease_state.unavailable_until = lead.now + UNAVAILABLE_S
 
 
 def _expire_ticket(lead: CellLeader, run: Run) -> None:
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -99,7 +99,8 @@
     ``granted_until``, which are on the target's clock (ms).  ``noted`` is the
     acknowledged position of its run ends, ``failures`` the number of renewals
     in a row that were not answered.  Leases that an earlier leader granted
-    have ended at ``inherited_until``, all leases at ``expires_at``.
+    have ended at ``inherited_until``, all leases at ``expires_at``.  A target
+    is quarantined after failed jobs, and unavailable after a refused start.
     """
 
     def __init__(self, now: float, expires_at: float) -> None:
@@ -116,6 +117,7 @@
         self.failures = 0
         self.suspected_at = float('-inf')
         self.quarantined_until = float('-inf')
+        self.unavailable_until = float('-inf')
 
 
 def is_responsive(lease_state: LeaseState) -> bool:
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -159,3 +159,9 @@
     When a gang is submitted, and a target that it is placed on has no room
     Then the job ends within 8 s
     And at most 8 starts were refused
+
+  Scenario: Jobs that fail everywhere do not close all targets
+    Given a cell of 6 targets
+    When 12 jobs of 6 tasks that fail have run
+    And a less urgent job of 1 tasks is submitted
+    Then the less urgent job starts within 0.5 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -458,7 +458,7 @@
 
 @when('a less urgent job of 1 tasks is submitted')
 def submit_less_urgent(context):
-    """Submit a job whose latest useful start is after those of the gangs."""
+    """Submit a job whose latest useful start is after those of the others."""
     submit_many_less_urgent(context, 1)
 
 
@@ -615,3 +615,19 @@
     assert 0 < context.world.refused_starts <= count, (
         context.world.refused_starts
     )
+
+
+@when('{count:d} jobs of 6 tasks that fail have run')
+def submit_many_failing(context, count):
+    """Submit jobs that fail wherever they run, and give them 2 s."""
+    world = context.world
+    for number in range(count):
+        job = _job(
+            0x2000 + number,
+            6,
+            size=Size(500, 100, 0, 0),
+            estimate=0.1,
+            payload='poison',
+        )
+        submit(world, job)
+    run_for(world, 2)
