Let a start be valid for 2 s, not for a whole lease

Cause: a start carried the end of a whole lease as its deadline. A run that the target does not list is over only when the target's clock has passed the deadline of its start, as a copy may still arrive; stops have no answer either.

Evidence: the scenario, three targets and leases of 10 s, the target tried first answers renewals and no order: the job has not ended 4.5 s after it was submitted on the code before, and has now.

Ruled out: ending the run without proof when several copies had no answer. A copy that is carried out late runs beside the next run (TWICE).

Now a start is valid for 2 s, longer than any ticket. The lease of what has started comes from the renewals, which are sent every second, and a lease is never shortened. After such an end the target gets nothing new for 1 s, as after a refusal.

--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -12,6 +12,7 @@
 )
 from daisygw.cell._state import Run, TargetState, step_of
 from daisygw.cell._targets import (
+    defer_work,
     end_instance,
     finish,
 )
@@ -31,6 +32,10 @@
 # Longest time that a renewal asks the target to wait for an end: a quarter of
 # the shortest lease.
 RENEWAL_WAIT_S = 1.0
+# A target refuses a copy of a start that arrives later than this, so that a
+# run that it does not list by then never starts.  Several copies are sent in
+# this time; the lease of what has started comes from renewals.
+START_VALIDITY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +73,7 @@
         return None
     if not outstanding.deadline:
         lease = lease_for(lead, lead.cell.targets[run.instance])
+        lease = min(lease, START_VALIDITY_S)
         outstanding.deadline = grant_lease(lease_state, lead.now, lease)
     outstanding.start_due = float('inf')
     return outstanding.deadline
@@ -170,6 +176,7 @@
     elif outstanding.stop_confirmed_at < sent:
         finish(lead, run, RunEnd.REFUSED, why='stopped before it started')
     elif 0 < outstanding.deadline < clock:
+        defer_work(lead, run.instance)
         finish(lead, run, RunEnd.REFUSED, why='start deadline passed')
 
 
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -14,6 +14,7 @@
 )
 from daisygw.cell._state import Run, step_of
 from daisygw.cell._targets import (
+    defer_work,
     end_instance,
     finish,
 )
@@ -23,9 +24,6 @@
 # An unanswered start is sent again this long after the previous attempt: many
 # times what a healthy target needs to answer.
 START_RETRY_S = 0.2
-# A target without room, or an unhealthy one, gets no new work for this time
-# after it refused a start: the ends of stopped runs are listed by then.
-UNAVAILABLE_S = 1.0
 # An unconfirmed stop is sent again at this interval.
 STOP_RETRY_S = 0.5
 
@@ -98,7 +96,7 @@
         _expire_ticket(lead, run)
         _end_refused_run(lead, result, outstanding)
     elif result.outcome is OrderOutcome.UNAVAILABLE:
-        _set_aside(lead, run)
+        defer_work(lead, run.instance)
         _end_refused_run(lead, result, outstanding)
     else:
         request_stop(lead, run)
@@ -118,12 +116,6 @@
         request_stop(lead, run)
 
 
-def _set_aside(lead: CellLeader, run: Run) -> None:
-    lease_state = lead.lease_states.get(run.instance)
-    if lease_state:
-        lease_state.unavailable_until = lead.now + UNAVAILABLE_S
-
-
 def _expire_ticket(lead: CellLeader, run: Run) -> None:
     approval = lead.approvals.get(run.step)
     if approval and run.instance in approval.tickets:
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -27,6 +27,10 @@
     instance_key,
 )
 
+# A target that took no start, as it has no room, is unhealthy or leaves orders
+# unanswered, gets no new work for this time.
+UNAVAILABLE_S = 1.0
+
 
 def on_target_report(
     lead: CellLeader, report: TargetReport, entry: str
@@ -81,6 +85,13 @@
     lead.log_event('target gone', target=target.key, why=why)
 
 
+def defer_work(lead: CellLeader, key: str) -> None:
+    """Give a target that took no start no new work for a while."""
+    lease_state = lead.lease_states.get(key)
+    if lease_state:
+        lease_state.unavailable_until = lead.now + UNAVAILABLE_S
+
+
 def lose_runs(lead: CellLeader, target: TargetState, why: str) -> None:
     """End all runs of a target as lost."""
     for run in list(target.runs.values()):
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -165,3 +165,8 @@
     When 12 jobs of 6 tasks that fail have run
     And a less urgent job of 1 tasks is submitted
     Then the less urgent job starts within 0.5 s
+
+  Scenario: A target that answers renewals but no orders keeps a task for 3 s at most
+    Given a cell of 3 targets without an advisor, and leases of 10 s
+    When a job of 1 tasks is submitted, and its target answers no orders
+    Then the job ends within 4.5 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -579,8 +579,29 @@
 def unadvised_cell(context, count):
     """Start a cell whose queue has no placement advisor."""
     cell_of_targets(context, count)
+    _remove_advisor(context.world)
+
+
+def _remove_advisor(world):
     queue = replace(cell_world.queue('/a/', 0), advisor=None)
-    cell_world.configure(context.world, 2, queues=(queue,))
+    cell_world.configure(world, 2, queues=(queue,))
+
+
+@given(
+    'a cell of {count:d} targets without an advisor, and leases of {lease:d} s'
+)
+def unadvised_cell_with_leases(context, count, lease):
+    """Start a cell whose targets accept leases of up to a time (s)."""
+    context.world = World(1, targets=count, longest_lease=lease)
+    run_for(context.world, 1)
+    _remove_advisor(context.world)
+
+
+@when('a job of {count:d} tasks is submitted, and its target answers no orders')
+def submit_to_deaf_target(context, count):
+    """Targets that are alike are tried in the order in which they joined."""
+    context.world.ignoring_orders.add('w0')
+    submit(context.world, _job(1, count, payload='steady', estimate=0.5))
 
 
 @when(
