--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -34,6 +34,8 @@
 
 # Task index under which the failures of a whole gang are counted.
 GANG_INDEX = -1
+# Index under which a snapshot has the run number of a gang's last failure.
+_FAILED_RUN_INDEX = -2
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +55,8 @@
     """The state of one step in one occurrence of its job.
 
     ``done`` holds the indexes of completed tasks.  The mappings are by task
-    index; ``numbers`` maps to the newest run number.  ``failed_runs`` holds
-    the run numbers that have failed, as a gang's run fails only once.
+    index; ``numbers`` maps to the newest run number.  ``failed_run`` is the
+    run number of the last failure, as a gang's run fails only once.
     """
 
     def __init__(self, key: StepKey, step: Step) -> None:
@@ -64,7 +66,7 @@
         self.done: set[int] = set()
         self.numbers: dict[int, int] = {}
         self.failures: dict[int, int] = {}
-        self.failed_runs: set[int] = set()
+        self.failed_run = 0
         self.checkpoints: dict[int, str] = {}
         self.runs: dict[int, Run] = {}
 
@@ -275,9 +277,9 @@
     state: StepState,
     record: RunFinished,
 ) -> None:
-    if state.step.gang and record.number in state.failed_runs:
+    if state.step.gang and record.number <= state.failed_run:
         return
-    state.failed_runs.add(record.number)
+    state.failed_run = record.number
     index = GANG_INDEX if state.step.gang else record.index
     state.failures[index] = state.failures.get(index, 0) + 1
     if state.failures[index] >= max_attempts(cell, job) and not job.over:
@@ -290,6 +292,7 @@
     _place_runs(cell, RunsPlaced(record.step, record.rows))
     state.numbers = dict(record.numbers)
     state.failures = dict(record.failures)
+    state.failed_run = state.failures.pop(_FAILED_RUN_INDEX, 0)
     state.checkpoints = dict(record.checkpoint)
     state.done = set(record.done)
     job.started = job.started or bool(record.numbers)
@@ -344,7 +347,7 @@
         state.key,
         tuple(sorted(state.done)),
         tuple(state.numbers.items()),
-        tuple(state.failures.items()),
+        (*state.failures.items(), (_FAILED_RUN_INDEX, state.failed_run)),
         tuple(state.checkpoints.items()),
         tuple(
             (run.index, run.number, run.instance) for run in state.runs.values()
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -93,7 +93,8 @@
 
     ``done`` holds the indexes of completed tasks, ``numbers`` pairs of index
     and newest run number, ``failures`` pairs of index (-1 for the whole gang)
-    and failure count, and ``checkpoint`` pairs of index and newest checkpoint.
+    and failure count, with the run number of the last failure under index -2,
+    and ``checkpoint`` pairs of index and newest checkpoint.
     ``failed`` tells whether the job has failed.
     """
 
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -170,3 +170,8 @@
     Given a cell of 3 targets without an advisor, and leases of 10 s
     When a job of 1 tasks is submitted, and its target answers no orders
     Then the job ends within 4.5 s
+
+  Scenario: A gang's run fails once, also on a replica that read a snapshot
+    Given a cell of 6 targets
+    When one of a gang's members fails, a replica reads a snapshot, and another member fails
+    Then the gang has failed once on each replica
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -5,7 +5,17 @@
 from behave import given, then, when
 
 from daisygw.cell import Cell, apply, lease_for, on_advice, snapshot
-from daisygw.contracts import AdviceResponse, JobSpec, ResultCode, Size, Step
+from daisygw.cell._state import GANG_INDEX
+from daisygw.contracts import (
+    AdviceResponse,
+    JobSpec,
+    ResultCode,
+    RunEnd,
+    RunFinished,
+    Size,
+    Step,
+    StepKey,
+)
 from daisygw.machines import is_responsive
 from tests import cell_fault_runs, cell_history, cell_world
 from tests.cell_history import spans
@@ -652,3 +662,34 @@
         )
         submit(world, job)
     run_for(world, 2)
+
+
+@when(
+    "one of a gang's members fails, a replica reads a snapshot, and another "
+    'member fails'
+)
+def fail_twice(context):
+    """Apply the records to the leader's state and to the rebuilt one."""
+    world = context.world
+    gang = _job(1, 3, gang=True, estimate=30)
+    submit(world, gang)
+    run_for(world, 0.3)
+    key = StepKey(gang.id, 0, 0)
+    failed = [RunFinished(key, index, 1, RunEnd.FAILED, '') for index in (0, 1)]
+    apply(world.cell, failed[0])
+    rebuilt = Cell()
+    for record in snapshot(world.cell):
+        apply(rebuilt, record)
+    context.replicas = (world.cell, rebuilt)
+    for cell in context.replicas:
+        apply(cell, failed[1])
+
+
+@then('the gang has failed once on each replica')
+def check_failed_once(context):
+    """Compare the counts of failures of the two states."""
+    counts = [
+        next(iter(cell.jobs.values())).steps[0, 0].failures
+        for cell in context.replicas
+    ]
+    assert counts == [{GANG_INDEX: 1}, {GANG_INDEX: 1}], counts
