Apply a new configuration to the steps that wait

What callers could see: after a queue has moved to another service, jobs that were accepted before and wait stand still beside its free targets for good, or still start on the old service; the same with other limits or another advisor.

Cause: a waiting step kept the queue of the configuration under which it began to wait, and cached per target how many of its tasks fit there. A newer configuration only queued the jobs that did not wait yet.

Evidence: the scenario; a job waits for room while its queue moves to a service with a free target; before, it has not ended 5 s later, now it has.

Now a new configuration replaces the queue of the waiting steps and drops the cached counts. A step whose queue is removed keeps it, as before.

--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -5,6 +5,7 @@
     CellLeader,
     clean_up_job,
     enqueue_job,
+    update_queues,
 )
 from daisygw.cell._state import CellJob
 from daisygw.contracts import (
@@ -142,8 +143,7 @@
             before=current.version if current else 0,
             queues=len(request.cfg.queues),
         )
-        for job in lead.cell.jobs.values():
-            enqueue_job(lead, job)
+        update_queues(lead)
     current = lead.cell.cfg
     if current is None:
         answer = CellResponse(request.seq, ResultCode.NOT_CONFIGURED)
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -374,6 +374,20 @@
             lead.changed = True
 
 
+def update_queues(lead: CellLeader) -> None:
+    """Apply a new configuration to the waiting steps, and queue others.
+
+    A step that waits when its queue is removed keeps the queue as it was.
+    """
+    for waiting in lead.waiting.values():
+        queue = queue_of(lead, waiting.job)
+        if queue and queue != waiting.queue:
+            waiting.queue = queue
+            waiting.max_tasks_by_target.clear()
+    for job in lead.cell.jobs.values():
+        enqueue_job(lead, job)
+
+
 def enqueue_due(lead: CellLeader) -> None:
     """Queue the steps of repeating jobs whose occurrence became due."""
     for name in list(lead.repeating):
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -73,6 +73,7 @@
 WORKER_MEMORY_MIB = 8000
 WAIT = 1.0
 REQUEST_HOST = 'host'
+SERVICE = 'svc'
 MS_PER_S = 1000
 # How the leader reads the reason that a worker gives with HTTP status 409.
 _REFUSAL_OUTCOMES = {
@@ -107,6 +108,7 @@
         self.drops_output_until = 0.0
         self.late_probability = 0.0
         self.faulty: set[str] = set()
+        self.services: dict[str, str] = defaultdict(lambda: SERVICE)
         # Workers that leave starts and stops unanswered, and the reasons with
         # which others refuse starts.  With a wait (s), targets reply to a
         # renewal when a run has ended, or after the wait.
@@ -137,7 +139,7 @@
         prefix,
         REQUEST_HOST,
         prefix,
-        'svc',
+        SERVICE,
         3,
         1,
         priority,
@@ -150,7 +152,9 @@
 def configure(world: World, version: int, **more: Any) -> None:
     """Apply a configuration through the leader."""
     queues = (queue('/a/', 0), queue('/b/', 1))
-    cfg = CellConfig(version, more.get('queues', queues), ('svc',), 9999, b'{}')
+    queues = more.get('queues', queues)
+    services = tuple(sorted({row.service for row in queues}))
+    cfg = CellConfig(version, queues, services, 9999, b'{}')
     on_config_request(
         world.lead, ConfigRequest(next(world.sequence), cfg), 'op'
     )
@@ -165,11 +169,11 @@
     report(world, name)
 
 
-def _instance_of(worker: workers.WorkerModel) -> TargetInstance:
+def _instance_of(world: World, worker: workers.WorkerModel) -> TargetInstance:
     return TargetInstance(
         worker.name,
         int(worker.born * MS_PER_S),
-        'svc',
+        world.services[worker.name],
         f'{worker.name}:1',
         'zone',
         Size(WORKER_CPUS, WORKER_MEMORY_MIB, 0, 0),
@@ -183,7 +187,11 @@
     if name in world.cut or name not in world.workers:
         return
     heartbeat = TargetReport(
-        0, name, _instance_of(world.workers[name]), 1, name in world.draining
+        0,
+        name,
+        _instance_of(world, world.workers[name]),
+        1,
+        name in world.draining,
     )
     world.lead.now = world.now
     on_target_report(world.lead, heartbeat, 'w')
@@ -483,7 +491,7 @@
 
 def _send_reports_and_renewals(world: World) -> None:
     for name in list(world.workers):
-        key = instance_key(_instance_of(world.workers[name]))
+        key = instance_key(_instance_of(world, world.workers[name]))
         if key not in world.cell.targets:
             report(world, name)
     for key, target in list(world.cell.targets.items()):
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -175,3 +175,8 @@
     Given a cell of 6 targets
     When one of a gang's members fails, a replica reads a snapshot, and another member fails
     Then the gang has failed once on each replica
+
+  Scenario: A step that waits follows its queue to another service
+    Given a cell of one target
+    When a job waits for room, and its queue moves to a service with a free target
+    Then the waiting job ends within 5 s
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -693,3 +693,28 @@
         for cell in context.replicas
     ]
     assert counts == [{GANG_INDEX: 1}, {GANG_INDEX: 1}], counts
+
+
+@when(
+    'a job waits for room, and its queue moves to a service with a free target'
+)
+def move_queue(context):
+    """Fill the only target, submit the job, and change the configuration."""
+    world = context.world
+    whole = Size(cell_world.WORKER_CPUS, 100, 0, 0)
+    submit(world, _job(1, size=whole, estimate=60, payload='steady'))
+    run_for(world, 0.5)
+    context.waiting_job = _job(3, payload='steady')
+    submit(world, context.waiting_job)
+    run_for(world, 0.5)
+    world.services['w2'] = 'other'
+    cell_world.add_worker(world, 'w2')
+    moved = replace(cell_world.queue('/a/', 0), service='other')
+    cell_world.configure(world, 2, queues=(moved,))
+
+
+@then('the waiting job ends within {seconds:g} s')
+def check_waiting_job(context, seconds):
+    """Expect that the job has ended."""
+    run_for(context.world, seconds)
+    assert context.world.cell.jobs[context.waiting_job.id].over
