Renew the present state of a target that was listed again

What callers could see: a task is stopped without a cause and its job stands still from then on, in `running`, on a target that answers; nothing but the loss of that target or of the leader ends it.

Cause: a renewal task holds the state of its target instance, and went on while an instance of that key was known. A target that is removed (not reached for 20 s, or another instance seemed to answer) and whose next report arrives before the next check of the renewal tasks, 0.1 s, gets a new state under the same key; the task went on with the old one. The replies were then applied to a state that no run is placed on: what the target runs is a stray run and is stopped, its end is acknowledged and matched with nothing, and the run in the new state is neither listed nor missed.

Evidence: renewals.feature executes the leader's effects on a virtual clock against the worker model. Before, the run is stopped 0.1 s after its start, and 30 s later the job still has it; now it ends after its work. A worker reports every 1.5 s, so about 1 of 15 removals of a target that is still up meets this.

Ruled out: exceptions. A renewal that raises is followed by another, which the second scenario shows; it passes before.

Now a renewal, its failure and its reply count only for the state that the leader has under the key, else the task ends and the next check starts another.

--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -123,15 +123,24 @@
             target.instance, fence_of(executor.node), renewal
         )
     except LinkError as exc:
-        if _still_leads(executor, lead) and target.key in lead.lease_states:
+        if _still_leads(executor, lead) and _is_known(lead, target):
             on_renewal_failure(lead, target)
             await asyncio.sleep(_retry_delay(lead, target, exc))
         return
-    if _still_leads(executor, lead) and target.key in lead.lease_states:
+    if _still_leads(executor, lead) and _is_known(lead, target):
         on_renewal_reply(lead, target, reply, sent)
         await _wait_for_commit(executor, lead, target)
 
 
+def _is_known(lead: CellLeader, target: TargetState) -> bool:
+    """Tell whether this is still the state of a known target instance.
+
+    An instance that was removed may have been listed again, with a new state.
+    """
+    current = lead.cell.targets.get(target.key)
+    return current is target and target.key in lead.lease_states
+
+
 def _retry_delay(
     lead: CellLeader, target: TargetState, exc: LinkError
 ) -> float:
@@ -163,7 +172,7 @@
     executor: EffectExecutor, lead: CellLeader, target: TargetState
 ) -> None:
     """Renew a target's lease repeatedly for as long as this process leads."""
-    while executor.node.state.lead is lead and target.key in lead.lease_states:
+    while executor.node.state.lead is lead and _is_known(lead, target):
         if _current_lead(executor) is None:
             await asyncio.sleep(_POLL_INTERVAL_S)
             continue
@@ -288,7 +297,7 @@
 async def _probe(executor: EffectExecutor, probe: Probe) -> None:
     lead = _current_lead(executor)
     target = lead.cell.targets.get(probe.instance) if lead else None
-    if target and target.key in lead.lease_states:
+    if target and _is_known(lead, target):
         renewal = replace(next_renewal(lead, target), wait=0)
         await _renew_once(executor, lead, target, renewal)
 
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -388,7 +388,7 @@
         if not _is_same_instance(worker, target):
             reply = RenewalReply(-1, 0, (), ())
         else:
-            reply = _renewal_reply(world, worker, lead, renewal)
+            reply = renewal_reply(world, worker, lead, renewal)
         if reply is not None:
             call_later(world, 0.002, lambda: answer(reply))
 
@@ -408,9 +408,10 @@
     call_later(world, 0.5, on_timeout)
 
 
-def _renewal_reply(
+def renewal_reply(
     world: World, worker: Any, lead: CellLeader, renewal: Any
 ) -> RenewalReply | None:
+    """Return a worker's reply to a renewal, or none to an older leader's."""
     lists = workers.hold(
         worker, world.now, lead.term, renewal.noted, renewal.deadline
     )
