Number the requests to a leader uniquely over restarts of a process

What callers could see: a caller at an entry that has just been restarted gets the answer to another caller's request, for example 200 for a job that was never stored, or the state of another job.

Cause: correlation ids began at 1 in every process. The leader keeps the answer to a request until it is committed and sends it to the process of that name, which may have been restarted since and may have a request of the same number.

Evidence: the scenario; before, the second process takes the answer to the first one's request.

The product's entries (daisygw/entries/_state.py) count from 1 too and are not changed here.

--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -14,6 +14,7 @@
 from daisygw.contracts import CellResponse, ResultCode, SchedulerList
 from daisygw.links import log
 from daisygw.links.processes import Link, LinkTiming, keep_connected, post
+from daisygw.nodes import _clock
 
 # How long an unsent request waits for a reachable leader.  Most elections
 # finish in this time; beyond it, callers are better served by a prompt
@@ -40,6 +41,7 @@
 # A request is sent only over a link that received something this recently:
 # the outcome of one sent over a link that is already broken stays unknown.
 _LEADER_MAX_SILENCE_S = 0.7
+_US_PER_S = 1_000_000
 # How often a pending request checks for a reachable leader.
 _POLL_INTERVAL_S = 0.1
 
@@ -78,7 +80,9 @@
         self.leader = ''
         self.term = 0
         self.leader_left_at = float('-inf')
-        self.seq_numbers = itertools.count(1)
+        # A restarted process must not take an answer to its predecessor for
+        # one to a request of its own.
+        self.seq_numbers = itertools.count(int(_clock.wall() * _US_PER_S))
         self.open: dict[int, _PendingRequest] = {}
         self.handle_locally: Callable[[Any], None] | None = None
         self.on_message: Callable[[Link, Any], None] = _ignore_message
--- a/tests/features/questions.feature
+++ b/tests/features/questions.feature
@@ -25,3 +25,8 @@
     Given a process that heard from its leader 0 seconds ago
     When it calls the leader
     Then the answer is OUTCOME_UNKNOWN after 2.2 seconds, with a retry after 1 s
+
+  Scenario: An answer to a process that was restarted is not taken for the next one's
+    Given a process that heard from its leader 0 seconds ago
+    When it is restarted, calls the leader, and its predecessor's answer arrives
+    Then the answer is OUTCOME_UNKNOWN after 2.7 seconds, with a retry after 1 s
--- a/tests/steps/question_steps.py
+++ b/tests/steps/question_steps.py
@@ -102,6 +102,43 @@
     run_virtually(_call(context, after))
 
 
+@when("it is restarted, calls the leader, and its predecessor's answer arrives")
+def call_after_restart(context):
+    """Answer the first call of the process before the restart."""
+
+    async def call_twice():
+        earlier = context.make_peers()
+        calling = asyncio.ensure_future(
+            call_leader(earlier, ConfigRequest, _CALL_TIMEOUT_S)
+        )
+        await asyncio.sleep(0)
+        (request,) = earlier.links[_OLD_LEADER_HOST].waiting
+        calling.cancel()
+        peers = context.make_peers()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, _keep_heard, peers)
+        loop.call_later(
+            0.1,
+            on_response,
+            peers,
+            CellResponse(request.seq, ResultCode.ANSWERED),
+        )
+        started = loop.time()
+        context.answer = await call_leader(
+            peers, ConfigRequest, _CALL_TIMEOUT_S
+        )
+        context.took = loop.time() - started
+
+    run_virtually(call_twice())
+
+
+def _keep_heard(peers):
+    """Let the leader be heard every 0.1 s."""
+    loop = asyncio.get_running_loop()
+    peers.links[_OLD_LEADER_HOST].heard = loop.time()
+    loop.call_later(0.1, _keep_heard, peers)
+
+
 @then(
     'the answer is {code} after {took:g} seconds, with a retry after {back:g} s'
 )
