--- a/daisygw/nodes/_advisor_calls.py
+++ b/daisygw/nodes/_advisor_calls.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from daisygw.contracts import AdviceRequest, AdviceResponse
+from daisygw.links.processes import Link
 from daisygw.nodes._entry import ADVISOR_QUEUE_TIMEOUT_S
 
 # Calls that take longer than this are restricted to a part of the processes,
@@ -38,25 +39,30 @@
 
 @dataclass(frozen=True, slots=True)
 class _OpenCall:
-    """A call that ``caller`` makes; it fails at ``timeout_at`` (s)."""
+    """A call that ``caller`` makes; it fails at ``timeout_at`` (s).
+
+    ``link`` is the one that the request was sent on.
+    """
 
     request: AdviceRequest
     caller: str
+    link: Link | None
     timeout_at: float
 
 
 class AdvisorCalls:
     """The open calls by correlation id, and the expected end of each caller's.
 
-    ``callers`` returns the names of the processes heard within a time (s),
-    ``on_answer`` takes each answer, ``start_task`` runs a coroutine.
-    ``busy_until`` is the loop time (s) at which a process will have finished
-    its calls.  The callers are checked while calls are open.
+    ``callers`` returns the processes heard within a time (s) by name, with
+    their links (None: this process).  ``on_answer`` takes each answer,
+    ``start_task`` runs a coroutine.  ``busy_until`` is the loop time (s) at
+    which a process will have finished its calls.  The callers are checked
+    while calls are open.
     """
 
     def __init__(
         self,
-        callers: Callable[[float], list[str]],
+        callers: Callable[[float], dict[str, Link | None]],
         on_answer: Callable[[AdviceResponse], None],
         start_task: Callable[[Coroutine[Any, Any, None]], None],
     ) -> None:
@@ -69,10 +75,11 @@
         self.checked = False
 
 
-def assign_call(calls: AdvisorCalls, request: AdviceRequest) -> str:
-    """Return the process that is to make a call: the one free first."""
+def assign_call(calls: AdvisorCalls, request: AdviceRequest) -> Link | None:
+    """Assign a call to the process that is free first; return its link."""
     now = asyncio.get_running_loop().time()
-    names = sorted(calls.callers(_MAX_SILENCE_S))
+    callers = calls.callers(_MAX_SILENCE_S)
+    names = sorted(callers)
     if request.work > _LONG_CALL_S:
         names = names[: ceil(_LONG_CALL_SHARE * len(names))]
     overdue = _overdue_callers(calls, now)
@@ -88,11 +95,12 @@
     )
     # The caller gives up earlier and says so.
     timeout = request.work + ADVISOR_QUEUE_TIMEOUT_S + _TIMEOUT_MARGIN_S
-    calls.open[request.seq] = _OpenCall(request, caller, now + timeout)
+    link = callers[caller]
+    calls.open[request.seq] = _OpenCall(request, caller, link, now + timeout)
     if not calls.checked:
         calls.checked = True
         calls.start_task(_check_callers(calls))
-    return caller
+    return link
 
 
 def _overdue_callers(calls: AdvisorCalls, now: float) -> set[str]:
@@ -135,7 +143,8 @@
 
 
 def _end_lost_calls(calls: AdvisorCalls, now: float) -> None:
-    heard = set(calls.callers(_LOST_SILENCE_S))
+    heard = calls.callers(_LOST_SILENCE_S)
     for call in list(calls.open.values()):
-        if call.caller not in heard or now >= call.timeout_at:
+        lost = call.caller not in heard or heard[call.caller] is not call.link
+        if lost or now >= call.timeout_at:
             end_call(calls, AdviceResponse(call.request.seq, answered=False))
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -245,21 +245,26 @@
         on_stopped(lead, order.run, outcome)
 
 
-def _advisor_callers(node: SchedulerNode, max_silence: float) -> list[str]:
-    """Return this process and the linked ones heard within a time (s)."""
+def _advisor_callers(
+    node: SchedulerNode, max_silence: float
+) -> dict[str, Link | None]:
+    """Return this process and the linked ones heard within a time (s).
+
+    Each name maps to its link, that of this process to None.
+    """
     since = asyncio.get_running_loop().time() - max_silence
-    linked = [
-        name
+    callers: dict[str, Link | None] = {
+        name: link
         for name, link in node.sessions.items()
         if link.up and link.heard > since
-    ]
-    return [node.cfg.host, *linked]
+    }
+    callers[node.cfg.host] = None
+    return callers
 
 
 def _delegate_advice(executor: EffectExecutor, request: AdviceRequest) -> None:
     """Let the process expected to be free first call the advisor."""
-    caller = assign_call(executor.advisor_calls, request)
-    link = executor.node.sessions.get(caller)
+    link = assign_call(executor.advisor_calls, request)
     if link is None:
         _start_background_task(
             executor, _call_advisor_locally(executor, request)
--- a/tests/features/advisor_calls.feature
+++ b/tests/features/advisor_calls.feature
@@ -15,6 +15,11 @@
     When the link to the entry is lost after 0.2 seconds
     Then the call has failed within 0.4 seconds
 
+  Scenario: A call is given up when its caller has connected again
+    Given a leader that lets an entry call the advisor for 1.3 s
+    When the entry connects again after 0.2 seconds
+    Then the call has failed within 0.4 seconds
+
   Scenario: A call that is never answered fails in the end
     Given a leader that lets an entry call the advisor for 1.3 s
     When the entry never answers
--- a/tests/steps/advisor_call_steps.py
+++ b/tests/steps/advisor_call_steps.py
@@ -89,6 +89,10 @@
         self.link.up = False
         self.node.sessions.pop(_ENTRY)
 
+    def connect_again(self):
+        """Replace the link; what was sent on the first one may be lost."""
+        self.node.sessions[_ENTRY] = _link(_ENTRY)
+
 
 async def _heartbeats(observed):
     loop = asyncio.get_running_loop()
@@ -160,6 +164,12 @@
     _run_and_call(context, delay, _Observation.lose_link)
 
 
+@when('the entry connects again after {delay:g} seconds')
+def connect_again(context, delay):
+    """Replace the link."""
+    _run_and_call(context, delay, _Observation.connect_again)
+
+
 @when('the entry never answers')
 def never_answer(context):
     """Keep the link up."""
