--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -40,6 +40,7 @@
 )
 from daisygw.cell._targets import on_target_report
 from daisygw.cell._timeouts import advance_clock
+from daisygw.cell._waits import longest_wait
 
 __all__ = (
     'LOCAL_PROCESS',
@@ -61,6 +62,7 @@
     'enqueue_job',
     'purge_old_jobs',
     'lease_for',
+    'longest_wait',
     'next_renewal',
     'on_advice',
     'on_config_request',
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -47,10 +47,13 @@
 # An unsent start is emitted again after this time: it was lost before it was
 # sent, for example by a pause of the process.  A commit takes far less.
 START_SEND_TIMEOUT_S = 1.0
+# A start that is not confirmed, or a step that waits, for this long is logged;
+# a step again each time that its wait has doubled.
+LONG_WAIT_S = 3.0
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
-# Bits of a request's number that are below the leader's term, so that the
-# terms of a process never share a number.
+# Correlation ids contain the term above this many bits: a process that leads
+# again must not take an answer to its earlier calls for one to the new calls.
 _SEQ_BITS = 32
 # Upper bound of a job's age; a larger value comes from a clock that jumped.
 _MAX_JOB_AGE_S = 60.0
@@ -114,6 +117,7 @@
         self.at = at
         self.start = start
         self.start_due = at + START_SEND_TIMEOUT_S if start else float('inf')
+        self.report_due = at + LONG_WAIT_S if start else float('inf')
         self.deadline = 0
         self.answered = float('inf')
         self.unanswered = 0
@@ -158,6 +162,9 @@
     """A step with tasks to start; ``due`` is the latest start in time (s).
 
     ``avoid`` maps the index of a task to the targets on which it failed.
+    ``since`` is when it began to wait, or when some of its tasks were placed
+    last; its wait is logged once it is ``next_report`` long (s).  ``last_turn``
+    is when it was last considered behind more urgent steps (s).
     """
 
     def __init__(
@@ -166,6 +173,7 @@
         state: StepState,
         queue: Queue,
         times: tuple[float, float],
+        since: float,
     ) -> None:
         """Queue a step; ``times`` are ``due`` and ``worthless_at`` (s).
 
@@ -175,6 +183,9 @@
         self.state = state
         self.queue = queue
         self.due, self.worthless_at = times
+        self.since = since
+        self.next_report = LONG_WAIT_S
+        self.last_turn = float('-inf')
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
@@ -352,10 +363,24 @@
             continue
         if is_ready(lead, job, state):
             times = _latest_starts(lead, job, queue, key.step)
-            lead.waiting[key] = WaitingStep(job, state, queue, times)
+            lead.waiting[key] = WaitingStep(job, state, queue, times, lead.now)
             lead.changed = True
 
 
+def update_queues(lead: CellLeader) -> None:
+    """Apply a new configuration to the waiting steps, and queue others.
+
+    A step that waits when its queue is removed keeps the queue as it was.
+    """
+    for waiting in lead.waiting.values():
+        queue = queue_of(lead.cell, waiting.job)
+        if queue and queue != waiting.queue:
+            waiting.queue = queue
+            waiting.max_tasks_by_target.clear()
+    for job in lead.cell.jobs.values():
+        enqueue_job(lead, job)
+
+
 def enqueue_due(lead: CellLeader) -> None:
     """Queue the steps of repeating jobs whose occurrence became due."""
     for name in list(lead.repeating):
@@ -398,6 +423,12 @@
     outstanding.stop_due = lead.now
 
 
+def request_gang_stop(lead: CellLeader, state: StepState) -> None:
+    """Order all members of a gang to stop, as they run together or not."""
+    for run in list(state.runs.values()):
+        request_stop(lead, run)
+
+
 def clean_up_job(lead: CellLeader, job: CellJob) -> None:
     """Stop what still runs of an ended job and drop its working state."""
     stop_runs(lead, job)
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -9,10 +9,12 @@
     OutstandingOrder,
     Probe,
     StartOrder,
+    request_gang_stop,
     request_stop,
 )
-from daisygw.cell._state import Run
+from daisygw.cell._state import Run, step_of
 from daisygw.cell._targets import (
+    defer_work,
     end_instance,
     finish,
 )
@@ -30,14 +32,17 @@
 class OrderOutcome(enum.StrEnum):
     """The outcome of an order that was sent to a target.
 
-    After ``UNSURE`` the order may have been carried out.  ``FENCED`` means
-    that the target knows a newer leader, ``OTHER_INSTANCE`` that its process
-    has been replaced by another one.
+    After ``UNSURE`` the order may have been carried out.  ``REFUSED`` means
+    that the order is not valid (any more), ``UNAVAILABLE`` that the target
+    takes no order of this kind now.  ``FENCED`` means that the target knows a
+    newer leader, ``OTHER_INSTANCE`` that its process has been replaced by
+    another one.
     """
 
     TAKEN = 'taken'
     NO_ANSWER = 'no answer'
     REFUSED = 'refused'
+    UNAVAILABLE = 'unavailable'
     UNSURE = 'unsure'
     FENCED = 'fenced'
     OTHER_INSTANCE = 'other life'
@@ -87,9 +92,26 @@
     elif result.outcome is OrderOutcome.NO_ANSWER:
         outstanding.unanswered += 1
         _retry_start(lead, result, outstanding)
-    elif result.outcome is OrderOutcome.REFUSED and not outstanding.unanswered:
+    elif result.outcome is OrderOutcome.REFUSED:
         _expire_ticket(lead, run)
+        _end_refused_run(lead, result, outstanding)
+    elif result.outcome is OrderOutcome.UNAVAILABLE:
+        defer_work(lead, run.instance)
+        _end_refused_run(lead, result, outstanding)
+    else:
+        request_stop(lead, run)
+
+
+def _end_refused_run(
+    lead: CellLeader, result: StartResult, outstanding: OutstandingOrder
+) -> None:
+    """End a refused run, once no earlier copy of its start can arrive."""
+    run = result.order.run
+    state = step_of(lead.cell, run.step)
+    if not outstanding.unanswered:
         finish(lead, run, RunEnd.REFUSED, why=result.reason)
+    elif state and state.step.gang:
+        request_gang_stop(lead, state)
     else:
         request_stop(lead, run)
 
@@ -126,7 +148,13 @@
 def on_stopped(lead: CellLeader, run: Run, outcome: OrderOutcome) -> None:
     """Handle the result of a stop order."""
     outstanding = lead.orders.get((run.step, run.index))
-    if outstanding and outstanding.run == run and outcome is OrderOutcome.TAKEN:
-        outstanding.stop_confirmed_at = min(
-            outstanding.stop_confirmed_at, lead.now
-        )
+    if outstanding is None or outstanding.run != run:
+        return
+    if outcome is not OrderOutcome.TAKEN:
+        return
+    if outstanding.stop_confirmed_at == float('inf'):
+        # The target lists an end unless the run never started, which only a
+        # reply to a later renewal proves.
+        outstanding.stop_confirmed_at = lead.now
+        if outstanding.answered == float('inf'):
+            lead.send_message(LOCAL_PROCESS, Probe(run.instance))
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -3,14 +3,15 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from functools import partial
-from math import ceil
 from types import MappingProxyType
 from typing import Any
 
 from daisygw.cell import (
     CellLeader,
     EndsCommitted,
+    LeaseRenewal,
     LogEvent,
     OrderOutcome,
     Probe,
@@ -31,6 +32,7 @@
 from daisygw.links import log
 from daisygw.links.processes import Link, post, running
 from daisygw.nodes import _clock
+from daisygw.nodes._advisor_calls import AdvisorCalls, assign_call, end_call
 from daisygw.nodes._entry import call_advisor
 from daisygw.nodes._meters import count
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
@@ -47,26 +49,13 @@
 _POLL_INTERVAL_S = 0.1
 # How long the next renewal waits for the commit of the ends just listed.
 _COMMIT_WAIT_S = 0.5
-# How long the leader waits for advice beyond the call's expected duration: a
-# few turns of both processes.
-_ADVICE_TIMEOUT_MARGIN_S = 0.6
-# Advisor calls that take longer than this are restricted to a part of the
-# processes, so that a short call always finds a free one.
-_LONG_CALL_S = 0.3
-# The share of the processes that long calls may use; the others stay free for
-# short calls.
-_LONG_CALL_SHARE = 0.75
-# A process that sent nothing for this long is not asked to call the advisor:
-# two heartbeats of a link and some margin.
-_PEER_MAX_SILENCE_S = 0.6
 
 
 class EffectExecutor:
     """State of the effects in progress on the leader.
 
-    ``renewal_tasks`` has one task per target; ``advisor_busy_until`` is the
-    time (s) at which each process will have finished its assigned advisor
-    calls; ``noted`` wakes renewals that wait for a commit.
+    ``renewal_tasks`` has one task per target; ``noted`` wakes renewals that
+    wait for a commit.
     """
 
     def __init__(self, node: SchedulerNode) -> None:
@@ -74,7 +63,11 @@
         self.node = node
         self.renewal_tasks: dict[str, asyncio.Task] = {}
         self.noted = asyncio.Event()
-        self.advisor_busy_until: dict[str, float] = {}
+        self.advisor_calls = AdvisorCalls(
+            partial(_advisor_callers, node),
+            partial(_apply_advice, self),
+            partial(_start_background_task, self),
+        )
 
 
 def _current_lead(executor: EffectExecutor) -> CellLeader | None:
@@ -119,24 +112,35 @@
 
 
 async def _renew_once(
-    executor: EffectExecutor, lead: CellLeader, target: TargetState
+    executor: EffectExecutor,
+    lead: CellLeader,
+    target: TargetState,
+    renewal: LeaseRenewal,
 ) -> None:
-    renewal = next_renewal(lead, target)
     sent = _clock.now()
     try:
         reply = await executor.node.calls.renew(
             target.instance, fence_of(executor.node), renewal
         )
     except LinkError as exc:
-        if _still_leads(executor, lead) and target.key in lead.lease_states:
+        if _still_leads(executor, lead) and _is_known(lead, target):
             on_renewal_failure(lead, target)
             await asyncio.sleep(_retry_delay(lead, target, exc))
         return
-    if _still_leads(executor, lead) and target.key in lead.lease_states:
+    if _still_leads(executor, lead) and _is_known(lead, target):
         on_renewal_reply(lead, target, reply, sent)
         await _wait_for_commit(executor, lead, target)
 
 
+def _is_known(lead: CellLeader, target: TargetState) -> bool:
+    """Tell whether this is still the state of a known target instance.
+
+    An instance that was removed may have been listed again, with a new state.
+    """
+    current = lead.cell.targets.get(target.key)
+    return current is target and target.key in lead.lease_states
+
+
 def _retry_delay(
     lead: CellLeader, target: TargetState, exc: LinkError
 ) -> float:
@@ -168,11 +172,12 @@
     executor: EffectExecutor, lead: CellLeader, target: TargetState
 ) -> None:
     """Renew a target's lease repeatedly for as long as this process leads."""
-    while executor.node.state.lead is lead and target.key in lead.lease_states:
+    while executor.node.state.lead is lead and _is_known(lead, target):
         if _current_lead(executor) is None:
             await asyncio.sleep(_POLL_INTERVAL_S)
             continue
-        await _renew_once(executor, lead, target)
+        renewal = next_renewal(lead, target)
+        await _renew_once(executor, lead, target, renewal)
 
 
 async def _manage_renewals(executor: EffectExecutor) -> None:
@@ -240,12 +245,14 @@
         on_stopped(lead, order.run, outcome)
 
 
-def _advisor_callers(node: SchedulerNode) -> dict[str, Link | None]:
-    """Return the processes that may call the advisor, by name.
+def _advisor_callers(
+    node: SchedulerNode, max_silence: float
+) -> dict[str, Link | None]:
+    """Return this process and the linked ones heard within a time (s).
 
-    Each maps to its link, this process itself to None.
+    Each name maps to its link, that of this process to None.
     """
-    since = asyncio.get_running_loop().time() - _PEER_MAX_SILENCE_S
+    since = asyncio.get_running_loop().time() - max_silence
     callers: dict[str, Link | None] = {
         name: link
         for name, link in node.sessions.items()
@@ -256,49 +263,21 @@
 
 
 def _delegate_advice(executor: EffectExecutor, request: AdviceRequest) -> None:
-    """Assign an advisor call to the process expected to be free first."""
-    now = _clock.now()
-    callers = _advisor_callers(executor.node)
-    names = sorted(callers)
-    if request.work > _LONG_CALL_S:
-        names = names[: ceil(_LONG_CALL_SHARE * len(names))]
-    least_busy = min(
-        names,
-        key=lambda name: max(executor.advisor_busy_until.get(name, 0), now),
-    )
-    executor.advisor_busy_until[least_busy] = (
-        max(executor.advisor_busy_until.get(least_busy, 0), now) + request.work
-    )
-    link = callers[least_busy]
+    """Let the process expected to be free first call the advisor."""
+    link = assign_call(executor.advisor_calls, request)
     if link is None:
         _start_background_task(
             executor, _call_advisor_locally(executor, request)
         )
     else:
         post(link, request)
-    _start_background_task(
-        executor,
-        _expire_advice(
-            executor, request, executor.advisor_busy_until[least_busy] - now
-        ),
-    )
 
 
 async def _call_advisor_locally(
     executor: EffectExecutor, request: AdviceRequest
 ) -> None:
-    _apply_advice(executor, await call_advisor(executor.node.calls, request))
-
-
-async def _expire_advice(
-    executor: EffectExecutor, request: AdviceRequest, expected: float
-) -> None:
-    """Treat advice that did not arrive in time as a failed call.
-
-    ``expected`` is how long the call should take (s).
-    """
-    await asyncio.sleep(expected + _ADVICE_TIMEOUT_MARGIN_S)
-    _apply_advice(executor, AdviceResponse(request.seq, answered=False))
+    answer = await call_advisor(executor.node.calls, request)
+    end_call(executor.advisor_calls, answer)
 
 
 def _apply_advice(executor: EffectExecutor, answer: AdviceResponse) -> None:
@@ -323,8 +302,9 @@
 async def _probe(executor: EffectExecutor, probe: Probe) -> None:
     lead = _current_lead(executor)
     target = lead.cell.targets.get(probe.instance) if lead else None
-    if target and target.key in lead.lease_states:
-        await _renew_once(executor, lead, target)
+    if target and _is_known(lead, target):
+        renewal = replace(next_renewal(lead, target), wait=0)
+        await _renew_once(executor, lead, target, renewal)
 
 
 def _log_decision(executor: EffectExecutor, event_record: LogEvent) -> None:
@@ -335,6 +315,9 @@
 
 _HANDLERS = MappingProxyType({
     AdviceRequest: _delegate_advice,
+    AdviceResponse: lambda executor, answer: end_call(
+        executor.advisor_calls, answer
+    ),
     LogEvent: _log_decision,
     Probe: lambda executor, probe: _start_background_task(
         executor, _probe(executor, probe)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -15,7 +15,7 @@
 from daisygw.cell import (
     LOCAL_PROCESS,
     advance_clock,
-    on_advice,
+    longest_wait,
     on_config_request,
     on_job_request,
     on_target_report,
@@ -144,6 +144,11 @@
         ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
         ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
         ('steps_waiting', 'Steps that wait', lambda: _waiting_steps(node)),
+        (
+            'longest_step_wait_seconds',
+            'Longest wait of a step for a start',
+            lambda: _longest_wait(node),
+        ),
         ('sync_seconds', 'Mean time of a sync', lambda: _sync_time(node)),
         ('sessions', 'Links to this process', lambda: len(node.sessions)),
     )
@@ -160,6 +165,10 @@
     return len(node.state.lead.waiting) if node.state.lead else 0
 
 
+def _longest_wait(node: SchedulerNode) -> float:
+    return longest_wait(node.state.lead) if node.state.lead else 0
+
+
 def _sync_time(node: SchedulerNode) -> float:
     journal = node.group.journal
     return journal.sync_time if journal else 0
@@ -195,9 +204,7 @@
         case AdviceRequest():
             node.execute_effect((link, message))
         case AdviceResponse():
-            if node.state.lead:
-                node.state.lead.now = _clock.now()
-                on_advice(node.state.lead, message)
+            node.execute_effect(message)
         case JobRequest() | ConfigRequest() | TargetReport():
             _handle_as_leader(node, link.peer, message)
         case _:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 from collections import defaultdict
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -16,6 +17,7 @@
     Cell,
     CellLeader,
     EndsCommitted,
+    LogEvent,
     OrderOutcome,
     Probe,
     Run,
@@ -74,13 +76,20 @@
 REQUEST_HOST = 'host'
 # Failures of a task after which its job fails.
 ATTEMPTS = 3
+SERVICE = 'svc'
 MS_PER_S = 1000
 # How the leader reads the reason that a worker gives with HTTP status 409.
 _REFUSAL_OUTCOMES = {
     'fence': OrderOutcome.FENCED,
     'old': OrderOutcome.UNSURE,
     'late': OrderOutcome.REFUSED,
+    'ticket': OrderOutcome.REFUSED,
+    'room': OrderOutcome.UNAVAILABLE,
 }
+# Interval of a target's lease renewals while targets do not wait with their
+# reply, and delay of an extra one (s).
+_RENEWAL_INTERVAL_S = 0.25
+_PROBE_DELAY_S = 0.005
 
 
 class World:
@@ -102,6 +111,14 @@
         self.drops_output_until = 0.0
         self.late_probability = 0.0
         self.faulty: set[str] = set()
+        self.services: dict[str, str] = defaultdict(lambda: SERVICE)
+        # Workers that leave starts and stops unanswered, and the reasons with
+        # which others refuse starts.  With a wait (s), targets reply to a
+        # renewal when a run has ended, or after the wait.
+        self.ignoring_orders: set[str] = set()
+        self.refusing_starts: dict[str, str] = {}
+        self.refused_starts = 0
+        self.renewal_wait = 0.0
         self.cell = Cell()
         self.longest_lease = longest_lease
         self.lead = CellLeader(self.cell, 1, self.now, self.now, longest_lease)
@@ -112,6 +129,7 @@
         self.next_renewals: dict[str, float] = {}
         self.follower = Cell()
         self.start_checkpoints: dict[tuple, set[str]] = defaultdict(set)
+        self.log: list[LogEvent] = []
         start_leading(self.lead)
         configure(self, 1)
         for number in range(targets):
@@ -126,7 +144,7 @@
         prefix,
         REQUEST_HOST,
         prefix,
-        'svc',
+        SERVICE,
         3,
         1,
         priority,
@@ -139,7 +157,9 @@
 def configure(world: World, version: int, **more: Any) -> None:
     """Apply a configuration through the leader."""
     queues = (queue('/a/', 0), queue('/b/', 1))
-    cfg = CellConfig(version, more.get('queues', queues), ('svc',), 9999, b'{}')
+    queues = more.get('queues', queues)
+    services = tuple(sorted({row.service for row in queues}))
+    cfg = CellConfig(version, queues, services, 9999, b'{}')
     on_config_request(
         world.lead, ConfigRequest(next(world.sequence), cfg), 'op'
     )
@@ -154,11 +174,11 @@
     report(world, name)
 
 
-def _instance_of(worker: workers.WorkerModel) -> TargetInstance:
+def _instance_of(world: World, worker: workers.WorkerModel) -> TargetInstance:
     return TargetInstance(
         worker.name,
         int(worker.born * MS_PER_S),
-        'svc',
+        world.services[worker.name],
         f'{worker.name}:1',
         'zone',
         Size(WORKER_CPUS, WORKER_MEMORY_MIB, 0, 0),
@@ -172,7 +192,11 @@
     if name in world.cut or name not in world.workers:
         return
     heartbeat = TargetReport(
-        0, name, _instance_of(world.workers[name]), 1, name in world.draining
+        0,
+        name,
+        _instance_of(world, world.workers[name]),
+        1,
+        name in world.draining,
     )
     world.lead.now = world.now
     on_target_report(world.lead, heartbeat, 'w')
@@ -273,10 +297,7 @@
         ):
             status, reason = 421, ''
         else:
-            load = _load_of(world, order.run)
-            status, reason = workers.start(
-                worker, world.now, worker_order, load
-            )
+            status, reason = _worker_start(world, worker, order, worker_order)
         if answer_arrives:
             call_later(world, 0.002, lambda: answer(status, reason))
 
@@ -299,10 +320,26 @@
             on_started(lead, StartResult(order, outcome, sent))
 
     answered: list[bool] = []
-    _transmit(world, deliver)
+    if target.instance.name not in world.ignoring_orders:
+        _transmit(world, deliver)
     call_later(world, 0.2, on_timeout)
 
 
+def _worker_start(
+    world: World,
+    worker: workers.WorkerModel,
+    order: StartOrder,
+    worker_order: tuple,
+) -> tuple[int, str]:
+    """Return a worker's HTTP status for a start, and its reason."""
+    reason = world.refusing_starts.get(worker.name, '')
+    if reason:
+        world.refused_starts += 1
+        return 409, reason
+    load = _load_of(world, order.run)
+    return workers.start(worker, world.now, worker_order, load)
+
+
 def _is_same_instance(worker: workers.WorkerModel, target: Any) -> bool:
     return int(worker.born * MS_PER_S) == target.instance.born
 
@@ -341,7 +378,8 @@
             lead.now = world.now
             on_stopped(lead, order.run, OrderOutcome.TAKEN)
 
-    _transmit(world, deliver)
+    if target.instance.name not in world.ignoring_orders:
+        _transmit(world, deliver)
 
 
 def _renew_lease(world: World, key: str) -> None:
@@ -361,7 +399,7 @@
         if not _is_same_instance(worker, target):
             reply = RenewalReply(-1, 0, (), ())
         else:
-            reply = _renewal_reply(world, worker, lead, renewal)
+            reply = renewal_reply(world, worker, lead, renewal)
         if reply is not None:
             call_later(world, 0.002, lambda: answer(reply))
 
@@ -381,9 +419,10 @@
     call_later(world, 0.5, on_timeout)
 
 
-def _renewal_reply(
+def renewal_reply(
     world: World, worker: Any, lead: CellLeader, renewal: Any
 ) -> RenewalReply | None:
+    """Return a worker's reply to a renewal, or none to an older leader's."""
     lists = workers.hold(
         worker, world.now, lead.term, renewal.noted, renewal.deadline
     )
@@ -449,7 +488,10 @@
             case EndsCommitted():
                 acknowledge_ends(world.lead, message)
             case Probe():
-                _renew_lease(world, message.instance)
+                renew = partial(_renew_lease, world, message.instance)
+                call_later(world, _PROBE_DELAY_S, renew)
+            case LogEvent():
+                world.log.append(message)
             case CellResponse() if outgoing.entry != LOCAL_PROCESS:
                 world.responses[message.seq] = message
 
@@ -471,10 +513,18 @@
 
 def _send_reports_and_renewals(world: World) -> None:
     for name in list(world.workers):
-        key = instance_key(_instance_of(world.workers[name]))
+        key = instance_key(_instance_of(world, world.workers[name]))
         if key not in world.cell.targets:
             report(world, name)
-    for key in list(world.cell.targets):
-        if world.now >= world.next_renewals.get(key, 0):
-            world.next_renewals[key] = world.now + 0.25
+    for key, target in list(world.cell.targets.items()):
+        due = world.now >= world.next_renewals.get(key, 0)
+        if due or (world.renewal_wait and _lists_new_end(world, target)):
+            interval = max(world.renewal_wait, _RENEWAL_INTERVAL_S)
+            world.next_renewals[key] = world.now + interval
             _renew_lease(world, key)
+
+
+def _lists_new_end(world: World, target: Any) -> bool:
+    worker = world.workers.get(target.instance.name)
+    reachable = worker and target.instance.name not in world.cut
+    return bool(reachable and worker.position > target.position)
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -143,3 +143,71 @@
     Given a cell of one target
     When the leader changes during a call, whose answer reaches the next leader
     Then each of its tasks ran
+
+  Scenario: A step that waits long is logged with what it lacks
+    Given a cell of 6 targets
+    When a gang of 9 tasks is submitted, and 8 fit on its approved targets
+    Then 7 s later it was logged twice, with room for 8 of 9 tasks
+
+  Scenario: A start that stays unconfirmed is logged
+    Given a cell of one target that is cut off
+    When a job of 1 tasks is submitted and its first starts stay unanswered
+    Then 3 s later its start was logged as unconfirmed, once
+
+  Scenario: A step that fits starts behind 64 more urgent ones that do not
+    Given a cell of 6 targets
+    When 64 gangs wait that do not fit on their approved targets
+    And a less urgent job of 1 tasks is submitted
+    Then the less urgent job starts within 1 s
+
+  Scenario: More steps than one placement pass looks at all get their turn
+    Given a cell of 6 targets
+    When 64 gangs wait that do not fit on their approved targets
+    And 60 less urgent jobs are submitted
+    Then all less urgent jobs start within 3 s
+
+  Scenario: Advice for an earlier leader is not taken for another step's
+    Given a cell of one target
+    When the leader changes while the advisor is asked about a step
+    And the advisor denies the target to that step, after the next leader asked about another
+    Then the other step's job ends within 5 s
+
+  Scenario: A gang with a refused member is free before the next renewal
+    Given a cell of 6 targets that wait 2 seconds for an end
+    When a gang starts on three targets, and one leaves its start unanswered
+    And that target then refuses the start for its ticket
+    Then all members of the gang are over within 0.3 s
+    And the gang ends within 15 s
+
+  Scenario: A target that refuses every start is not chosen again at once
+    Given a cell of 2 targets without an advisor
+    When a job of 2 tasks is submitted, and the target tried first has no room
+    Then the job ends within 5 s
+    And at most 4 starts were refused
+
+  Scenario: A gang is not placed again on a target that refuses its starts
+    Given a cell of 4 targets without an advisor
+    When a gang is submitted, and a target that it is placed on has no room
+    Then the job ends within 8 s
+    And at most 8 starts were refused
+
+  Scenario: Jobs that fail everywhere do not close all targets
+    Given a cell of 6 targets
+    When 12 jobs of 6 tasks that fail have run
+    And a less urgent job of 1 tasks is submitted
+    Then the less urgent job starts within 0.5 s
+
+  Scenario: A target that answers renewals but no orders keeps a task for 3 s at most
+    Given a cell of 3 targets without an advisor, and leases of 10 s
+    When a job of 1 tasks is submitted, and its target answers no orders
+    Then the job ends within 4.5 s
+
+  Scenario: A gang's run fails once, also on a replica that read a snapshot
+    Given a cell of 6 targets
+    When one of a gang's members fails, a replica reads a snapshot, and another member fails
+    Then the gang has failed once on each replica
+
+  Scenario: A step that waits follows its queue to another service
+    Given a cell of one target
+    When a job waits for room, and its queue moves to a service with a free target
+    Then the waiting job ends within 5 s
