--- /dev/null
+++ b/bench/soak_faults.py
@@ -0,0 +1,213 @@
+"""Faults of a soak run, each with the repair that undoes it later."""
+
+import shutil
+import signal
+import time
+from collections import defaultdict
+from random import Random
+from types import MappingProxyType
+
+from standins import platform_cell as cells
+from standins.platform_cell import PlatformCell
+
+WORKERS = 4
+# A scheduler's data folder is deleted only after all hosts have been up and
+# connected for this long, s: the others then hold all it had acknowledged.
+_MIN_UNDISTURBED_S = 6.0
+# Maximum delay of a slow link, s: a good part of an election timeout.
+_MAX_LINK_DELAY_S = 0.3
+
+
+class SoakRun:
+    """State of a run in progress.
+
+    ``pending_repairs`` holds (due time, function) pairs that undo faults;
+    ``accepted`` maps each accepted job to its number of tasks.  ``links`` holds
+    the states of impaired links, ``faults_changed_at`` when a fault of a host
+    or link last began or ended (s).
+    """
+
+    def __init__(self, cell: PlatformCell, seed: int) -> None:
+        self.cell = cell
+        self.seed = seed
+        self.random = Random(seed)
+        self.pending_repairs: list[tuple[float, object]] = []
+        self.cut_off_workers: set[str] = set()
+        self.accepted: dict[str, int] = {}
+        self.down_hosts: set[str] = set()
+        self.faults: dict[str, int] = defaultdict(int)
+        self.links: dict[str, tuple[bool, bool, float]] = {}
+        self.faults_changed_at = time.monotonic()
+        self.version = 3
+        self.acknowledged_version = 0
+
+
+def _schedule_repair(soak: SoakRun, repair) -> None:
+    due = time.monotonic() + soak.random.uniform(0.3, 5)
+    soak.pending_repairs.append((due, repair))
+
+
+def _kill(soak: SoakRun, host: str) -> None:
+    cells.stop_host(soak.cell, host)
+    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
+
+
+def _stop(soak: SoakRun, host: str) -> None:
+    cells.stop_host(soak.cell, host, signal.SIGTERM)
+    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
+
+
+def _pause(soak: SoakRun, host: str) -> None:
+    process = soak.cell.running[host]
+    process.send_signal(signal.SIGSTOP)
+    _schedule_repair(soak, lambda: process.send_signal(signal.SIGCONT))
+
+
+def _wipe(soak: SoakRun, host: str) -> None:
+    """Kill a host's process; delete a scheduler's data if that is safe.
+
+    It is safe only while no other fault is active and none was for a while:
+    the other schedulers then hold all acknowledged entries.
+    """
+    cells.stop_host(soak.cell, host)
+    settled = time.monotonic() - soak.faults_changed_at > _MIN_UNDISTURBED_S
+    is_only_fault = soak.down_hosts == {host} and not soak.links
+    if settled and is_only_fault and host in cells.SCHEDULERS:
+        soak.faults['wiped'] += 1
+        shutil.rmtree(soak.cell.folder / host, ignore_errors=True)
+    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
+
+
+def _kill_with_torn_log(soak: SoakRun, host: str) -> None:
+    """Kill a process and leave a torn record in its logs.
+
+    The torn record is 1 to 11 random bytes at the end of the log.
+    """
+    cells.stop_host(soak.cell, host)
+    for path in (soak.cell.folder / host).glob('*/log'):
+        with path.open('ab') as stream:
+            stream.write(soak.random.randbytes(soak.random.randint(1, 11)))
+    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
+
+
+_HOST_FAULTS = MappingProxyType({
+    'kill': _kill,
+    'stop': _stop,
+    'pause': _pause,
+    'wipe': _wipe,
+    'tear': _kill_with_torn_log,
+})
+
+
+def _set_links(soak: SoakRun) -> None:
+    states = {
+        **soak.links,
+        **dict.fromkeys(soak.cut_off_workers, (False, False, 0)),
+    }
+    address = cells.relay_control_address(soak.cell)
+    cells.call(address, 'PUT', '/links', states)
+
+
+def _impair_links(
+    soak: SoakRun, names: list[str], state: tuple[bool, bool, float]
+) -> None:
+    soak.links.update(dict.fromkeys(names, state))
+    soak.faults_changed_at = time.monotonic()
+    _set_links(soak)
+
+    def restore() -> None:
+        for name in names:
+            soak.links.pop(name, None)
+        soak.faults_changed_at = time.monotonic()
+        _set_links(soak)
+
+    _schedule_repair(soak, restore)
+
+
+def _pick_host(soak: SoakRun) -> str:
+    return soak.random.choice((*cells.SCHEDULERS, *cells.ENTRIES))
+
+
+def _cut(soak: SoakRun) -> None:
+    """Hold back all traffic of a host while its connections stay open."""
+    names = cells.link_names(_pick_host(soak))
+    _impair_links(soak, names, (False, False, 0))
+
+
+def _cut_one_way(soak: SoakRun) -> None:
+    name = soak.random.choice(cells.link_names(_pick_host(soak)))
+    forward = soak.random.choice((True, False))
+    _impair_links(soak, [name], (forward, not forward, 0))
+
+
+def _delay(soak: SoakRun) -> None:
+    delay_s = soak.random.uniform(0, _MAX_LINK_DELAY_S)
+    names = cells.link_names(_pick_host(soak))
+    _impair_links(soak, names, (True, True, delay_s))
+
+
+def _reset(soak: SoakRun) -> None:
+    names = cells.link_names(_pick_host(soak))
+    cells.call(cells.relay_control_address(soak.cell), 'PUT', '/reset', names)
+
+
+def _cut_off_worker(soak: SoakRun) -> None:
+    name = f'w{soak.random.randint(1, WORKERS)}'
+    soak.cut_off_workers.add(name)
+    _set_links(soak)
+    _schedule_repair(
+        soak, lambda: (soak.cut_off_workers.discard(name), _set_links(soak))
+    )
+
+
+def _change_configuration(soak: SoakRun) -> None:
+    """Send a newer configuration; record its version if acknowledged."""
+    soak.version += 1
+    cfg = cells.configuration(soak.version)
+    if cells.put_config(soak.cell, cfg) == cells.HTTP_OK:
+        soak.acknowledged_version = soak.version
+
+
+_OTHER_FAULTS = MappingProxyType({
+    'cut': _cut,
+    'cut one way': _cut_one_way,
+    'delay': _delay,
+    'reset': _reset,
+    'silence': _cut_off_worker,
+    'change': _change_configuration,
+    'none': lambda soak: None,
+})
+
+
+def inject_fault(soak: SoakRun) -> None:
+    """Inject one random fault; at most two hosts are down at a time."""
+    kind = soak.random.choice((*_HOST_FAULTS, *_OTHER_FAULTS))
+    soak.faults[kind] += 1
+    inject = _OTHER_FAULTS.get(kind)
+    if inject:
+        inject(soak)
+        return
+    host = _pick_host(soak)
+    if host in soak.down_hosts or len(soak.down_hosts) > 1:
+        return
+    soak.down_hosts.add(host)
+    _HOST_FAULTS[kind](soak, host)
+    soak.faults_changed_at = time.monotonic()
+    due, repair = soak.pending_repairs.pop()
+    soak.pending_repairs.append((
+        due,
+        lambda: (repair(), _mark_host_up(soak, host)),
+    ))
+
+
+def _mark_host_up(soak: SoakRun, host: str) -> None:
+    soak.down_hosts.discard(host)
+    soak.faults_changed_at = time.monotonic()
+
+
+def run_due_repairs(soak: SoakRun, now: float) -> None:
+    """Undo the faults that are due at ``now`` (s)."""
+    due = [one for one in soak.pending_repairs if one[0] <= now]
+    for entry in due:
+        soak.pending_repairs.remove(entry)
+        entry[1]()
