Soak: callers with jobs of two steps, and an advisor slower than its tickets

Callers are now a process of their own (standins/platform_callers.py) that submits jobs and asks for them all the time and records each call. Jobs of a second queue are gangs of two steps; the advisor takes 1.12 s and 10 ms a worker for them, approves one worker in five, and its tickets are valid for 1.5 s. 40 workers instead of 4, which refuse a start without a valid ticket.

New checks: an accepted job that is shown as unknown (3 s after acceptance), failed or cancelled; an accepted job of which nothing runs for 3 s while its step's turn has come, its workers have capacity for it twice over and less than half of the cell is in use, once there were no faults for 4 s. Relays report when they stood still themselves (0.2 to 1.1 s on a machine with a load of 25): that counts as a fault of the links.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,13 +1,16 @@
 """Soak test: injects overlapping faults into a cell of real processes.
 
 ``python -m bench.soak --seed N --seconds S`` runs three schedulers, two
-entries and four workers on loopback addresses.  Signals kill, pause and stop
+entries and 40 workers on loopback addresses.  Signals kill, pause and stop
 processes, which are then restarted or resumed.  A scheduler may lose its data
 folder or find a torn record at the end of its log.  Relays cut links between
 processes and to workers (in both directions or one), delay them and reset
-them.  Configurations change meanwhile.
+them.  Configurations change meanwhile.  Callers submit jobs of one or two
+steps all the time, also for a while after the last fault was undone.  The
+placement advisor of some jobs, all gangs, is slow.
 
-At the end every accepted job must be completed, and the configuration in
+Every accepted job must be completed, and shown in between.  While there are no
+faults, no job may stand still beside free capacity.  The configuration in
 force must be at least the newest that was acknowledged.  No task may have run
 twice at the same time, or again after its end was acknowledged, and no worker
 may have held more than its capacity.
@@ -16,17 +19,23 @@
 import argparse
 import json
 import shutil
+import signal
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from bench.soak_checks import (
-    TASK_CPU,
+    accepted_jobs,
+    jobs_of,
+    lost_jobs,
     overcommitted_workers,
     repeated_runs,
     repeats,
+    stalled_jobs,
 )
 from bench.soak_faults import (
     WORKERS,
@@ -35,10 +44,13 @@
     run_due_repairs,
 )
 from standins import platform_cell as cells
+from standins.platform_callers import Call, read_calls
 from standins.platform_cell import ENTRIES, PlatformCell
 
-# Interval between rounds of one submission and one random fault.
-STEP_INTERVAL_S = 0.3
+# Interval between faults.
+FAULT_INTERVAL_S = 0.3
+# Time that callers go on after the last fault was undone.
+TRAFFIC_TAIL_S = 10.0
 # Time for accepted jobs to complete after the last fault was undone.
 COMPLETION_TIMEOUT_S = 45
 
@@ -59,45 +71,59 @@
     broken: tuple[str, ...]
 
 
-def _submit(soak: SoakRun, number: int) -> None:
-    name = f'{soak.seed:06x}{number:010x}'
-    tasks = soak.random.randint(1, 4)
-    body = cells.job(tasks, cpu=TASK_CPU, work_s=soak.random.uniform(0.2, 2))
-    body['steps'][0]['gang'] = soak.random.randint(1, 5) == 1
-    for entry in soak.random.sample(ENTRIES, 2):
-        if entry not in soak.down_hosts:
-            status, _ = cells.call_entry(soak.cell, entry, 'POST', name, body)
-            if status == 200:
-                soak.accepted[name] = tasks
-                return
-
-
-def _submit_and_inject_faults(soak: SoakRun, seconds: float) -> None:
+def _inject_faults(soak: SoakRun, seconds: float) -> None:
     until = time.monotonic() + seconds
-    number = 0
     while time.monotonic() < until:
-        number += 1
-        _submit(soak, number)
         inject_fault(soak)
-        time.sleep(STEP_INTERVAL_S)
+        time.sleep(FAULT_INTERVAL_S)
         run_due_repairs(soak, time.monotonic())
     run_due_repairs(soak, float('inf'))
 
 
-def _is_completed(soak: SoakRun, name: str) -> bool:
-    status = cells.call_entry(soak.cell, ENTRIES[0], 'GET', name)[1]
-    return status == {'state': 'completed'}
+def _stop_callers(cell: PlatformCell) -> list[Call]:
+    """Stop the callers and return their calls.
 
+    Raises:
+        RuntimeError: they had failed.
 
-def _incomplete_jobs(soak: SoakRun) -> list[str]:
-    return [name for name in soak.accepted if not _is_completed(soak, name)]
+    """
+    if cells.stop_host(cell, 'callers', signal.SIGTERM):
+        raise RuntimeError('the callers failed')
+    return read_calls(cells.calls_path(cell))
+
+
+def _incomplete_jobs(
+    cell: PlatformCell, names: Iterable[str]
+) -> dict[str, Any]:
+    """Return the response about each job that is not completed."""
+    responses = {
+        name: cells.call_entry(cell, ENTRIES[0], 'GET', name) for name in names
+    }
+    return {
+        name: response
+        for name, response in responses.items()
+        if response != (cells.HTTP_OK, {'state': 'completed'})
+    }
+
+
+def _wait_for_completion(cell: PlatformCell, names: Iterable[str]) -> list[str]:
+    """Ask for jobs until all are completed; report those that are not."""
+    until = time.monotonic() + COMPLETION_TIMEOUT_S
+    incomplete = _incomplete_jobs(cell, names)
+    while incomplete and time.monotonic() < until:
+        time.sleep(FAULT_INTERVAL_S)
+        incomplete = _incomplete_jobs(cell, incomplete)
+    return [
+        f'not completed: {name} {response}'
+        for name, response in incomplete.items()
+    ]
 
 
 def _save_failed_run(cell: PlatformCell, seed: int, rows) -> None:
     """Save the logs and the run history of a failed run under ``run/``."""
     saved_logs = Path('run') / f'soak-{seed}'
     saved_logs.mkdir(parents=True, exist_ok=True)
-    for path in cell.folder.glob('*.log'):
+    for path in (*cell.folder.glob('*.log'), cells.calls_path(cell)):
         shutil.copy(path, saved_logs)
     (saved_logs / 'history.json').write_text(json.dumps(rows))
 
@@ -114,11 +140,17 @@
             lambda: cells.put_config(cell, cfg) == 200,
             'the cell to accept a configuration',
         )
-        _submit_and_inject_faults(soak, seconds)
-        until = time.monotonic() + COMPLETION_TIMEOUT_S
-        while _incomplete_jobs(soak) and time.monotonic() < until:
-            time.sleep(STEP_INTERVAL_S)
-        broken = [f'not completed: {name}' for name in _incomplete_jobs(soak)]
+        began_at = time.monotonic()
+        cells.start_callers(cell, seed)
+        _inject_faults(soak, seconds)
+        calm_since = time.monotonic()
+        time.sleep(TRAFFIC_TAIL_S)
+        calls = _stop_callers(cell)
+        jobs = jobs_of(calls)
+        accepted = accepted_jobs(jobs)
+        broken = _wait_for_completion(cell, accepted)
+        ended_at = time.monotonic()
+        disturbances = [(began_at, calm_since), *cells.relay_stalls(cell)]
         in_force = cells.get_config_version(cell)
         if in_force < soak.acknowledged_version:
             broken.append(
@@ -126,12 +158,19 @@
                 f'{soak.acknowledged_version} acknowledged'
             )
         rows = cells.run_history(cell)
-        broken += [*repeated_runs(rows), *overcommitted_workers(rows)]
+        workers = cells.worker_names(WORKERS)
+        broken += [
+            *lost_jobs(calls, jobs),
+            *stalled_jobs(rows, jobs, workers, disturbances, ended_at),
+            *repeated_runs(rows),
+            *overcommitted_workers(rows, jobs),
+        ]
         if broken:
             _save_failed_run(cell, seed, rows)
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
-    jobs = len(soak.accepted)
-    return SoakResult(seed, jobs, dict(soak.faults), repeated, tuple(broken))
+    return SoakResult(
+        seed, len(accepted), dict(soak.faults), repeated, tuple(broken)
+    )
 
 
 def main() -> int:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,12 +1,209 @@
-"""Checks of a soak run, made on the history that the workers recorded."""
+"""Checks of a soak run, on what its workers and callers recorded.
+
+Rows of the workers' history are described at ``platform_cell.run_history``.
+"""
 
 from collections import defaultdict
-from collections.abc import Iterator
-from itertools import accumulate, pairwise
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from itertools import accumulate, groupby, pairwise
+from operator import itemgetter
+from typing import TypeAlias
+
+from standins.platform_callers import Call
+from standins.platform_workers import CAPACITY, approved_workers
+
+# CPU of a worker, thousandths.
+_WORKER_CPU = CAPACITY[0]
+# A job must be visible this long after it was accepted, s.
+_VISIBLE_S = 3.0
+# Longest time that a job may stand still beside free capacity, s.
+_MAX_STALL_S = 3.0
+# It does not count until there were no disturbances for this long, s.
+SETTLING_TIME_S = 4.0
+# Interval at which jobs are checked for it, s.
+_SAMPLE_INTERVAL_S = 0.1
+# A job may wait while more than this share of all capacity is in use.
+_BUSY_SHARE = 0.5
+# Free capacity is this multiple of what a step needs.
+_ROOM_FACTOR = 2
+_HTTP_OK = 200
+_HTTP_GONE = 410
+_NEVER = float('inf')
+# Begin and end of something, s.
+Span: TypeAlias = tuple[float, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A submitted job; ``accepted_at`` (s) is infinite unless accepted.
+
+    ``steps`` has the number of tasks, the CPU of a task and whether it is a
+    gang, for each step; a step runs after all earlier ones.
+    """
+
+    name: str
+    accepted_at: float
+    steps: tuple[tuple[int, int, bool], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Moment:
+    """What runs at a time ``at`` (s): jobs, and CPU in use by worker.
+
+    ``calm`` tells whether there were no disturbances for a while.
+    """
+
+    at: float
+    calm: bool
+    jobs: frozenset[str]
+    used: Mapping[str, int]
+
+
+def jobs_of(calls: Iterable[Call]) -> dict[str, Job]:
+    """Return the jobs that callers submitted, by name."""
+    jobs = {}
+    for call in calls:
+        if call.method == 'POST':
+            known = jobs.get(call.job)
+            accepted_at = call.ended_at if call.status == _HTTP_OK else _NEVER
+            if known:
+                accepted_at = min(accepted_at, known.accepted_at)
+            jobs[call.job] = Job(call.job, accepted_at, call.steps)
+    return jobs
+
+
+def accepted_jobs(jobs: Mapping[str, Job]) -> list[str]:
+    """Return the names of the accepted jobs."""
+    return [name for name, job in jobs.items() if job.accepted_at < _NEVER]
+
+
+def lost_jobs(calls: Iterable[Call], jobs: Mapping[str, Job]) -> Iterator[str]:
+    """Yield accepted jobs that were shown as unknown, failed or cancelled.
+
+    No task fails and no job is cancelled in a soak run.
+    """
+    for call in calls:
+        job = jobs.get(call.job)
+        if call.method == 'GET' and job:
+            visible = call.sent_at >= job.accepted_at + _VISIBLE_S
+            if call.status == _HTTP_GONE and visible:
+                yield f'unknown: {job} {call}'
+            if call.state in {'failed', 'cancelled'}:
+                yield f'{call.state} without cause: {job} {call}'
+
+
+def _job_of(task: str) -> str:
+    return task.partition('.')[0]
+
 
-# Capacity of a worker and need of a task (CPU, thousandths).
-WORKER_CPU = 8000
-TASK_CPU = 1000
+def _step_of(task: str) -> int:
+    return int(task.split('.')[2])
+
+
+def _moments(
+    rows, jobs: Mapping[str, Job], disturbances: list[Span], until: float
+) -> Iterator[_Moment]:
+    """Yield moments from the end of the first disturbance to ``until`` (s)."""
+    since = disturbances[0][1]
+    count = int((until - since) / _SAMPLE_INTERVAL_S)
+    for number in range(count):
+        at = since + number * _SAMPLE_INTERVAL_S
+        calm = not any(
+            began_at <= at < ended_at + SETTLING_TIME_S
+            for began_at, ended_at in disturbances
+        )
+        running = [row for row in rows if _is_running(row, at)]
+        used: dict[str, int] = defaultdict(int)
+        for worker, task, *_ in running:
+            used[worker] += _task_cpu(jobs, task)
+        names = frozenset(_job_of(task) for _, task, *_ in running)
+        yield _Moment(at, calm, names, used)
+
+
+def _is_running(row, at: float) -> bool:
+    started_at, ended = row[4:6]
+    return started_at <= at and (ended is None or at < ended)
+
+
+def _task_cpu(jobs: Mapping[str, Job], task: str) -> int:
+    job = jobs.get(_job_of(task))
+    return job.steps[_step_of(task)][1] if job else 0
+
+
+def _step_ends(rows, job: Job) -> list[float]:
+    """Return when each step was done (s; infinite: not yet).
+
+    The end of one task of a gang stands for all of them.
+    """
+    done: dict[int, dict[str, float]] = defaultdict(dict)
+    for _, task, _, how, _, ended, _ in rows:
+        if _job_of(task) == job.name and how == 'done':
+            ends = done[_step_of(task)]
+            ends[task] = min(ended, ends.get(task, _NEVER))
+    return [
+        _nth_end(done[step], 1 if gang else tasks)
+        for step, (tasks, _, gang) in enumerate(job.steps)
+    ]
+
+
+def _nth_end(ends: Mapping[str, float], number: int) -> float:
+    if len(ends) < number:
+        return _NEVER
+    return sorted(ends.values())[number - 1]
+
+
+def stalled_jobs(
+    rows,
+    jobs: Mapping[str, Job],
+    workers: list[str],
+    disturbances: list[Span],
+    until: float,
+) -> Iterator[str]:
+    """Yield accepted jobs that stood still beside free capacity.
+
+    They are checked from the end of the first of ``disturbances``, the faults
+    that were injected, to ``until`` (s).
+    """
+    moments = list(_moments(rows, jobs, disturbances, until))
+    for job in jobs.values():
+        step_ends = _step_ends(rows, job)
+        idle = [
+            (moment.at, _could_run(job, step_ends, workers, moment))
+            for moment in moments
+        ]
+        for began_at, ended_at in _idle_spans(idle):
+            if ended_at - began_at > _MAX_STALL_S:
+                yield f'stands still from {began_at} to {ended_at}: {job}'
+
+
+def _idle_spans(idle: list[tuple[float, bool]]) -> Iterator[Span]:
+    """Yield the spans of consecutive moments (s) that are true."""
+    for is_idle, group in groupby(idle, key=itemgetter(1)):
+        times = [at for at, _ in group]
+        if is_idle:
+            yield times[0], times[-1]
+
+
+def _could_run(
+    job: Job, step_ends: list[float], workers: list[str], moment: _Moment
+) -> bool:
+    """Tell whether nothing of a job runs although there is capacity."""
+    waiting = [
+        step for step, ended in enumerate(step_ends) if moment.at < ended
+    ]
+    if not moment.calm or not waiting or job.name in moment.jobs:
+        return False
+    if moment.at < job.accepted_at:
+        return False
+    tasks, cpu, _ = job.steps[waiting[0]]
+    approved = approved_workers(f'{job.name}.0.{waiting[0]}', workers)
+    room = sum(
+        (_WORKER_CPU - moment.used.get(name, 0)) // cpu for name in approved
+    )
+    in_use = sum(moment.used.values())
+    busy = in_use > _BUSY_SHARE * len(workers) * _WORKER_CPU
+    return not busy and room >= _ROOM_FACTOR * tasks
 
 
 def _runs_by_task(rows) -> dict[str, list[tuple]]:
@@ -44,14 +241,14 @@
             yield f'ran again after done: {task} {earlier} {later}'
 
 
-def overcommitted_workers(rows) -> Iterator[str]:
+def overcommitted_workers(rows, jobs: Mapping[str, Job]) -> Iterator[str]:
     """Yield workers whose running tasks exceeded their CPU capacity."""
     changes = defaultdict(list)
-    for worker, _, _, _, started_at, ended, _ in rows:
-        changes[worker].append((started_at, TASK_CPU))
+    for worker, task, _, _, started_at, ended, _ in rows:
+        changes[worker].append((started_at, _task_cpu(jobs, task)))
         if ended is not None:
-            changes[worker].append((ended, -TASK_CPU))
+            changes[worker].append((ended, -_task_cpu(jobs, task)))
     for worker, steps in changes.items():
         used = accumulate(amount for _, amount in sorted(steps))
-        if max(used) > WORKER_CPU:
+        if max(used) > _WORKER_CPU:
             yield f'over capacity: {worker}'
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -10,7 +10,7 @@
 from standins import platform_cell as cells
 from standins.platform_cell import PlatformCell
 
-WORKERS = 4
+WORKERS = 40
 # A scheduler's data folder is deleted only after all hosts have been up and
 # connected for this long, s: the others then hold all it had acknowledged.
 _MIN_UNDISTURBED_S = 6.0
@@ -21,10 +21,9 @@
 class SoakRun:
     """State of a run in progress.
 
-    ``pending_repairs`` holds (due time, function) pairs that undo faults;
-    ``accepted`` maps each accepted job to its number of tasks.  ``links`` holds
-    the states of impaired links, ``faults_changed_at`` when a fault of a host
-    or link last began or ended (s).
+    ``pending_repairs`` holds (due time, function) pairs that undo faults.
+    ``links`` holds the states of impaired links, ``faults_changed_at`` when a
+    fault of a host or link last began or ended (s).
     """
 
     def __init__(self, cell: PlatformCell, seed: int) -> None:
@@ -33,7 +32,6 @@
         self.random = Random(seed)
         self.pending_repairs: list[tuple[float, object]] = []
         self.cut_off_workers: set[str] = set()
-        self.accepted: dict[str, int] = {}
         self.down_hosts: set[str] = set()
         self.faults: dict[str, int] = defaultdict(int)
         self.links: dict[str, tuple[bool, bool, float]] = {}
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -19,15 +19,26 @@
 from typing import Any
 
 from standins.cell import STARTUP_TIMEOUT_S, free_ports, is_listening
-from standins.platform_workers import ADVISOR_HOST, HOST
+from standins.platform_workers import (
+    ADVISOR_HOST,
+    HOST,
+    MS_PER_S,
+    SLOW_ADVICE_PER_WORKER_S,
+    SLOW_ADVICE_S,
+    SLOW_JOB_PREFIX,
+    TICKET_VALIDITY_S,
+    worker_name,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 # IP addresses of the hosts, by the role of their process.
 SCHEDULERS = ('127.0.10.1', '127.0.10.2', '127.0.10.3')
 ENTRIES = ('127.0.11.1', '127.0.11.2')
-# Host name and path prefix of the queue that callers submit to.
+# Host name of the queues, and path prefixes of one whose advisor answers at
+# once and of one whose advisor is slow.
 QUEUE_HOST = 'jobs.example'
 PREFIX = '/q/'
+SLOW_PREFIX = '/slow/'
 WAIT_TIMEOUT_S = 30
 # The setting ``bounds.graceS``.
 GRACE_S = 4
@@ -190,7 +201,8 @@
 ) -> tuple[int, Any]:
     """Send a caller's request for a job to an entry host."""
     address = f'{entry}:{cell.ports.callers}'
-    return call(address, method, PREFIX + name, body, {'Host': host})
+    prefix = SLOW_PREFIX if name.startswith(SLOW_JOB_PREFIX) else PREFIX
+    return call(address, method, prefix + name, body, {'Host': host})
 
 
 def configuration(version: int, **more: Any) -> dict[str, Any]:
@@ -212,12 +224,22 @@
         'placementAdvisor': {
             'decisionMs': 5.0,
             'perWorkerMs': 0.1,
-            'validityMs': 1500,
+            'validityMs': TICKET_VALIDITY_S * MS_PER_S,
+        },
+    }
+    slow_route = {
+        **route,
+        'name': 'r-2',
+        'pathPrefix': SLOW_PREFIX,
+        'placementAdvisor': {
+            'decisionMs': SLOW_ADVICE_S * MS_PER_S,
+            'perWorkerMs': SLOW_ADVICE_PER_WORKER_S * MS_PER_S,
+            'validityMs': TICKET_VALIDITY_S * MS_PER_S,
         },
     }
     cfg = {
         'version': version,
-        'routes': [{**route, **more.pop('route', {})}],
+        'routes': [{**route, **more.pop('route', {})}, slow_route],
         'services': [{'name': 'svc'}],
         'limits': {'maxBodyBytes': 262144},
     }
@@ -303,11 +325,36 @@
         )
 
 
+def start_callers(cell: PlatformCell, seed: int) -> None:
+    """Start callers of all entries, which record their calls in a file."""
+    entries = ','.join(f'{host}:{cell.ports.callers}' for host in ENTRIES)
+    cell.running['callers'] = subprocess.Popen(  # noqa: S603
+        [sys.executable, '-m', 'standins.platform_callers']
+        + [str(calls_path(cell)), str(seed), entries],
+        cwd=ROOT,
+    )
+
+
+def calls_path(cell: PlatformCell) -> Path:
+    """Return the path of the file in which callers record their calls."""
+    return cell.folder / 'calls.jsonl'
+
+
 def relay_control_address(cell: PlatformCell) -> str:
     """Return the address of the relays' control interface."""
     return f'{SCHEDULERS[0]}:{cell.ports.relay_control}'
 
 
+def relay_stalls(cell: PlatformCell) -> list[tuple[float, float]]:
+    """Return begin and end of the times when the relays stood still (s)."""
+    return call(relay_control_address(cell), 'GET', '/stalls')[1]
+
+
+def worker_names(workers: int) -> list[str]:
+    """Return the names of the workers."""
+    return [worker_name(number) for number in range(1, workers + 1)]
+
+
 def worker_hosts(workers: int) -> list[str]:
     """Return the IP addresses of the workers."""
     return [HOST.format(number) for number in range(1, workers + 1)]
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -5,12 +5,18 @@
 killed.  ``CONTROL`` is the control address of a scheduler.  ``SEEN`` is the
 port that workers announce as their own, such as that of a relay.
 ``GET /history`` at the advisor's address returns what ran, with times (s).
+
+The advisor approves all workers at once for most jobs.  For jobs whose id
+begins with ``SLOW_JOB_PREFIX`` it takes long and approves only some workers.
+Unlike on the platform, it handles the calls of one host in parallel.
 """
 
 import asyncio
 import json
 import sys
 import time
+import zlib
+from collections.abc import Iterable
 from itertools import count
 
 import aiohttp
@@ -23,6 +29,13 @@
 # CPU (thousandths) and memory (MiB) of a worker.
 CAPACITY = (8000, 8000)
 HEARTBEAT_INTERVAL_S = 0.5
+SLOW_JOB_PREFIX = 'f'
+# Duration of a call for a slow job, and its increase per worker.
+SLOW_ADVICE_S = 1.12
+SLOW_ADVICE_PER_WORKER_S = 0.01
+TICKET_VALIDITY_S = 1.5
+# One worker in this many is approved for a step of a slow job.
+_APPROVAL_RATIO = 5
 # Run time of a task whose spec gives none.
 DEFAULT_WORK_S = 0.3
 MS_PER_S = 1000
@@ -32,6 +45,11 @@
     return time.monotonic()
 
 
+def worker_name(number: int) -> str:
+    """Return the name of a worker; numbers begin at 1."""
+    return f'i-{number:04x}'
+
+
 class Worker:
     """A worker model with the fields that only its messages need."""
 
@@ -39,7 +57,7 @@
         """Start a worker now; it announces ``announced_port`` as its port."""
         self.number = number
         self.address = f'{HOST.format(number)}:{announced_port}'
-        self.model = model.WorkerModel(f'i-{number:04x}', _now(), CAPACITY)
+        self.model = model.WorkerModel(worker_name(number), _now(), CAPACITY)
         self.born_ms = int(time.time() * MS_PER_S)
         self.sequence = count(1)
 
@@ -49,10 +67,34 @@
     return {'clockMs': clock, 'born': worker.born_ms, **more}
 
 
+def approved_workers(step: str, names: Iterable[str]) -> list[str]:
+    """Return which of all workers may run a step (ID.K.STEP)."""
+    ranked = sorted(
+        names, key=lambda name: zlib.crc32(f'{step} {name}'.encode('ascii'))
+    )
+    if step.startswith(SLOW_JOB_PREFIX):
+        return ranked[: len(ranked) // _APPROVAL_RATIO]
+    return ranked
+
+
+def _make_ticket(worker: str, step: str) -> str:
+    return f'{worker} {step} {_now() + TICKET_VALIDITY_S}'
+
+
+def _is_valid_ticket(worker: Worker, task: str, ticket: str) -> bool:
+    step = task.rpartition('.')[0]
+    name, _, rest = ticket.partition(' ')
+    approved_step, _, expires_at = rest.partition(' ')
+    approved = (name, approved_step) == (worker.model.name, step)
+    return approved and _now() < float(expires_at)
+
+
 async def _start(worker: Worker, req: web.Request) -> web.Response:
     if req.headers.get('X-Expected-Instance') != worker.model.name:
         return web.json_response(_body(worker), status=421)
     order = await req.json()
+    if not _is_valid_ticket(worker, order['task'], order.get('ticket', '')):
+        return web.json_response(_body(worker, reason='ticket'), status=409)
     spec = json.loads(order['spec']) if order['spec'] else {}
     work = spec.get('work_s', DEFAULT_WORK_S)
     load = model.TaskLoad(spec.get('cpu', 0), 0, work, spec.get('fails', False))
@@ -105,7 +147,15 @@
 
 async def _advise(workers: list[Worker], req: web.Request) -> web.Response:
     request = await req.json()
-    approved = [[name, f'ticket-{name}'] for name in request['workers']]
+    step, asked = request['stepId'], request['workers']
+    if step.startswith(SLOW_JOB_PREFIX):
+        await asyncio.sleep(
+            SLOW_ADVICE_S + len(asked) * SLOW_ADVICE_PER_WORKER_S
+        )
+    names = approved_workers(step, [worker.model.name for worker in workers])
+    approved = [
+        [name, _make_ticket(name, step)] for name in asked if name in names
+    ]
     return web.json_response({'approved': approved})
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,10 +7,13 @@
 ``PUT /links`` takes ``{name: [forward, backward, delay_s]}``: whether bytes
 pass in each direction, and their delay; links that are not named are restored.
 ``PUT /reset`` with a list of names aborts their connections.
+``GET /stalls`` returns begin and end (s, monotonic) of the times when this
+process itself stood still, and with it all links.
 """
 
 import asyncio
 import sys
+import time
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
 
@@ -19,6 +22,9 @@
 _CHUNK_BYTES = 65_536
 # State of a link: whether bytes pass forward and backward, and the delay (s).
 _UNDISTURBED = (True, True, 0)
+_STALL_CHECK_INTERVAL_S = 0.05
+# Shorter delays of this process are not stalls.
+_MIN_STALL_S = 0.2
 
 
 class RelayLink:
@@ -112,8 +118,18 @@
     await asyncio.start_server(accept, host, int(port))
 
 
+async def _watch_stalls(stalls: list[tuple[float, float]]) -> None:
+    while True:
+        began_at = time.monotonic()
+        await asyncio.sleep(_STALL_CHECK_INTERVAL_S)
+        ended_at = time.monotonic()
+        if ended_at - began_at > _MIN_STALL_S:
+            stalls.append((began_at, ended_at))
+
+
 async def _run(control: str, relays: Sequence[str]) -> None:
     links: dict[str, RelayLink] = {}
+    stalls: list[tuple[float, float]] = []
     for relay in relays:
         await _listen(links, relay)
 
@@ -121,14 +137,18 @@
         _CONTROL_HANDLERS[req.path](links, await req.json())
         return web.Response()
 
+    async def show_stalls(req: web.Request) -> web.Response:
+        return web.json_response(stalls)
+
     app = web.Application()
+    app.router.add_get('/stalls', show_stalls)
     for path in _CONTROL_HANDLERS:
         app.router.add_put(path, handle_control)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, _, port = control.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
-    await asyncio.Event().wait()
+    await _watch_stalls(stalls)
 
 
 if __name__ == '__main__':
