Soak: planned work, and requests that are cut off

The soak could not see a request that ends without a complete answer around planned work: it opened a connection for each request, waited for the end of each process that it told to stop, and took no answer as a refusal.

A signal no longer waits for the process: it is killed after its grace period, like on the platform. SIGHUP after a rewritten settings file is a new kind of fault. After the random faults, planned work alone follows for 7 s: SIGTERM to entries (both may stop at once), SIGHUP and changes of the configuration, every 0.3 s, while the links of entries are 0.15 s slow each way, so that requests are always in progress. Callers use their connections until they are closed.

New check: a request that was sent in full and ends without a complete response over 0.2 s after its last byte, unless a fault of its entry excuses it, or any other one while the entry stops. Up to ten workers are silenced at a time instead of one, as there are 40.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -3,12 +3,16 @@
 ``python -m bench.soak --seed N --seconds S`` runs three schedulers, two
 entries and 40 workers on loopback addresses.  Signals kill, pause and stop
 processes, which are then restarted or resumed.  A scheduler may lose its data
-folder or find a torn record at the end of its log.  Relays cut links between
+folder or find a torn record at the end of its log.  Settings files are read
+again, and the configuration changes meanwhile.  Relays cut links between
 processes and to workers (in both directions or one), delay them and reset
-them.  Configurations change meanwhile.  Callers submit jobs of one or two
-steps all the time, also for a while after the last fault was undone.  The
-placement advisor of some jobs, all gangs, is slow.
+them.  Planned work follows, without other faults but on slow links: entries
+are told to stop, settings and configuration change.  Callers submit jobs of
+one or two steps all the time over connections that they keep open, also for a
+while after the last fault was undone.  The placement advisor of some jobs, all
+gangs, is slow.
 
+No request may be cut off without a response while its entry is not disturbed.
 Every accepted job must be completed, and shown in between.  While there are no
 faults, no job may stand still beside free capacity.  The configuration in
 force must be at least the newest that was acknowledged.  No task may have run
@@ -23,13 +27,14 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from bench.soak_checks import (
     accepted_jobs,
+    cut_requests,
     jobs_of,
     lost_jobs,
     overcommitted_workers,
@@ -40,8 +45,11 @@
 from bench.soak_faults import (
     WORKERS,
     SoakRun,
+    do_planned_work,
     inject_fault,
+    restore_links,
     run_due_repairs,
+    slow_down_entries,
 )
 from standins import platform_cell as cells
 from standins.platform_callers import Call, read_calls
@@ -49,6 +57,8 @@
 
 # Interval between faults.
 FAULT_INTERVAL_S = 0.3
+# Duration of planned work, which is without other faults.
+PLANNED_WORK_S = 7.0
 # Time that callers go on after the last fault was undone.
 TRAFFIC_TAIL_S = 10.0
 # Time for accepted jobs to complete after the last fault was undone.
@@ -71,15 +81,24 @@
     broken: tuple[str, ...]
 
 
-def _inject_faults(soak: SoakRun, seconds: float) -> None:
+def _inject_faults(
+    soak: SoakRun, inject: Callable[[SoakRun], None], seconds: float
+) -> None:
+    """Inject a fault at each interval for some time, then undo them all."""
     until = time.monotonic() + seconds
     while time.monotonic() < until:
-        inject_fault(soak)
+        inject(soak)
         time.sleep(FAULT_INTERVAL_S)
         run_due_repairs(soak, time.monotonic())
     run_due_repairs(soak, float('inf'))
 
 
+def _work_as_planned(soak: SoakRun) -> None:
+    slow_down_entries(soak)
+    _inject_faults(soak, do_planned_work, PLANNED_WORK_S)
+    restore_links(soak)
+
+
 def _stop_callers(cell: PlatformCell) -> list[Call]:
     """Stop the callers and return their calls.
 
@@ -142,7 +161,8 @@
         )
         began_at = time.monotonic()
         cells.start_callers(cell, seed)
-        _inject_faults(soak, seconds)
+        _inject_faults(soak, inject_fault, seconds)
+        _work_as_planned(soak)
         calm_since = time.monotonic()
         time.sleep(TRAFFIC_TAIL_S)
         calls = _stop_callers(cell)
@@ -160,6 +180,7 @@
         rows = cells.run_history(cell)
         workers = cells.worker_names(WORKERS)
         broken += [
+            *cut_requests(calls, soak.undone),
             *lost_jobs(calls, jobs),
             *stalled_jobs(rows, jobs, workers, disturbances, ended_at),
             *repeated_runs(rows),
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -15,6 +15,10 @@
 
 # CPU of a worker, thousandths.
 _WORKER_CPU = CAPACITY[0]
+# A request may be cut off this soon after its last byte, s.
+_LOSS_SLACK_S = 0.2
+# A fault excuses requests that are sent this long after it was undone, s.
+_CONTACT_S = 3.0
 # A job must be visible this long after it was accepted, s.
 _VISIBLE_S = 3.0
 # Longest time that a job may stand still beside free capacity, s.
@@ -47,6 +51,20 @@
     steps: tuple[tuple[int, int, bool], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault from ``began_at`` until it was undone at ``ended_at`` (s).
+
+    ``host`` is empty where it was not of one host.  ``planned`` tells whether
+    the process had been told to stop.
+    """
+
+    host: str
+    began_at: float
+    ended_at: float
+    planned: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _Moment:
     """What runs at a time ``at`` (s): jobs, and CPU in use by worker.
@@ -93,6 +111,33 @@
                 yield f'{call.state} without cause: {job} {call}'
 
 
+def cut_requests(calls: Iterable[Call], faults: list[Fault]) -> Iterator[str]:
+    """Yield requests whose connection ended without a complete response.
+
+    A fault of the entry excuses it unless that was told to stop; while it is
+    stopping, so does any other fault.
+    """
+    for call in calls:
+        cut_off = not call.status and not call.timed_out
+        late = call.ended_at - call.sent_at > _LOSS_SLACK_S
+        if cut_off and late and not _is_excused(call, faults):
+            yield f'cut off: {call}'
+
+
+def _is_excused(call: Call, faults: list[Fault]) -> bool:
+    near = [
+        fault
+        for fault in faults
+        if fault.began_at <= call.ended_at
+        and call.sent_at <= fault.ended_at + _CONTACT_S
+    ]
+    stopping = any(fault.planned and fault.host == call.entry for fault in near)
+    return any(
+        not fault.planned and (stopping or fault.host == call.entry)
+        for fault in near
+    )
+
+
 def _job_of(task: str) -> str:
     return task.partition('.')[0]
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import MappingProxyType
 
+from bench.soak_checks import Fault
 from standins import platform_cell as cells
 from standins.platform_cell import PlatformCell
 
@@ -14,6 +15,11 @@
 # A scheduler's data folder is deleted only after all hosts have been up and
 # connected for this long, s: the others then hold all it had acknowledged.
 _MIN_UNDISTURBED_S = 6.0
+# Delay of entries' links during planned work, s.
+_PLANNED_WORK_DELAY_S = 0.15
+_MAX_CUT_OFF_WORKERS = 10
+# Longest time from the end of a stopped process to its restart, s.
+_MAX_RESTART_DELAY_S = 1.0
 # Maximum delay of a slow link, s: a good part of an election timeout.
 _MAX_LINK_DELAY_S = 0.3
 
@@ -21,7 +27,8 @@
 class SoakRun:
     """State of a run in progress.
 
-    ``pending_repairs`` holds (due time, function) pairs that undo faults.
+    ``pending_repairs`` holds (due time, function) pairs that undo faults,
+    ``undone`` the faults that they have undone.
     ``links`` holds the states of impaired links, ``faults_changed_at`` when a
     fault of a host or link last began or ended (s).
     """
@@ -31,6 +38,7 @@
         self.seed = seed
         self.random = Random(seed)
         self.pending_repairs: list[tuple[float, object]] = []
+        self.undone: list[Fault] = []
         self.cut_off_workers: set[str] = set()
         self.down_hosts: set[str] = set()
         self.faults: dict[str, int] = defaultdict(int)
@@ -51,8 +59,16 @@
 
 
 def _stop(soak: SoakRun, host: str) -> None:
-    cells.stop_host(soak.cell, host, signal.SIGTERM)
-    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
+    """Tell a process to stop; kill it after its grace period."""
+    soak.cell.running[host].send_signal(signal.SIGTERM)
+    kill_at = time.monotonic() + cells.GRACE_S
+
+    def restart() -> None:
+        cells.reap_host(soak.cell, host, kill_at - time.monotonic())
+        cells.start(soak.cell, host)
+
+    due = kill_at + soak.random.uniform(0, _MAX_RESTART_DELAY_S)
+    soak.pending_repairs.append((due, restart))
 
 
 def _pause(soak: SoakRun, host: str) -> None:
@@ -110,14 +126,15 @@
     soak: SoakRun, names: list[str], state: tuple[bool, bool, float]
 ) -> None:
     soak.links.update(dict.fromkeys(names, state))
-    soak.faults_changed_at = time.monotonic()
+    began_at = time.monotonic()
+    soak.faults_changed_at = began_at
     _set_links(soak)
 
     def restore() -> None:
         for name in names:
             soak.links.pop(name, None)
-        soak.faults_changed_at = time.monotonic()
         _set_links(soak)
+        _record_fault(soak, '', began_at)
 
     _schedule_repair(soak, restore)
 
@@ -147,15 +164,21 @@
 def _reset(soak: SoakRun) -> None:
     names = cells.link_names(_pick_host(soak))
     cells.call(cells.relay_control_address(soak.cell), 'PUT', '/reset', names)
+    _record_fault(soak, '', time.monotonic())
 
 
-def _cut_off_worker(soak: SoakRun) -> None:
-    name = f'w{soak.random.randint(1, WORKERS)}'
-    soak.cut_off_workers.add(name)
+def _cut_off_workers(soak: SoakRun) -> None:
+    count = soak.random.randint(1, _MAX_CUT_OFF_WORKERS)
+    numbers = soak.random.sample(range(1, WORKERS + 1), count)
+    names = {f'w{number}' for number in numbers}
+    soak.cut_off_workers |= names
     _set_links(soak)
-    _schedule_repair(
-        soak, lambda: (soak.cut_off_workers.discard(name), _set_links(soak))
-    )
+
+    def restore() -> None:
+        soak.cut_off_workers -= names
+        _set_links(soak)
+
+    _schedule_repair(soak, restore)
 
 
 def _change_configuration(soak: SoakRun) -> None:
@@ -166,13 +189,21 @@
         soak.acknowledged_version = soak.version
 
 
+def _reload(soak: SoakRun) -> None:
+    """Send SIGHUP to a host, unless its process is still starting."""
+    host = _pick_host(soak)
+    if cells.is_serving(soak.cell, host):
+        cells.reload_settings(soak.cell, host)
+
+
 _OTHER_FAULTS = MappingProxyType({
     'cut': _cut,
     'cut one way': _cut_one_way,
     'delay': _delay,
     'reset': _reset,
-    'silence': _cut_off_worker,
+    'silence': _cut_off_workers,
     'change': _change_configuration,
+    'reload': _reload,
     'none': lambda soak: None,
 })
 
@@ -186,21 +217,57 @@
         inject(soak)
         return
     host = _pick_host(soak)
-    if host in soak.down_hosts or len(soak.down_hosts) > 1:
+    if host not in soak.down_hosts and len(soak.down_hosts) <= 1:
+        _disturb_host(soak, kind, host)
+
+
+def slow_down_entries(soak: SoakRun) -> None:
+    """Delay all links of entries, so that requests are always in progress."""
+    state = (True, True, _PLANNED_WORK_DELAY_S)
+    for host in cells.ENTRIES:
+        soak.links.update(dict.fromkeys(cells.link_names(host), state))
+    _set_links(soak)
+
+
+def restore_links(soak: SoakRun) -> None:
+    """Undo all faults of links between hosts."""
+    soak.links.clear()
+    _set_links(soak)
+
+
+def do_planned_work(soak: SoakRun) -> None:
+    """Stop an entry, reload settings or change the configuration."""
+    kind = soak.random.choice(('stop', 'reload', 'change'))
+    soak.faults[f'planned {kind}'] += 1
+    if kind != 'stop':
+        _OTHER_FAULTS[kind](soak)
         return
+    host = soak.random.choice(cells.ENTRIES)
+    if host not in soak.down_hosts:
+        _disturb_host(soak, kind, host)
+
+
+def _disturb_host(soak: SoakRun, kind: str, host: str) -> None:
     soak.down_hosts.add(host)
+    began_at = time.monotonic()
     _HOST_FAULTS[kind](soak, host)
     soak.faults_changed_at = time.monotonic()
     due, repair = soak.pending_repairs.pop()
-    soak.pending_repairs.append((
-        due,
-        lambda: (repair(), _mark_host_up(soak, host)),
-    ))
 
+    def undo() -> None:
+        repair()
+        soak.down_hosts.discard(host)
+        _record_fault(soak, host, began_at, planned=kind == 'stop')
 
-def _mark_host_up(soak: SoakRun, host: str) -> None:
-    soak.down_hosts.discard(host)
-    soak.faults_changed_at = time.monotonic()
+    soak.pending_repairs.append((due, undo))
+
+
+def _record_fault(
+    soak: SoakRun, host: str, began_at: float, *, planned: bool = False
+) -> None:
+    now = time.monotonic()
+    soak.undone.append(Fault(host, began_at, now, planned))
+    soak.faults_changed_at = now
 
 
 def run_due_repairs(soak: SoakRun, now: float) -> None:
--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -23,7 +23,7 @@
 from standins.platform_cell import PREFIX, QUEUE_HOST, SLOW_PREFIX
 from standins.platform_workers import SLOW_JOB_PREFIX
 
-CONNECTIONS_PER_ENTRY = 4
+CONNECTIONS_PER_ENTRY = 6
 # Mean pause of a connection between two requests.
 _MEAN_PAUSE_S = 0.2
 _RECONNECT_DELAY_S = 0.1
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -155,6 +155,29 @@
     return process.wait(WAIT_TIMEOUT_S)
 
 
+def reap_host(cell: PlatformCell, host: str, seconds: float) -> None:
+    """Wait until a host's process has ended; kill it after ``seconds``."""
+    process = cell.running.pop(host)
+    try:
+        process.wait(max(seconds, 0))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait(WAIT_TIMEOUT_S)
+
+
+def reload_settings(cell: PlatformCell, host: str) -> None:
+    """Write a host's settings file again and send SIGHUP to its process."""
+    _settings(cell, host, first=False)
+    cell.running[host].send_signal(signal.SIGHUP)
+
+
+def is_serving(cell: PlatformCell, host: str) -> bool:
+    """Return whether a host's process accepts connections."""
+    ports = cell.ports
+    port = ports.control if host in SCHEDULERS else ports.ready
+    return host in cell.running and is_listening(f'{host}:{port}')
+
+
 def call(
     address: str,
     method: str,
@@ -371,10 +394,8 @@
         for address in (
             f'{ADVISOR_HOST}:{ports.workers}',
             relay_control_address(cell),
-            *(f'{host}:{ports.control}' for host in SCHEDULERS),
-            *(f'{host}:{ports.ready}' for host in ENTRIES),
         )
-    )
+    ) and all(is_serving(cell, host) for host in (*SCHEDULERS, *ENTRIES))
 
 
 @contextmanager
