Soak: a last fault right after an acknowledgement, with losses of power

The soak killed one host at a time and never all of them, and what a process had written but not synced stayed in its files.

Schedulers now run by standins/synced_files.py, which records what each sync covered. Every scheduler must then show a configuration that is at least the newest acknowledged and equals what was sent under its version; the job must be completed.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,7 +10,9 @@
 are told to stop, settings and configuration change.  Callers submit jobs of
 one or two steps all the time over connections that they keep open, also for a
 while after the last fault was undone.  The placement advisor of some jobs, all
-gangs, is slow.
+gangs, is slow.  In some runs all schedulers are killed at once in the end,
+right after they acknowledged something, and lose what they did not sync, or
+one of them its data folder.
 
 No request may be cut off without a response while its entry is not disturbed.
 Every accepted job must be completed, and shown in between.  While there are no
@@ -27,12 +29,13 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from bench.soak_checks import (
+    Fault,
     accepted_jobs,
     cut_requests,
     jobs_of,
@@ -47,6 +50,7 @@
     SoakRun,
     do_planned_work,
     inject_fault,
+    inject_last_fault,
     restore_links,
     run_due_repairs,
     slow_down_entries,
@@ -147,6 +151,31 @@
     (saved_logs / 'history.json').write_text(json.dumps(rows))
 
 
+def _run_phases(soak: SoakRun, seconds: float) -> Fault:
+    """Inject all faults, then wait; return the whole as one fault."""
+    began_at = time.monotonic()
+    cells.start_callers(soak.cell, soak.seed)
+    _inject_faults(soak, inject_fault, seconds)
+    _work_as_planned(soak)
+    inject_last_fault(soak)
+    calm_since = time.monotonic()
+    time.sleep(TRAFFIC_TAIL_S)
+    return Fault('', began_at, calm_since, planned=False)
+
+
+def _check_config(soak: SoakRun) -> Iterator[str]:
+    """Yield configurations in force that are not as they should be."""
+    configs = cells.read_configs(soak.cell)
+    if not configs:
+        yield 'no configuration in force'
+    for cfg in configs:
+        version, acknowledged = cfg['version'], soak.acknowledged_version
+        if version < acknowledged:
+            yield f'{version} in force, {acknowledged} acknowledged'
+        if cfg != cells.configuration(version):
+            yield f'not as it was sent: {cfg}'
+
+
 def run(seed: int, seconds: float) -> SoakResult:
     """Run one seed, wait until all jobs are completed, and check the run."""
     with (
@@ -154,43 +183,35 @@
         cells.running_cell(Path(folder), WORKERS, relayed=True) as cell,
     ):
         soak = SoakRun(cell, seed)
-        cfg = cells.configuration(3)
+        cfg = cells.configuration(soak.version)
         cells.wait_until(
-            lambda: cells.put_config(cell, cfg) == 200,
+            lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
         )
-        began_at = time.monotonic()
-        cells.start_callers(cell, seed)
-        _inject_faults(soak, inject_fault, seconds)
-        _work_as_planned(soak)
-        calm_since = time.monotonic()
-        time.sleep(TRAFFIC_TAIL_S)
+        all_faults = _run_phases(soak, seconds)
         calls = _stop_callers(cell)
-        jobs = jobs_of(calls)
-        accepted = accepted_jobs(jobs)
-        broken = _wait_for_completion(cell, accepted)
+        jobs = {**jobs_of(calls), **soak.jobs}
+        broken = _wait_for_completion(cell, accepted_jobs(jobs))
         ended_at = time.monotonic()
-        disturbances = [(began_at, calm_since), *cells.relay_stalls(cell)]
-        in_force = cells.get_config_version(cell)
-        if in_force < soak.acknowledged_version:
-            broken.append(
-                f'configuration {in_force} in force, '
-                f'{soak.acknowledged_version} acknowledged'
-            )
+        stalls = [
+            Fault('', *span, planned=False) for span in cells.relay_stalls(cell)
+        ]
         rows = cells.run_history(cell)
         workers = cells.worker_names(WORKERS)
         broken += [
-            *cut_requests(calls, soak.undone),
+            *_check_config(soak),
+            *cut_requests(calls, [*soak.undone, *stalls]),
             *lost_jobs(calls, jobs),
-            *stalled_jobs(rows, jobs, workers, disturbances, ended_at),
+            *stalled_jobs(rows, jobs, workers, [all_faults, *stalls], ended_at),
             *repeated_runs(rows),
             *overcommitted_workers(rows, jobs),
         ]
         if broken:
             _save_failed_run(cell, seed, rows)
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
+    accepted = len(accepted_jobs(jobs))
     return SoakResult(
-        seed, len(accepted), dict(soak.faults), repeated, tuple(broken)
+        seed, accepted, dict(soak.faults), repeated, tuple(broken)
     )
 
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -23,8 +23,8 @@
 _VISIBLE_S = 3.0
 # Longest time that a job may stand still beside free capacity, s.
 _MAX_STALL_S = 3.0
-# It does not count until there were no disturbances for this long, s.
-SETTLING_TIME_S = 4.0
+# It does not count until there were no faults for this long, s.
+_SETTLING_TIME_S = 4.0
 # Interval at which jobs are checked for it, s.
 _SAMPLE_INTERVAL_S = 0.1
 # A job may wait while more than this share of all capacity is in use.
@@ -69,7 +69,7 @@
 class _Moment:
     """What runs at a time ``at`` (s): jobs, and CPU in use by worker.
 
-    ``calm`` tells whether there were no disturbances for a while.
+    ``calm`` tells whether there were no faults for a while.
     """
 
     at: float
@@ -147,16 +147,16 @@
 
 
 def _moments(
-    rows, jobs: Mapping[str, Job], disturbances: list[Span], until: float
+    rows, jobs: Mapping[str, Job], faults: list[Fault], until: float
 ) -> Iterator[_Moment]:
-    """Yield moments from the end of the first disturbance to ``until`` (s)."""
-    since = disturbances[0][1]
+    """Yield moments from the end of the first fault to ``until`` (s)."""
+    since = faults[0].ended_at
     count = int((until - since) / _SAMPLE_INTERVAL_S)
     for number in range(count):
         at = since + number * _SAMPLE_INTERVAL_S
         calm = not any(
-            began_at <= at < ended_at + SETTLING_TIME_S
-            for began_at, ended_at in disturbances
+            fault.began_at <= at < fault.ended_at + _SETTLING_TIME_S
+            for fault in faults
         )
         running = [row for row in rows if _is_running(row, at)]
         used: dict[str, int] = defaultdict(int)
@@ -202,15 +202,14 @@
     rows,
     jobs: Mapping[str, Job],
     workers: list[str],
-    disturbances: list[Span],
+    faults: list[Fault],
     until: float,
 ) -> Iterator[str]:
     """Yield accepted jobs that stood still beside free capacity.
 
-    They are checked from the end of the first of ``disturbances``, the faults
-    that were injected, to ``until`` (s).
+    They are checked from the end of the first fault to ``until`` (s).
     """
-    moments = list(_moments(rows, jobs, disturbances, until))
+    moments = list(_moments(rows, jobs, faults, until))
     for job in jobs.values():
         step_ends = _step_ends(rows, job)
         idle = [
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -7,14 +7,17 @@
 from random import Random
 from types import MappingProxyType
 
-from bench.soak_checks import Fault
+from bench.soak_checks import Fault, Job
 from standins import platform_cell as cells
 from standins.platform_cell import PlatformCell
 
 WORKERS = 40
 # A scheduler's data folder is deleted only after all hosts have been up and
 # connected for this long, s: the others then hold all it had acknowledged.
-_MIN_UNDISTURBED_S = 6.0
+MIN_UNDISTURBED_S = 6.0
+_LAST_JOB_TASKS = 2
+# Share of lost disks beside which the other hosts lose power.
+_POWER_LOSS_SHARE = 0.5
 # Delay of entries' links during planned work, s.
 _PLANNED_WORK_DELAY_S = 0.15
 _MAX_CUT_OFF_WORKERS = 10
@@ -28,7 +31,8 @@
     """State of a run in progress.
 
     ``pending_repairs`` holds (due time, function) pairs that undo faults,
-    ``undone`` the faults that they have undone.
+    ``undone`` the faults that they have undone.  ``jobs`` are the jobs
+    that the soak submitted itself.
     ``links`` holds the states of impaired links, ``faults_changed_at`` when a
     fault of a host or link last began or ended (s).
     """
@@ -39,6 +43,7 @@
         self.random = Random(seed)
         self.pending_repairs: list[tuple[float, object]] = []
         self.undone: list[Fault] = []
+        self.jobs: dict[str, Job] = {}
         self.cut_off_workers: set[str] = set()
         self.down_hosts: set[str] = set()
         self.faults: dict[str, int] = defaultdict(int)
@@ -84,7 +89,7 @@
     the other schedulers then hold all acknowledged entries.
     """
     cells.stop_host(soak.cell, host)
-    settled = time.monotonic() - soak.faults_changed_at > _MIN_UNDISTURBED_S
+    settled = time.monotonic() - soak.faults_changed_at > MIN_UNDISTURBED_S
     is_only_fault = soak.down_hosts == {host} and not soak.links
     if settled and is_only_fault and host in cells.SCHEDULERS:
         soak.faults['wiped'] += 1
@@ -270,6 +275,60 @@
     soak.faults_changed_at = now
 
 
+_LAST_FAULTS = ('no last fault', 'power lost', 'disk lost')
+
+
+def inject_last_fault(soak: SoakRun) -> None:
+    """Kill all schedulers right after they acknowledged something.
+
+    All lose power, or one loses its disk, or nothing happens.  Schedulers must
+    have been undisturbed for ``MIN_UNDISTURBED_S`` before.
+    """
+    kind = _LAST_FAULTS[soak.seed % len(_LAST_FAULTS)]
+    soak.faults[kind] += 1
+    if kind == 'no last fault':
+        return
+    changes = [_submit_acknowledged, _change_acknowledged]
+    soak.random.shuffle(changes)
+    for change in changes:
+        change(soak)
+    cells.kill_schedulers(soak.cell)
+    hosts = list(cells.SCHEDULERS)
+    soak.random.shuffle(hosts)
+    if kind == 'disk lost':
+        shutil.rmtree(soak.cell.folder / hosts[0])
+    if kind == 'power lost' or soak.random.random() < _POWER_LOSS_SHARE:
+        for host in cells.SCHEDULERS:
+            cells.lose_unsynced_files(soak.cell, host, soak.random)
+    time.sleep(soak.random.uniform(0, _MAX_RESTART_DELAY_S))
+    for host in hosts:
+        cells.start(soak.cell, host)
+
+
+def _change_acknowledged(soak: SoakRun) -> None:
+    before = soak.acknowledged_version
+
+    def change() -> bool:
+        _change_configuration(soak)
+        return soak.acknowledged_version > before
+
+    cells.wait_until(change, 'a configuration to be acknowledged')
+
+
+def _submit_acknowledged(soak: SoakRun) -> None:
+    name = f'{soak.seed:015x}e'
+    body = cells.job(_LAST_JOB_TASKS)
+    entry = soak.random.choice(cells.ENTRIES)
+
+    def submit() -> bool:
+        status, _ = cells.call_entry(soak.cell, entry, 'POST', name, body)
+        return status == cells.HTTP_OK
+
+    cells.wait_until(submit, 'a job to be accepted')
+    step = (_LAST_JOB_TASKS, body['steps'][0]['cpu'], False)
+    soak.jobs[name] = Job(name, time.monotonic(), (step,))
+
+
 def run_due_repairs(soak: SoakRun, now: float) -> None:
     """Undo the faults that are due at ``now`` (s)."""
     due = [one for one in soak.pending_repairs if one[0] <= now]
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -16,6 +16,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from standins.cell import STARTUP_TIMEOUT_S, free_ports, is_listening
@@ -29,6 +30,7 @@
     TICKET_VALIDITY_S,
     worker_name,
 )
+from standins.synced_files import lose_power
 
 ROOT = Path(__file__).resolve().parent.parent
 # IP addresses of the hosts, by the role of their process.
@@ -135,11 +137,14 @@
 
     ``first`` bootstraps the cell; it is only true for a host's first start.
     """
-    role = 'scheduler' if host in SCHEDULERS else 'entry'
     path = _settings(cell, host, first=first)
+    program = ['daisygw', 'platform', 'entry']
+    if host in SCHEDULERS:
+        record = str(_sync_record(cell, host))
+        program = ['standins.synced_files', record, 'platform', 'scheduler']
     with (cell.folder / f'{host}.log').open('ab') as out:
         cell.running[host] = subprocess.Popen(  # noqa: S603
-            [sys.executable, '-m', 'daisygw', 'platform', role]
+            [sys.executable, '-m', *program]
             + [f'--metrics={cell.ports.metrics}'],
             cwd=ROOT,
             env={**os.environ, 'DAISYGW_BOOT': str(path)},
@@ -155,6 +160,23 @@
     return process.wait(WAIT_TIMEOUT_S)
 
 
+def kill_schedulers(cell: PlatformCell) -> None:
+    """Kill the processes of all schedulers at the same moment."""
+    for host in SCHEDULERS:
+        cell.running[host].kill()
+    for host in SCHEDULERS:
+        reap_host(cell, host, WAIT_TIMEOUT_S)
+
+
+def _sync_record(cell: PlatformCell, host: str) -> Path:
+    return cell.folder / f'{host}.synced'
+
+
+def lose_unsynced_files(cell: PlatformCell, host: str, random: Random) -> None:
+    """Take away what a scheduler did not sync, as a loss of power does."""
+    lose_power(_sync_record(cell, host), cell.folder / host, random)
+
+
 def reap_host(cell: PlatformCell, host: str, seconds: float) -> None:
     """Wait until a host's process has ended; kill it after ``seconds``."""
     process = cell.running.pop(host)
@@ -320,13 +342,13 @@
     return 0
 
 
-def get_config_version(cell: PlatformCell) -> int:
-    """Return the configuration's version from any scheduler; 0 if unknown."""
-    for host in SCHEDULERS:
-        status, cfg = call(f'{host}:{cell.ports.control}', 'GET', '/config')
-        if status == HTTP_OK:
-            return cfg['version']
-    return 0
+def read_configs(cell: PlatformCell) -> list[dict[str, Any]]:
+    """Return the configuration from each scheduler that knows the newest."""
+    answers = [
+        call(f'{host}:{cell.ports.control}', 'GET', '/config')
+        for host in SCHEDULERS
+    ]
+    return [cfg for status, cfg in answers if status == HTTP_OK]
 
 
 def _start_workers(cell: PlatformCell, controls: str, workers: int) -> None:
