Test that fails: SIGHUP ends a process that is still starting

Signals at 0.05, 0.2, 0.4, 0.6, 0.8 and 1.0 s after the start of an entry and of a scheduler ended the process with status -1, each time; at 1.5 and 2.0 s it served and went on. The handler is installed after the process has opened its ports (platform/_run.py), and until then the default action of SIGHUP is to end it.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -67,3 +67,7 @@
   Scenario: Schedulers and entries export metrics
     Then the metrics of a scheduler count "accepted" and "placed"
     And the metrics of an entry include its answer times
+
+  Scenario: An entry that receives SIGHUP while it starts keeps running
+    When an entry receives SIGHUP 0.2 seconds after it was started
+    Then it serves callers in the end
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import signal
+import time
 
 from behave import then, when
 
@@ -368,3 +369,22 @@
     """Check that the answer times of accepted submissions are counted."""
     shown = _metrics(context, ENTRIES[0])
     assert 'daisygw_answer_seconds_count{code="101",verb="submit"}' in shown
+
+
+@when('an entry receives SIGHUP {delay_s:g} seconds after it was started')
+def reload_early(context, delay_s):
+    """Restart an entry and send SIGHUP before its signal handlers exist."""
+    entry = ENTRIES[1]
+    cells.stop_host(context.cell, entry)
+    cells.start(context.cell, entry)
+    time.sleep(delay_s)
+    context.cell.running[entry].send_signal(signal.SIGHUP)
+
+
+@then('it serves callers in the end')
+def check_serving(context):
+    """Wait until the entry accepts connections."""
+    wait_until(
+        lambda: cells.is_serving(context.cell, ENTRIES[1]),
+        'the entry to accept connections',
+    )
