--- a/bench/soak.py
+++ b/bench/soak.py
@@ -30,7 +30,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
@@ -146,13 +146,17 @@
     ]
 
 
-def _save_failed_run(cell: PlatformCell, seed: int, rows) -> None:
-    """Save the logs and the run history of a failed run under ``run/``."""
+def _save_failed_run(
+    cell: PlatformCell, seed: int, rows, faults: Iterable[Fault]
+) -> None:
+    """Save logs, run history and faults of a failed run under ``run/``."""
     saved_logs = Path('run') / f'soak-{seed}'
     saved_logs.mkdir(parents=True, exist_ok=True)
     for path in (*cell.folder.glob('*.log'), cells.calls_path(cell)):
         shutil.copy(path, saved_logs)
     (saved_logs / 'history.json').write_text(json.dumps(rows))
+    undone = json.dumps([asdict(fault) for fault in faults])
+    (saved_logs / 'faults.json').write_text(undone)
 
 
 def _run_phases(soak: SoakRun, seconds: float) -> Fault:
@@ -193,7 +197,11 @@
             lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
         )
-        all_faults = _run_phases(soak, seconds)
+        try:
+            all_faults = _run_phases(soak, seconds)
+        except AssertionError:
+            _save_failed_run(cell, seed, cells.run_history(cell), soak.undone)
+            raise
         calls = _stop_callers(cell)
         jobs = {**jobs_of(calls), **soak.jobs}
         broken = _wait_for_completion(cell, accepted_jobs(jobs))
@@ -213,7 +221,7 @@
             *overcommitted_workers(rows, jobs),
         ]
         if broken:
-            _save_failed_run(cell, seed, rows)
+            _save_failed_run(cell, seed, rows, [*soak.undone, *stalls])
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
     accepted = len(accepted_jobs(jobs))
     return SoakResult(
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -14,7 +14,7 @@
 WORKERS = 40
 # A scheduler's data folder is deleted only after all hosts have been up and
 # connected for this long, s: the others then hold all it had acknowledged.
-MIN_UNDISTURBED_S = 6.0
+_MIN_UNDISTURBED_S = 6.0
 _LAST_JOB_TASKS = 2
 # Share of lost disks beside which the other hosts lose power.
 _POWER_LOSS_SHARE = 0.5
@@ -89,7 +89,7 @@
     the other schedulers then hold all acknowledged entries.
     """
     cells.stop_host(soak.cell, host)
-    settled = time.monotonic() - soak.faults_changed_at > MIN_UNDISTURBED_S
+    settled = time.monotonic() - soak.faults_changed_at > _MIN_UNDISTURBED_S
     is_only_fault = soak.down_hosts == {host} and not soak.links
     if settled and is_only_fault and host in cells.SCHEDULERS:
         soak.faults['wiped'] += 1
@@ -282,7 +282,7 @@
     """Kill all schedulers right after they acknowledged something.
 
     All lose power, or one loses its disk, or nothing happens.  Schedulers must
-    have been undisturbed for ``MIN_UNDISTURBED_S`` before.
+    have been undisturbed for ``_MIN_UNDISTURBED_S`` before.
     """
     kind = _LAST_FAULTS[soak.seed % len(_LAST_FAULTS)]
     soak.faults[kind] += 1
--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -115,7 +115,7 @@
     }
 
 
-def make_submission(callers: _Callers) -> _Request:
+def _make_submission(callers: _Callers) -> _Request:
     """Return the submission of a new job with one or two steps."""
     slow = callers.random.random() < _SLOW_SHARE
     last = 1 if slow else callers.random.randint(0, 1)
@@ -140,7 +140,7 @@
     if callers.to_repeat:
         return callers.to_repeat.popleft()
     if callers.random.random() < _SUBMIT_SHARE:
-        return make_submission(callers)
+        return _make_submission(callers)
     return _Request('GET', callers.random.choice([PREFIX, *callers.accepted]))
 
 
