Test that fails: a job is answered 500 by an entry that ends

Cause: an entry serves on for 0.55 of its grace period after SIGTERM and then gives requests in progress int(0.3 * grace) s; a request that waits for a leader (up to 1.5 s once it was sent on) is cancelled then, and uvicorn answers 500 for it. Whether it was accepted is unknown, so 504 is the answer. Shown by hand too: sent 2.0 s after SIGTERM with the link to the leader cut, answered 500 after 1.51 s, the process ended at 3.73 of 4 s.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -71,3 +71,7 @@
   Scenario: An entry that receives SIGHUP while it starts keeps running
     When an entry receives SIGHUP 0.2 seconds after it was started
     Then it serves callers in the end
+
+  Scenario: A request in progress when an entry ends is answered 504
+    When an entry receives a job 2 seconds after SIGTERM, while all schedulers are paused
+    Then the job is answered 504
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -388,3 +388,31 @@
         lambda: cells.is_serving(context.cell, ENTRIES[1]),
         'the entry to accept connections',
     )
+
+
+@when(
+    'an entry receives a job {delay_s:g} seconds after SIGTERM, while all '
+    'schedulers are paused'
+)
+def submit_to_stopping_entry(context, delay_s):
+    """Submit a job that is in progress when the entry stops serving."""
+    cell = context.cell
+    entry = ENTRIES[0]
+    wait_until(lambda: call_entry(cell, entry, 'GET', '')[0] == 200, 'a leader')
+    cell.running[entry].send_signal(signal.SIGTERM)
+    time.sleep(delay_s)
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal.SIGSTOP)
+    context.status = call_entry(
+        cell, entry, 'POST', _new_job_id(), cells.job()
+    )[0]
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal.SIGCONT)
+    cells.reap_host(cell, entry, cells.GRACE_S)
+    cells.start(cell, entry)
+
+
+@then('the job is answered {status:d}')
+def check_status(context, status):
+    """Check the status of the response."""
+    assert context.status == status, context.status
