--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,13 +1,22 @@
 """Soak test: injects overlapping faults into a cell of real processes.
 
 ``python -m bench.soak --seed N --seconds S`` runs three schedulers, two
-entries and four workers on loopback addresses.  Signals kill, pause and stop
+entries and 40 workers on loopback addresses.  Signals kill, pause and stop
 processes, which are then restarted or resumed.  A scheduler may lose its data
-folder or find a torn record at the end of its log.  Relays cut links between
+folder or find a torn record at the end of its log.  Settings files are read
+again, and the configuration changes meanwhile.  Relays cut links between
 processes and to workers (in both directions or one), delay them and reset
-them.  Configurations change meanwhile.
-
-At the end every accepted job must be completed, and the configuration in
+them.  Planned work follows, without other faults but on slow links: entries
+are told to stop, settings and configuration change.  Callers submit jobs of
+one or two steps all the time over connections that they keep open, also for a
+while after the last fault was undone.  The placement advisor of some jobs, all
+gangs, is slow.  In some runs all schedulers are killed at once in the end,
+right after they acknowledged something, and lose what they did not sync, or
+one of them its data folder.
+
+No request may be cut off without a response while its entry is not disturbed.
+Every accepted job must be completed, and shown in between.  While there are no
+faults, no job may stand still beside free capacity.  The configuration in
 force must be at least the newest that was acknowledged.  No task may have run
 twice at the same time, or again after its end was acknowledged, and no worker
 may have held more than its capacity.
@@ -20,31 +29,44 @@
 import sys
 import tempfile
 import time
-from collections import defaultdict
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import asdict, dataclass
 from pathlib import Path
-from random import Random
-from types import MappingProxyType
+from typing import Any
 
 from bench.soak_checks import (
-    TASK_CPU,
+    Fault,
+    accepted_jobs,
+    cut_requests,
+    jobs_of,
+    lost_jobs,
     overcommitted_workers,
     repeated_runs,
     repeats,
+    stalled_jobs,
+)
+from bench.soak_faults import (
+    WORKERS,
+    SoakRun,
+    do_planned_work,
+    inject_fault,
+    inject_last_fault,
+    restore_links,
+    run_due_repairs,
+    slow_down_entries,
 )
 from standins import platform_cell as cells
 from standins.platform_cell import ENTRIES, PlatformCell
-
-WORKERS = 4
-# Interval between rounds of one submission and one random fault.
-STEP_INTERVAL_S = 0.3
+from standins.soak_callers import Call, read_calls
+
+# Interval between faults.
+FAULT_INTERVAL_S = 0.3
+# Duration of planned work, which is without other faults.
+PLANNED_WORK_S = 7.0
+# Time that callers go on after the last fault was undone.
+TRAFFIC_TAIL_S = 10.0
 # Time for accepted jobs to complete after the last fault was undone.
 COMPLETION_TIMEOUT_S = 45
-# A scheduler's data folder is deleted only after all hosts have been up and
-# connected for this long, s: the others then hold all it had acknowledged.
-_MIN_UNDISTURBED_S = 6.0
-# Maximum delay of a slow link, s: a good part of an election timeout.
-_MAX_LINK_DELAY_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,241 +85,104 @@
     broken: tuple[str, ...]
 
 
-class _SoakRun:
-    """State of a run in progress.
+def _inject_faults(
+    soak: SoakRun, inject: Callable[[SoakRun], None], seconds: float
+) -> None:
+    """Inject a fault at each interval for some time, then undo them all.
 
-    ``pending_repairs`` holds (due time, function) pairs that undo faults;
-    ``accepted`` maps each accepted job to its number of tasks.  ``links`` holds
-    the states of impaired links, ``faults_changed_at`` when a fault of a host
-    or link last began or ended (s).
+    Returns once all processes are serving again.
     """
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        inject(soak)
+        time.sleep(FAULT_INTERVAL_S)
+        run_due_repairs(soak, time.monotonic())
+    run_due_repairs(soak, float('inf'))
+    cells.wait_until_started(soak.cell)
 
-    def __init__(self, cell: PlatformCell, seed: int) -> None:
-        self.cell = cell
-        self.seed = seed
-        self.random = Random(seed)
-        self.pending_repairs: list[tuple[float, object]] = []
-        self.cut_off_workers: set[str] = set()
-        self.accepted: dict[str, int] = {}
-        self.down_hosts: set[str] = set()
-        self.faults: dict[str, int] = defaultdict(int)
-        self.links: dict[str, tuple[bool, bool, float]] = {}
-        self.faults_changed_at = time.monotonic()
-        self.version = 3
-        self.acknowledged_version = 0
-
-
-def _schedule_repair(soak: _SoakRun, repair) -> None:
-    due = time.monotonic() + soak.random.uniform(0.3, 5)
-    soak.pending_repairs.append((due, repair))
-
-
-def _kill(soak: _SoakRun, host: str) -> None:
-    cells.stop_host(soak.cell, host)
-    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
-
-
-def _stop(soak: _SoakRun, host: str) -> None:
-    cells.stop_host(soak.cell, host, signal.SIGTERM)
-    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
 
+def _work_as_planned(soak: SoakRun) -> None:
+    slow_down_entries(soak)
+    _inject_faults(soak, do_planned_work, PLANNED_WORK_S)
+    restore_links(soak)
 
-def _pause(soak: _SoakRun, host: str) -> None:
-    process = soak.cell.running[host]
-    process.send_signal(signal.SIGSTOP)
-    _schedule_repair(soak, lambda: process.send_signal(signal.SIGCONT))
 
+def _stop_callers(cell: PlatformCell) -> list[Call]:
+    """Stop the callers and return their calls.
 
-def _wipe(soak: _SoakRun, host: str) -> None:
-    """Kill a host's process; delete a scheduler's data if that is safe.
+    Raises:
+        RuntimeError: they had failed.
 
-    It is safe only while no other fault is active and none was for a while:
-    the other schedulers then hold all acknowledged entries.
     """
-    cells.stop_host(soak.cell, host)
-    settled = time.monotonic() - soak.faults_changed_at > _MIN_UNDISTURBED_S
-    is_only_fault = soak.down_hosts == {host} and not soak.links
-    if settled and is_only_fault and host in cells.SCHEDULERS:
-        soak.faults['wiped'] += 1
-        shutil.rmtree(soak.cell.folder / host, ignore_errors=True)
-    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
-
+    if cells.stop_host(cell, 'callers', signal.SIGTERM):
+        raise RuntimeError('the callers failed')
+    return read_calls(cells.calls_path(cell))
 
-def _kill_with_torn_log(soak: _SoakRun, host: str) -> None:
-    """Kill a process and leave a torn record in its logs.
 
-    The torn record is 1 to 11 random bytes at the end of the log.
-    """
-    cells.stop_host(soak.cell, host)
-    for path in (soak.cell.folder / host).glob('*/log'):
-        with path.open('ab') as stream:
-            stream.write(soak.random.randbytes(soak.random.randint(1, 11)))
-    _schedule_repair(soak, lambda: cells.start(soak.cell, host))
-
-
-_HOST_FAULTS = MappingProxyType({
-    'kill': _kill,
-    'stop': _stop,
-    'pause': _pause,
-    'wipe': _wipe,
-    'tear': _kill_with_torn_log,
-})
-
-
-def _set_links(soak: _SoakRun) -> None:
-    states = {
-        **soak.links,
-        **dict.fromkeys(soak.cut_off_workers, (False, False, 0)),
+def _incomplete_jobs(
+    cell: PlatformCell, names: Iterable[str]
+) -> dict[str, Any]:
+    """Return the response about each job that is not completed."""
+    responses = {
+        name: cells.call_entry(cell, ENTRIES[0], 'GET', name) for name in names
+    }
+    return {
+        name: response
+        for name, response in responses.items()
+        if response != (cells.HTTP_OK, {'state': 'completed'})
     }
-    address = cells.relay_control_address(soak.cell)
-    cells.call(address, 'PUT', '/links', states)
-
-
-def _impair_links(
-    soak: _SoakRun, names: list[str], state: tuple[bool, bool, float]
-) -> None:
-    soak.links.update(dict.fromkeys(names, state))
-    soak.faults_changed_at = time.monotonic()
-    _set_links(soak)
-
-    def restore() -> None:
-        for name in names:
-            soak.links.pop(name, None)
-        soak.faults_changed_at = time.monotonic()
-        _set_links(soak)
-
-    _schedule_repair(soak, restore)
-
-
-def _pick_host(soak: _SoakRun) -> str:
-    return soak.random.choice((*cells.SCHEDULERS, *cells.ENTRIES))
-
-
-def _cut(soak: _SoakRun) -> None:
-    """Hold back all traffic of a host while its connections stay open."""
-    names = cells.link_names(_pick_host(soak))
-    _impair_links(soak, names, (False, False, 0))
-
-
-def _cut_one_way(soak: _SoakRun) -> None:
-    name = soak.random.choice(cells.link_names(_pick_host(soak)))
-    forward = soak.random.choice((True, False))
-    _impair_links(soak, [name], (forward, not forward, 0))
-
-
-def _delay(soak: _SoakRun) -> None:
-    delay_s = soak.random.uniform(0, _MAX_LINK_DELAY_S)
-    names = cells.link_names(_pick_host(soak))
-    _impair_links(soak, names, (True, True, delay_s))
-
-
-def _reset(soak: _SoakRun) -> None:
-    names = cells.link_names(_pick_host(soak))
-    cells.call(cells.relay_control_address(soak.cell), 'PUT', '/reset', names)
-
-
-def _cut_off_worker(soak: _SoakRun) -> None:
-    name = f'w{soak.random.randint(1, WORKERS)}'
-    soak.cut_off_workers.add(name)
-    _set_links(soak)
-    _schedule_repair(
-        soak, lambda: (soak.cut_off_workers.discard(name), _set_links(soak))
-    )
-
-
-def _change_configuration(soak: _SoakRun) -> None:
-    """Send a newer configuration; record its version if acknowledged."""
-    soak.version += 1
-    cfg = cells.configuration(soak.version)
-    if cells.put_config(soak.cell, cfg) == cells.HTTP_OK:
-        soak.acknowledged_version = soak.version
-
-
-_OTHER_FAULTS = MappingProxyType({
-    'cut': _cut,
-    'cut one way': _cut_one_way,
-    'delay': _delay,
-    'reset': _reset,
-    'silence': _cut_off_worker,
-    'change': _change_configuration,
-    'none': lambda soak: None,
-})
-
-
-def _inject_fault(soak: _SoakRun) -> None:
-    """Inject one random fault; at most two hosts are down at a time."""
-    kind = soak.random.choice((*_HOST_FAULTS, *_OTHER_FAULTS))
-    soak.faults[kind] += 1
-    inject = _OTHER_FAULTS.get(kind)
-    if inject:
-        inject(soak)
-        return
-    host = _pick_host(soak)
-    if host in soak.down_hosts or len(soak.down_hosts) > 1:
-        return
-    soak.down_hosts.add(host)
-    _HOST_FAULTS[kind](soak, host)
-    soak.faults_changed_at = time.monotonic()
-    due, repair = soak.pending_repairs.pop()
-    soak.pending_repairs.append((
-        due,
-        lambda: (repair(), _mark_host_up(soak, host)),
-    ))
-
-
-def _mark_host_up(soak: _SoakRun, host: str) -> None:
-    soak.down_hosts.discard(host)
-    soak.faults_changed_at = time.monotonic()
-
-
-def _run_due_repairs(soak: _SoakRun, now: float) -> None:
-    due = [one for one in soak.pending_repairs if one[0] <= now]
-    for entry in due:
-        soak.pending_repairs.remove(entry)
-        entry[1]()
-
-
-def _submit(soak: _SoakRun, number: int) -> None:
-    name = f'{soak.seed:06x}{number:010x}'
-    tasks = soak.random.randint(1, 4)
-    body = cells.job(tasks, cpu=TASK_CPU, work_s=soak.random.uniform(0.2, 2))
-    body['steps'][0]['gang'] = soak.random.randint(1, 5) == 1
-    for entry in soak.random.sample(ENTRIES, 2):
-        if entry not in soak.down_hosts:
-            status, _ = cells.call_entry(soak.cell, entry, 'POST', name, body)
-            if status == 200:
-                soak.accepted[name] = tasks
-                return
-
-
-def _submit_and_inject_faults(soak: _SoakRun, seconds: float) -> None:
-    until = time.monotonic() + seconds
-    number = 0
-    while time.monotonic() < until:
-        number += 1
-        _submit(soak, number)
-        _inject_fault(soak)
-        time.sleep(STEP_INTERVAL_S)
-        _run_due_repairs(soak, time.monotonic())
-    _run_due_repairs(soak, float('inf'))
-
-
-def _is_completed(soak: _SoakRun, name: str) -> bool:
-    status = cells.call_entry(soak.cell, ENTRIES[0], 'GET', name)[1]
-    return status == {'state': 'completed'}
 
 
-def _incomplete_jobs(soak: _SoakRun) -> list[str]:
-    return [name for name in soak.accepted if not _is_completed(soak, name)]
+def _wait_for_completion(cell: PlatformCell, names: Iterable[str]) -> list[str]:
+    """Ask for jobs until all are completed; report those that are not."""
+    until = time.monotonic() + COMPLETION_TIMEOUT_S
+    incomplete = _incomplete_jobs(cell, names)
+    while incomplete and time.monotonic() < until:
+        time.sleep(FAULT_INTERVAL_S)
+        incomplete = _incomplete_jobs(cell, incomplete)
+    return [
+        f'not completed: {name} {response}'
+        for name, response in incomplete.items()
+    ]
 
 
-def _save_failed_run(cell: PlatformCell, seed: int, rows) -> None:
-    """Save the logs and the run history of a failed run under ``run/``."""
+def _save_failed_run(
+    cell: PlatformCell, seed: int, rows, faults: Iterable[Fault]
+) -> None:
+    """Save logs, run history and faults of a failed run under ``run/``."""
     saved_logs = Path('run') / f'soak-{seed}'
     saved_logs.mkdir(parents=True, exist_ok=True)
-    for path in cell.folder.glob('*.log'):
+    for path in (*cell.folder.glob('*.log'), cells.calls_path(cell)):
         shutil.copy(path, saved_logs)
     (saved_logs / 'history.json').write_text(json.dumps(rows))
+    undone = json.dumps([asdict(fault) for fault in faults])
+    (saved_logs / 'faults.json').write_text(undone)
+
+
+def _run_phases(soak: SoakRun, seconds: float) -> Fault:
+    """Inject all faults, then wait; return the whole as one fault."""
+    began_at = time.monotonic()
+    cells.start_callers(soak.cell, soak.seed)
+    _inject_faults(soak, inject_fault, seconds)
+    _work_as_planned(soak)
+    inject_last_fault(soak)
+    cells.wait_until_started(soak.cell)
+    calm_since = time.monotonic()
+    time.sleep(TRAFFIC_TAIL_S)
+    return Fault('', began_at, calm_since, planned=False)
+
+
+def _check_config(soak: SoakRun) -> Iterator[str]:
+    """Yield configurations in force that are not as they should be."""
+    configs = cells.read_configs(soak.cell)
+    if not configs:
+        yield 'no configuration in force'
+    for cfg in configs:
+        version, acknowledged = cfg['version'], soak.acknowledged_version
+        if version < acknowledged:
+            yield f'{version} in force, {acknowledged} acknowledged'
+        if cfg != cells.configuration(version):
+            yield f'not as it was sent: {cfg}'
 
 
 def run(seed: int, seconds: float) -> SoakResult:
@@ -306,30 +191,42 @@
         tempfile.TemporaryDirectory() as folder,
         cells.running_cell(Path(folder), WORKERS, relayed=True) as cell,
     ):
-        soak = _SoakRun(cell, seed)
-        cfg = cells.configuration(3)
+        soak = SoakRun(cell, seed)
+        cfg = cells.configuration(soak.version)
         cells.wait_until(
-            lambda: cells.put_config(cell, cfg) == 200,
+            lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
         )
-        _submit_and_inject_faults(soak, seconds)
-        until = time.monotonic() + COMPLETION_TIMEOUT_S
-        while _incomplete_jobs(soak) and time.monotonic() < until:
-            time.sleep(STEP_INTERVAL_S)
-        broken = [f'not completed: {name}' for name in _incomplete_jobs(soak)]
-        in_force = cells.get_config_version(cell)
-        if in_force < soak.acknowledged_version:
-            broken.append(
-                f'configuration {in_force} in force, '
-                f'{soak.acknowledged_version} acknowledged'
-            )
+        try:
+            all_faults = _run_phases(soak, seconds)
+        except AssertionError:
+            _save_failed_run(cell, seed, cells.run_history(cell), soak.undone)
+            raise
+        calls = _stop_callers(cell)
+        jobs = {**jobs_of(calls), **soak.jobs}
+        broken = _wait_for_completion(cell, accepted_jobs(jobs))
+        ended_at = time.monotonic()
+        stalls = [
+            Fault('', *span, planned=False)
+            for span in cells.stand_in_stalls(cell)
+        ]
         rows = cells.run_history(cell)
-        broken += [*repeated_runs(rows), *overcommitted_workers(rows)]
+        workers = cells.worker_names(WORKERS)
+        broken += [
+            *_check_config(soak),
+            *cut_requests(calls, [*soak.undone, *stalls]),
+            *lost_jobs(calls, jobs),
+            *stalled_jobs(rows, jobs, workers, [all_faults, *stalls], ended_at),
+            *repeated_runs(rows),
+            *overcommitted_workers(rows, jobs),
+        ]
         if broken:
-            _save_failed_run(cell, seed, rows)
+            _save_failed_run(cell, seed, rows, [*soak.undone, *stalls])
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
-    jobs = len(soak.accepted)
-    return SoakResult(seed, jobs, dict(soak.faults), repeated, tuple(broken))
+    accepted = len(accepted_jobs(jobs))
+    return SoakResult(
+        seed, accepted, dict(soak.faults), repeated, tuple(broken)
+    )
 
 
 def main() -> int:
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -16,18 +16,31 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from standins.cell import STARTUP_TIMEOUT_S, free_ports, is_listening
-from standins.platform_workers import ADVISOR_HOST, HOST
+from standins.platform_workers import (
+    ADVISOR_HOST,
+    HOST,
+    MS_PER_S,
+    SLOW_ADVICE_PER_WORKER_S,
+    SLOW_ADVICE_S,
+    SLOW_JOB_PREFIX,
+    TICKET_VALIDITY_S,
+    worker_name,
+)
+from standins.synced_files import lose_power
 
 ROOT = Path(__file__).resolve().parent.parent
 # IP addresses of the hosts, by the role of their process.
 SCHEDULERS = ('127.0.10.1', '127.0.10.2', '127.0.10.3')
 ENTRIES = ('127.0.11.1', '127.0.11.2')
-# Host name and path prefix of the queue that callers submit to.
+# Host name of the queues, and path prefixes of one whose advisor answers at
+# once and of one whose advisor is slow.
 QUEUE_HOST = 'jobs.example'
 PREFIX = '/q/'
+SLOW_PREFIX = '/slow/'
 WAIT_TIMEOUT_S = 30
 # The setting ``bounds.graceS``.
 GRACE_S = 4
@@ -124,11 +137,14 @@
 
     ``first`` bootstraps the cell; it is only true for a host's first start.
     """
-    role = 'scheduler' if host in SCHEDULERS else 'entry'
     path = _settings(cell, host, first=first)
+    program = ['daisygw', 'platform', 'entry']
+    if host in SCHEDULERS:
+        record = str(_sync_record(cell, host))
+        program = ['standins.synced_files', record, 'platform', 'scheduler']
     with (cell.folder / f'{host}.log').open('ab') as out:
         cell.running[host] = subprocess.Popen(  # noqa: S603
-            [sys.executable, '-m', 'daisygw', 'platform', role]
+            [sys.executable, '-m', *program]
             + [f'--metrics={cell.ports.metrics}'],
             cwd=ROOT,
             env={**os.environ, 'DAISYGW_BOOT': str(path)},
@@ -144,6 +160,46 @@
     return process.wait(WAIT_TIMEOUT_S)
 
 
+def kill_schedulers(cell: PlatformCell) -> None:
+    """Kill the processes of all schedulers at the same moment."""
+    for host in SCHEDULERS:
+        cell.running[host].kill()
+    for host in SCHEDULERS:
+        reap_host(cell, host, WAIT_TIMEOUT_S)
+
+
+def _sync_record(cell: PlatformCell, host: str) -> Path:
+    return cell.folder / f'{host}.synced'
+
+
+def lose_unsynced_files(cell: PlatformCell, host: str, random: Random) -> None:
+    """Take away what a scheduler did not sync, as a loss of power does."""
+    lose_power(_sync_record(cell, host), cell.folder / host, random)
+
+
+def reap_host(cell: PlatformCell, host: str, seconds: float) -> None:
+    """Wait until a host's process has ended; kill it after ``seconds``."""
+    process = cell.running.pop(host)
+    try:
+        process.wait(max(seconds, 0))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait(WAIT_TIMEOUT_S)
+
+
+def reload_settings(cell: PlatformCell, host: str) -> None:
+    """Write a host's settings file again and send SIGHUP to its process."""
+    _settings(cell, host, first=False)
+    cell.running[host].send_signal(signal.SIGHUP)
+
+
+def is_serving(cell: PlatformCell, host: str) -> bool:
+    """Return whether a host's process accepts connections."""
+    ports = cell.ports
+    port = ports.control if host in SCHEDULERS else ports.ready
+    return host in cell.running and is_listening(f'{host}:{port}')
+
+
 def call(
     address: str,
     method: str,
@@ -190,7 +246,8 @@
 ) -> tuple[int, Any]:
     """Send a caller's request for a job to an entry host."""
     address = f'{entry}:{cell.ports.callers}'
-    return call(address, method, PREFIX + name, body, {'Host': host})
+    prefix = SLOW_PREFIX if name.startswith(SLOW_JOB_PREFIX) else PREFIX
+    return call(address, method, prefix + name, body, {'Host': host})
 
 
 def configuration(version: int, **more: Any) -> dict[str, Any]:
@@ -212,12 +269,22 @@
         'placementAdvisor': {
             'decisionMs': 5.0,
             'perWorkerMs': 0.1,
-            'validityMs': 1500,
+            'validityMs': TICKET_VALIDITY_S * MS_PER_S,
+        },
+    }
+    slow_route = {
+        **route,
+        'name': 'r-2',
+        'pathPrefix': SLOW_PREFIX,
+        'placementAdvisor': {
+            'decisionMs': SLOW_ADVICE_S * MS_PER_S,
+            'perWorkerMs': SLOW_ADVICE_PER_WORKER_S * MS_PER_S,
+            'validityMs': TICKET_VALIDITY_S * MS_PER_S,
         },
     }
     cfg = {
         'version': version,
-        'routes': [{**route, **more.pop('route', {})}],
+        'routes': [{**route, **more.pop('route', {})}, slow_route],
         'services': [{'name': 'svc'}],
         'limits': {'maxBodyBytes': 262144},
     }
@@ -259,8 +326,15 @@
 
 def log_lines(cell: PlatformCell, host: str) -> list[dict[str, Any]]:
     """Return the decoded log lines of a host's process."""
-    path = cell.folder / f'{host}.log'
-    return [json.loads(line) for line in path.read_text().splitlines()]
+    lines = (cell.folder / f'{host}.log').read_text().splitlines()
+    decoded = []
+    for number, line in enumerate(lines):
+        try:
+            decoded.append(json.loads(line))
+        except ValueError as exc:
+            around = lines[max(number - 2, 0) : number + 3]
+            raise AssertionError(host, number, len(lines), around) from exc
+    return decoded
 
 
 def put_config(cell: PlatformCell, cfg: Any) -> int:
@@ -275,13 +349,13 @@
     return 0
 
 
-def get_config_version(cell: PlatformCell) -> int:
-    """Return the configuration's version from any scheduler; 0 if unknown."""
-    for host in SCHEDULERS:
-        status, cfg = call(f'{host}:{cell.ports.control}', 'GET', '/config')
-        if status == HTTP_OK:
-            return cfg['version']
-    return 0
+def read_configs(cell: PlatformCell) -> list[dict[str, Any]]:
+    """Return the configuration from each scheduler that knows the newest."""
+    answers = [
+        call(f'{host}:{cell.ports.control}', 'GET', '/config')
+        for host in SCHEDULERS
+    ]
+    return [cfg for status, cfg in answers if status == HTTP_OK]
 
 
 def _start_workers(cell: PlatformCell, controls: str, workers: int) -> None:
@@ -303,31 +377,63 @@
         )
 
 
+def start_callers(cell: PlatformCell, seed: int) -> None:
+    """Start callers of all entries, which record their calls in a file."""
+    entries = ','.join(f'{host}:{cell.ports.callers}' for host in ENTRIES)
+    cell.running['callers'] = subprocess.Popen(  # noqa: S603
+        [sys.executable, '-m', 'standins.soak_callers']
+        + [str(calls_path(cell)), str(seed), entries],
+        cwd=ROOT,
+    )
+
+
+def calls_path(cell: PlatformCell) -> Path:
+    """Return the path of the file in which callers record their calls."""
+    return cell.folder / 'calls.jsonl'
+
+
 def relay_control_address(cell: PlatformCell) -> str:
     """Return the address of the relays' control interface."""
     return f'{SCHEDULERS[0]}:{cell.ports.relay_control}'
 
 
+def stand_in_stalls(cell: PlatformCell) -> list[tuple[float, float]]:
+    """Return begin and end (s) of the times when relays or workers stalled."""
+    workers = f'{ADVISOR_HOST}:{cell.ports.workers}'
+    return [
+        stall
+        for address in (relay_control_address(cell), workers)
+        for stall in call(address, 'GET', '/stalls')[1]
+    ]
+
+
+def worker_names(workers: int) -> list[str]:
+    """Return the names of the workers."""
+    return [worker_name(number) for number in range(1, workers + 1)]
+
+
 def worker_hosts(workers: int) -> list[str]:
     """Return the IP addresses of the workers."""
     return [HOST.format(number) for number in range(1, workers + 1)]
 
 
-def _is_started(cell: PlatformCell) -> bool:
-    """Return whether all processes have opened a port.
+def wait_until_started(cell: PlatformCell) -> None:
+    """Wait until all processes have opened a port.
 
     The time to load them depends on the machine, not on the cell.
     """
+    wait_until(lambda: _is_started(cell), 'the processes', STARTUP_TIMEOUT_S)
+
+
+def _is_started(cell: PlatformCell) -> bool:
     ports = cell.ports
     return all(
         is_listening(address)
         for address in (
             f'{ADVISOR_HOST}:{ports.workers}',
             relay_control_address(cell),
-            *(f'{host}:{ports.control}' for host in SCHEDULERS),
-            *(f'{host}:{ports.ready}' for host in ENTRIES),
         )
-    )
+    ) and all(is_serving(cell, host) for host in (*SCHEDULERS, *ENTRIES))
 
 
 @contextmanager
@@ -348,9 +454,7 @@
     try:
         for host in (*SCHEDULERS, *ENTRIES):
             start(cell, host, first=True)
-        wait_until(
-            lambda: _is_started(cell), 'the processes', STARTUP_TIMEOUT_S
-        )
+        wait_until_started(cell)
         yield cell
     finally:
         for host in list(cell.running):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,6 +7,8 @@
 ``PUT /links`` takes ``{name: [forward, backward, delay_s]}``: whether bytes
 pass in each direction, and their delay; links that are not named are restored.
 ``PUT /reset`` with a list of names aborts their connections.
+``GET /stalls`` returns begin and end (s, monotonic) of the times when this
+process itself stood still, and with it all links.
 """
 
 import asyncio
@@ -16,6 +18,8 @@
 
 from aiohttp import web
 
+from standins.stalls import watch_stalls
+
 _CHUNK_BYTES = 65_536
 # State of a link: whether bytes pass forward and backward, and the delay (s).
 _UNDISTURBED = (True, True, 0)
@@ -114,6 +118,7 @@
 
 async def _run(control: str, relays: Sequence[str]) -> None:
     links: dict[str, RelayLink] = {}
+    stalls: list[tuple[float, float]] = []
     for relay in relays:
         await _listen(links, relay)
 
@@ -121,14 +126,18 @@
         _CONTROL_HANDLERS[req.path](links, await req.json())
         return web.Response()
 
+    async def show_stalls(req: web.Request) -> web.Response:
+        return web.json_response(stalls)
+
     app = web.Application()
+    app.router.add_get('/stalls', show_stalls)
     for path in _CONTROL_HANDLERS:
         app.router.add_put(path, handle_control)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, _, port = control.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
-    await asyncio.Event().wait()
+    await watch_stalls(stalls)
 
 
 if __name__ == '__main__':
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -498,3 +498,50 @@
     """Check that the answer times of accepted submissions are counted."""
     shown = _metrics(context, ENTRIES[0])
     assert 'daisygw_answer_seconds_count{code="101",verb="submit"}' in shown
+
+
+@when('an entry receives SIGHUP {delay_s:g} seconds after it was started')
+def reload_early(context, delay_s):
+    """Restart an entry and send SIGHUP before its signal handlers exist."""
+    entry = ENTRIES[1]
+    cells.stop_host(context.cell, entry)
+    cells.start(context.cell, entry)
+    time.sleep(delay_s)
+    context.cell.running[entry].send_signal(signal.SIGHUP)
+
+
+@then('it serves callers in the end')
+def check_serving(context):
+    """Wait until the entry accepts connections."""
+    wait_until(
+        lambda: cells.is_serving(context.cell, ENTRIES[1]),
+        'the entry to accept connections',
+    )
+
+
+@when(
+    'an entry receives a job {delay_s:g} seconds after SIGTERM, while all '
+    'schedulers are paused'
+)
+def submit_to_stopping_entry(context, delay_s):
+    """Submit a job that is in progress when the entry stops serving."""
+    cell = context.cell
+    entry = ENTRIES[0]
+    wait_until(lambda: call_entry(cell, entry, 'GET', '')[0] == 200, 'a leader')
+    cell.running[entry].send_signal(signal.SIGTERM)
+    time.sleep(delay_s)
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal.SIGSTOP)
+    context.status = call_entry(
+        cell, entry, 'POST', _new_job_id(), cells.job()
+    )[0]
+    for host in SCHEDULERS:
+        cell.running[host].send_signal(signal.SIGCONT)
+    cells.reap_host(cell, entry, cells.GRACE_S)
+    cells.start(cell, entry)
+
+
+@then('the job is answered {status:d}')
+def check_status(context, status):
+    """Check the status of the response."""
+    assert context.status == status, context.status
