A gang asks for advice once enough targets are known

Cause: a new leader uses the targets that have answered it. In its first turns these are one or two, so the gang asked about them, and a step has one round of calls open at a time.

Evidence: "A gang asks for advice once enough targets have answered a new leader" failed before, and passes now.

Fix: a gang that the targets known could not hold even if they were empty and all approved asks later; the next turn looks again.

--- a/daisygw/cell/_advice_targets.py
+++ b/daisygw/cell/_advice_targets.py
@@ -163,6 +163,9 @@
     if expected.mean >= needed:
         return [key for key in map(_key, approved) if fitting[key]] + asked
     empty = waiting.max_tasks_by_target
+    if _total((*approved, *unknown), empty) < needed:
+        # A new leader knows few targets at first: a call now would be in vain.
+        return []
     later = _ExpectedCapacity(_total(approved, empty), rate)
     return _select_until(later, _GANG_CAPACITY_FACTOR * needed, unknown, empty)
 
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -38,6 +38,13 @@
     And all of them have ended
     Then it expects the advisor to approve between 2 and 4 of 10 targets
 
+  Scenario: A gang asks for advice once enough targets have answered a new leader
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    And only 2 targets have answered
+    When a gang of 20 tasks that fill a third of a target is submitted
+    And all targets have answered 0.1 seconds later
+    Then it has started within 1.5 times the duration of one advisor call about 30 targets
+
   Scenario: Gangs of a queue that come at the same time do not compete for the same targets
     Given a cell of 60 targets whose advisor approves 3 of 10 and is slow
     When 3 gangs of 20 tasks that fill a third of a target are submitted at once
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -83,6 +83,22 @@
     _run_for(context.world, 1)
 
 
+@given('only {count:d} targets have answered')
+def silence_targets(context, count):
+    """Count a failed renewal of the others, until their next answer."""
+    lease_states = list(context.world.lead.lease_states.values())
+    for lease_state in lease_states[count:]:
+        lease_state.failures = 1
+
+
+@when('all targets have answered 0.1 seconds later')
+def answer_renewals(context):
+    """Clear the failed renewals."""
+    _run_for(context.world, 0.1)
+    for lease_state in context.world.lead.lease_states.values():
+        lease_state.failures = 0
+
+
 @given('{part:d} thirds of every target are in use')
 def fill(context, part):
     """Occupy thirds of every target with the tasks of a filler job."""
