--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -125,6 +125,9 @@
         self.job_by_request: dict[int, str] = {}
         self.ends: dict[str, tuple[float, bool]] = {}
         self.callers = [0.0 for _ in range(load.callers)]
+        # How long a call waits for its turn before its caller gives up (s).
+        self.advice_patience = float('inf')
+        self.failed_advice = 0
         self.starts = 0
         self.advice = 0.0
         start_leading(self.lead)
@@ -405,6 +408,9 @@
     """
     kind = world.jobs[request.step.job][0]
     free, number = min((at, i) for i, at in enumerate(world.callers))
+    if free - world.now > world.advice_patience:
+        _give_up_advice(world, request)
+        return
     until = max(free, world.now) + request.work
     world.callers[number] = until
     world.advice += request.work
@@ -421,6 +427,17 @@
     _schedule(world, until - world.now + ORDER_ROUND_TRIP_S, answer)
 
 
+def _give_up_advice(world: World, request: AdviceRequest) -> None:
+    """Report a call that never has its turn when its caller gives it up."""
+
+    def fail() -> None:
+        world.failed_advice += 1
+        world.lead.now = world.now
+        on_advice(world.lead, AdviceResponse(request.seq, answered=False))
+
+    _schedule(world, world.advice_patience + request.work, fail)
+
+
 def _execute_effect(world: World, message: Any) -> None:
     match message:
         case StartOrder():
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -119,6 +119,8 @@
         self.refusing_starts: dict[str, str] = {}
         self.refused_starts = 0
         self.renewal_wait = 0.0
+        # How long a call to the advisor waits behind others (s).
+        self.advice_delay = 0.0
         self.cell = Cell()
         self.longest_lease = longest_lease
         self.lead = CellLeader(self.cell, 1, self.now, self.now, longest_lease)
@@ -461,7 +463,7 @@
             reply = AdviceResponse(request.seq, answered=True, tickets=approved)
             on_advice(lead, reply)
 
-    call_later(world, request.work, answer)
+    call_later(world, request.work + world.advice_delay, answer)
 
 
 def _approves(step: StepKey, name: str) -> bool:
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -211,3 +211,20 @@
     Given a cell of one target
     When a job waits for room, and its queue moves to a service with a free target
     Then the waiting job ends within 5 s
+
+  Scenario: A queue loses its advisor while a call about one of its steps is open
+    Given a cell of one target
+    When the advisor is asked about a step that lacks room, and its queue then has none
+    Then the waiting job ends within 8 s
+
+  Scenario: A step whose queue has moved does not start on the earlier service
+    Given a cell of one target
+    When a job has a ticket, its queue moves, and the ticket's target has room again
+    Then the waiting job does not start within 2 s
+
+  Scenario: A gang starts although the calls to the advisor wait longer than a ticket is used
+    Given a cell of 3 targets
+    And 2 more targets that the advisor denies
+    When a gang waits for 4 targets that it may use, and has approvals for 2
+    And calls to the advisor wait 1.4 s behind others, and 2 more such targets join
+    Then the waiting job starts within 6 s
--- a/tests/features/group.feature
+++ b/tests/features/group.feature
@@ -101,3 +101,8 @@
     When a host loses its disk and comes back, and gets no entries for 5 seconds
     Then it does not vote, and its lost replica is still a voter
     And it votes again 4 seconds after it gets entries
+
+  Scenario: Each membership change adds or removes one voter, as two hosts are replaced
+    Given an open group of five hosts
+    When two hosts lose their disks and catch up at the same time
+    Then no change added or removed more than one voter
--- a/tests/features/journal.feature
+++ b/tests/features/journal.feature
@@ -78,3 +78,13 @@
     Given a seed that has started for the first time
     When its group forms, and it is killed and started again
     Then it is the same replica, and it may not form a group
+
+  Scenario: A flipped bit in the last save is an error, wherever the save ends
+    Given a journal with 20 entries in 5 saves
+    When a vote is saved at the end of files of any length, and a bit of it is flipped
+    Then none of them is read again
+
+  Scenario: A replica outside a group asks the hosts that a scheduler names to join
+    Given a scheduler whose only seed has no scheduler any more
+    When another scheduler tells it the hosts of the group
+    Then it sends them join requests
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -63,3 +63,10 @@
     When the load "latas-grown" is replayed for 14 s from seed 2
     Then "ok" jobs are in time in at least 95 of 100 cases
     And the worth earned is at least 0.71 of the worth owed
+
+  Scenario: In a burst of gangs the leader sends no call to the advisor that its caller gives up
+    Given a cell of 60 targets whose advisor approves 3 of 10 and is slow
+    And callers that wait 2 s for a call's turn
+    When 60 gangs of 2 tasks that fill a third of a target are submitted at once
+    And 12 seconds pass
+    Then no call to the advisor was given up
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -854,3 +854,92 @@
     """Expect that the job has ended."""
     run_for(context.world, seconds)
     assert context.world.cell.jobs[context.waiting_job.id].over
+
+
+@when(
+    'the advisor is asked about a step that lacks room, and its queue then has '
+    'none'
+)
+def remove_advisor_during_call(context):
+    """Change the configuration before the answer, then make room."""
+    world = context.world
+    whole = Size(cell_world.WORKER_CPUS, 100, 0, 0)
+    filler = _job(1, size=whole, estimate=60, payload='steady')
+    submit(world, filler)
+    run_for(world, 0.5)
+    context.waiting_job = _job(3, payload='steady')
+    submit(world, context.waiting_job)
+    _wait_for_call(world)
+    _remove_advisor(world)
+    run_for(world, 1)
+    cell_world.cancel(world, filler.id)
+
+
+@when(
+    "a job has a ticket, its queue moves, and the ticket's target has room "
+    'again'
+)
+def free_earlier_service(context):
+    """Cancel the job that fills the target; the new service has none."""
+    world = context.world
+    whole = Size(cell_world.WORKER_CPUS, 100, 0, 0)
+    filler = _job(1, size=whole, estimate=60, payload='steady')
+    submit(world, filler)
+    run_for(world, 0.5)
+    context.waiting_job = _job(3, payload='steady')
+    submit(world, context.waiting_job)
+    run_for(world, 0.1)
+    cell_world.cancel(world, filler.id)
+    moved = replace(cell_world.queue('/a/', 0), service='other')
+    cell_world.configure(world, 2, queues=(moved,))
+
+
+@then('the waiting job does not start within {seconds:g} s')
+def check_not_started(context, seconds):
+    """Expect no run of the job."""
+    run_for(context.world, seconds)
+    started = {key.job for key, _ in spans(context.world)}
+    assert context.waiting_job.id not in started, spans(context.world)
+
+
+@given('2 more targets that the advisor denies')
+def add_denied_targets(context):
+    """Without them the cell would refuse the gang."""
+    cell_world.add_worker(context.world, 'w5')
+    cell_world.add_worker(context.world, 'w8')
+
+
+@when('a gang waits for 4 targets that it may use, and has approvals for 2')
+def submit_waiting_gang(context):
+    """Two of its tasks fit on a target; three targets are denied."""
+    world = context.world
+    size = Size(cell_world.WORKER_CPUS // 2, 100, 0, 0)
+    context.waiting_job = _job(1, 8, size=size, gang=True, estimate=4)
+    submit(world, context.waiting_job)
+    run_for(world, 3)
+    approval = world.lead.approvals[StepKey(context.waiting_job.id, 0, 0)]
+    assert len(approval.tickets) == 2, approval.tickets
+
+
+@when(
+    'calls to the advisor wait {delay:g} s behind others, and 2 more such '
+    'targets join'
+)
+def add_targets(context, delay):
+    """Both new targets are approved."""
+    world = context.world
+    world.advice_delay = delay
+    cell_world.add_worker(world, 'w3')
+    cell_world.add_worker(world, 'w4')
+
+
+@then('the waiting job starts within {seconds:g} s')
+def check_started(context, seconds):
+    """Expect a run of the job."""
+    run_for(context.world, seconds)
+    started = {key.job for key, _ in spans(context.world)}
+    rows = [
+        (row['asked'], row['approved'], row['took_s'])
+        for row in _logged(context.world, 'advice')
+    ]
+    assert context.waiting_job.id in started, rows
--- a/tests/steps/group_hosts_steps.py
+++ b/tests/steps/group_hosts_steps.py
@@ -1,6 +1,7 @@
 """Steps about open groups whose hosts join, leave and lose disks."""
 
 from collections import deque
+from itertools import pairwise
 
 from behave import given, then, when
 
@@ -350,3 +351,32 @@
     voters = _current_leader(hosts).members.voters
     assert len(voters) == 5, voters
     assert f'{context.host}#2' in voters, voters
+
+
+@when('two hosts lose their disks and catch up at the same time')
+def replace_two_hosts(context):
+    """Hold back entries until both are learners; record the voters."""
+    hosts = context.hosts
+    leader = host_of(_current_leader(hosts).name)
+    lost = [host for host in hosts.replicas if host != leader][:2]
+    for host in lost:
+        hosts.replicas.pop(host)
+    _pass_time(hosts, 1)
+    hosts.without_entries.update(lost)
+    for host in lost:
+        _add_replica(hosts, host, 2, ())
+    _pass_time(hosts, 2)
+    assert len(_current_leader(hosts).members.learners) == 2
+    hosts.without_entries.clear()
+    context.voters = [_current_leader(hosts).members.voters]
+    for _ in range(200):
+        _pass_time(hosts, TICK_S)
+        context.voters.append(_current_leader(hosts).members.voters)
+    assert len(_live_voters(hosts)) == 5, _live_voters(hosts)
+
+
+@then('no change added or removed more than one voter')
+def check_single_changes(context):
+    """Compare the voters of consecutive ticks."""
+    for before, after in pairwise(context.voters):
+        assert len(set(before) ^ set(after)) <= 1, (before, after)
--- a/tests/steps/journal_steps.py
+++ b/tests/steps/journal_steps.py
@@ -1,5 +1,6 @@
 """Steps that write, damage and read back a journal's files."""
 
+import asyncio
 import os
 import resource
 import subprocess  # noqa: S404  a scheduler under a limit on file size
@@ -12,12 +13,16 @@
 
 from behave import fixture, given, then, use_fixture, when
 
-from daisygw.contracts import JournalError
+from daisygw.contracts import JournalError, SchedulerList
 from daisygw.links import journal_files
-from daisygw.nodes import NodeSettings
+from daisygw.links.processes import Link, Transport
+from daisygw.nodes import NodeSettings, SchedulerNode
 from daisygw.nodes._replica_store import open_replica
+from daisygw.nodes._scheduler import _on_message as on_message
+from daisygw.nodes._scheduler import run_turn
 from daisygw.zones import (
     FormGroup,
+    Hello,
     LogEntry,
     Members,
     Persist,
@@ -397,3 +402,67 @@
     assert context.replica.name == context.name
     assert not context.replica.voter_hosts
     assert len(context.replica.members.voters) == 3
+
+
+@when(
+    'a vote is saved at the end of files of any length, and a bit of it is '
+    'flipped',
+)
+def flip_in_last_save(context):
+    """Vary the length by that of the entry before it."""
+    context.read = []
+    for length in range(_SECTOR_BYTES):
+        folder = context.folder / str(length)
+        journal = journal_files.create(folder, 'a#1')
+        entry = LogEntry(1, 1, b'x' * length)
+        for term, entries in ((1, (entry,)), (2, ())):
+            vote = Persist(term, 'b#1', _MEMBERS, entries, 0, None, 0)
+            journal_files.save(journal, vote)
+        journal_files.close(journal)
+        path = folder / 'log'
+        stored = bytearray(path.read_bytes())
+        stored[-8] ^= 1
+        path.write_bytes(stored)
+        with suppress(JournalError):
+            _, restored = journal_files.load(folder)
+            context.read.append((len(stored), restored.term))
+
+
+@then('none of them is read again')
+def check_none_read(context):
+    """Expect no length (bytes) at which the save was dropped."""
+    assert not context.read, context.read
+
+
+@given('a scheduler whose only seed has no scheduler any more')
+def scheduler_without_seed(context):
+    """It has no journal, so it is in no group."""
+    context.cfg = NodeSettings(
+        'n', '10.9.0.1', 'd', 1, ('10.9.0.9',), False, None, 4, 8
+    )
+
+
+@when('another scheduler tells it the hosts of the group')
+def tell_hosts(context):
+    """Record the messages that its turns send."""
+    context.sent = []
+
+    async def act():
+        node = SchedulerNode(context.cfg, None)
+        node.transport = Transport(context.sent.append, context.sent.append)
+        hosts = ('10.9.0.5', '10.9.0.6')
+        on_message(node, Link(hosts[0]), SchedulerList(hosts, hosts[0], 3))
+        for _ in range(3):
+            run_turn(node)
+            await asyncio.sleep(0.3)
+        for task in node.peers.tasks.values():
+            task.cancel()
+
+    asyncio.run(act())
+
+
+@then('it sends them join requests')
+def check_join_requests(context):
+    """Expect a hello to each of the hosts."""
+    receivers = {one.to for one in context.sent if isinstance(one, Hello)}
+    assert {'10.9.0.5', '10.9.0.6'} <= receivers, receivers
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -110,13 +110,33 @@
     context.since = context.world.now
 
 
+@given("callers that wait {patience:g} s for a call's turn")
+def limit_patience(context, patience):
+    """A process gives up a call that has not had its turn by then."""
+    context.world.advice_patience = patience
+
+
+@when('{seconds:d} seconds pass')
+def pass_time(context, seconds):
+    """Run the leader."""
+    _run_for(context.world, seconds)
+
+
+@then('no call to the advisor was given up')
+def check_none_given_up(context):
+    """Read the number of calls."""
+    world = context.world
+    started = sum(bool(_step_state(world, one).numbers) for one in context.gangs)
+    assert not world.failed_advice, (world.failed_advice, started)
+
+
 @when(
-    '{count:d} gangs of 20 tasks that fill a third of a target are submitted '
-    'at once',
+    '{count:d} gangs of {tasks:d} tasks that fill a third of a target are '
+    'submitted at once',
 )
-def submit_gangs(context, count):
+def submit_gangs(context, count, tasks):
     """Submit gangs that run for 5 s; all do not fit at once."""
-    step = Step(20, _THIRD_OF_TARGET, 5, gang=True)
+    step = Step(tasks, _THIRD_OF_TARGET, 5, gang=True)
     context.gangs = [f'{number:016x}' for number in range(count)]
     for name in context.gangs:
         _submit(context.world, name, context.kind, step, 5)
