--- a/tests/features/questions.feature
+++ b/tests/features/questions.feature
@@ -35,3 +35,8 @@
     Given a process that heard from its leader 0 seconds ago
     When it is restarted, calls the leader, and its predecessor's answer arrives
     Then the answer is OUTCOME_UNKNOWN after 2.7 seconds, with a retry after 1 s
+
+  Scenario: A repeated report of a draining worker is not acknowledged before it is durable
+    Given a scheduler that leads and can commit nothing
+    When a worker reports twice that it is ready, and twice that it drains
+    Then none of its reports is acknowledged
--- a/tests/steps/question_steps.py
+++ b/tests/steps/question_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from behave import given, then, when
+from falcon import testing
 
 from daisygw.contracts import (
     CellResponse,
@@ -11,8 +12,9 @@
     SchedulerList,
 )
 from daisygw.links.processes import Link
-from daisygw.nodes import Peers, call_leader
+from daisygw.nodes import NodeSettings, Peers, SchedulerNode, call_leader
 from daisygw.nodes._peers import apply_scheduler_list, on_response
+from daisygw.platform._http import control_app
 from tests.utils import run_virtually
 
 _OLD_LEADER_HOST = '10.0.0.1'
@@ -176,3 +178,51 @@
 def check_sent_twice(context):
     """Expect two copies of the request."""
     assert len(context.sent_copies) == 2, context.sent_copies
+
+
+@given('a scheduler that leads and can commit nothing')
+def isolated_leader(context):
+    """It has applied what it decides, but runs no turn."""
+    context.cfg = NodeSettings(
+        'n', '10.9.0.1', 'd', 1, ('10.9.0.9',), False, None, 4, 8
+    )
+
+
+@when('a worker reports twice that it is ready, and twice that it drains')
+def report_twice(context):
+    """Record the status of each report; each first one waits for a commit."""
+    report = {
+        'service': 'svc',
+        'address': '10.0.1.1:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
+        'coldRemainingMs': 0,
+        'capacity': {'cpu': 8000, 'memMb': 8000, 'gpu': 0},
+        'labels': ['a', 'r1'],
+        'clockMs': 1000,
+        'born': 1_700_000_000_000,
+    }
+    context.statuses = []
+
+    async def act():
+        node = SchedulerNode(context.cfg, None)
+        node.group.machine.elected(1)
+        node.peers.leader = node.peers.host
+        async with testing.ASGIConductor(control_app(node)) as worker:
+            for number, state in enumerate(
+                ('ready', 'ready', 'draining', 'draining')
+            ):
+                result = await worker.simulate_put(
+                    '/instances/i-1',
+                    json={**report, 'state': state, 'sequence': number},
+                )
+                context.statuses.append(result.status_code)
+
+    asyncio.run(act())
+
+
+@then('none of its reports is acknowledged')
+def check_no_acknowledgement(context):
+    """Expect no success."""
+    assert 200 not in context.statuses, context.statuses
