--- a/tests/steps/cell_state_steps.py
+++ b/tests/steps/cell_state_steps.py
@@ -17,7 +17,7 @@
 from daisygw.machines import EndedRun, RenewalReply
 from standins import worker_model
 from tests import cell_world
-from tests.cell_jobs import placed_runs, small_job
+from tests.cell_jobs import placed_runs, small_job, wait_for_call
 from tests.cell_records import check_same_state
 from tests.cell_world import run_for, submit
 
@@ -124,14 +124,6 @@
     assert second == {'newer'}, second
 
 
-def _wait_for_call(world):
-    for _ in range(50):
-        run_for(world, cell_world.TICK_S)
-        if world.lead.pending_advice:
-            return
-    raise AssertionError('no call to the advisor')
-
-
 @when(
     'the leader changes during a call, whose answer reaches the next leader',
 )
@@ -139,10 +131,10 @@
     """Deliver an answer without approvals while the next call is open."""
     world = context.world
     submit(world, small_job(1))
-    _wait_for_call(world)
+    wait_for_call(world)
     earlier = list(world.lead.pending_advice)
     cell_world.fail_over(world)
-    _wait_for_call(world)
+    wait_for_call(world)
     for seq in earlier:
         on_advice(world.lead, AdviceResponse(seq, answered=True))
     run_for(world, 5)
