Replace one voter in each membership change

Found by review, not in a play: two hosts that were replaced at the same time took five voters to three in one change, so that majorities before and after need not overlap. 'Each membership change adds or removes one voter, as two hosts are replaced' failed before ('one change leaves three of five voters') and passes now.

--- a/daisygw/zones/_membership.py
+++ b/daisygw/zones/_membership.py
@@ -1,10 +1,10 @@
 """Membership: forming a group, and replacing a replica that lost its state.
 
 A new replica joins as a learner.  Once it has caught up, the replica that it
-replaces is removed, and then it becomes a voter.  Each of these is one
-membership change, and the next one waits until it is committed.  In this
-order the majority stays as large as it was: it never includes a voter more
-because of the one that is lost.
+replaces is removed, and then it becomes a voter.  Each change adds or removes
+one name, and the next one waits until it is committed.  In this order the lost
+replica and its successor are never voters at the same time, which would make
+the majority larger.
 """
 
 from dataclasses import replace
@@ -166,8 +166,11 @@
         host_of(name): name
         for name in (*voters, *_ready_learners(replica, now))
     }
-    kept = tuple(name for name in voters if newest[host_of(name)] == name)
-    return None if kept == voters else Members(kept, replica.members.learners)
+    replaced = [name for name in voters if newest[host_of(name)] != name]
+    if not replaced:
+        return None
+    kept = tuple(name for name in voters if name != replaced[0])
+    return Members(kept, replica.members.learners)
 
 
 def _desired_voters(replica: Replica) -> int:
