A replica outside a group greets all schedulers that it is told of

Found by review, not in a play: such a replica opened links to the schedulers of a list that it got, but sent its requests to join only to the seeds of its settings. A follower passes them on; with no member among the seeds nobody did. 'A replica outside a group asks the hosts that a scheduler names to join' failed before and passes now. Seeds that are read again lead to links, and so to such lists.

--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -201,6 +201,7 @@
             on_response(node.peers, message)
         case SchedulerList():
             connect_to_hosts(node.peers, message.hosts)
+            node.group.replica.contacts.update(message.hosts)
         case AdviceRequest():
             node.execute_effect((link, message))
         case AdviceResponse():
