A few zeros at the end of a file are not a sector that was lost

Found by review, not in a play: with a file of 513 bytes whose last byte is zero, a flipped bit in the last save was taken for a torn save. The save, an acknowledged vote, was dropped without an error, so that the replica could vote twice in a term. 'A flipped bit in the last save is an error, wherever the save ends' failed before and passes now; power.feature, which tears sectors, passes as before.

--- a/daisygw/links/_frames.py
+++ b/daisygw/links/_frames.py
@@ -88,11 +88,19 @@
 
 
 def _has_empty_sector(stored: bytes, offset: int) -> bool:
+    """Tell whether a sector of the save was not written.
+
+    A few zeros in a sector that the file or the save shares with others may
+    be data.
+    """
     first = offset - offset % _SECTOR_BYTES
-    return any(
-        not any(stored[max(start, offset) : start + _SECTOR_BYTES])
+    sectors = (
+        stored[max(start, offset) : start + _SECTOR_BYTES]
         for start in range(first, len(stored), _SECTOR_BYTES)
     )
+    return any(
+        len(sector) >= _HEADER.size and not any(sector) for sector in sectors
+    )
 
 
 def _save_follows(stored: bytes, offset: int, save_prefix: bytes) -> bool:
