Leaders acknowledge a worker's report once its records are durable

Callers: a worker that reported twice that it drained got 200 for the second report while nothing was committed; a leader deposed then loses the drain, and tasks start there (DRAIN). Cause: a report that says nothing new is acknowledged without the leader, compared with the state of the process; a leader's state includes records that are not committed. 'A repeated report of a draining worker is not acknowledged before it is durable' failed before (504, 200, 504, 200) and passes now.

--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -263,10 +263,13 @@
 
 
 def _changes_state(node: SchedulerNode, report: TargetReport) -> bool:
-    """Return whether a report differs from the replicated state.
+    """Return whether a report may differ from the committed state.
 
-    Only then does it need the leader.
+    Only then does it need the leader.  A leader's own state is ahead of the
+    log, so it handles each report and answers once its records are durable.
     """
+    if node.state.lead is not None:
+        return True
     target = node.state.cell.targets.get(instance_key(report.instance))
     return target is None or target.open == report.draining
 
