A step whose queue changes drops what the advisor said about the earlier service

A queue that lost its advisor while a call about one of its steps was open raised AttributeError in the handler of the answer. A step whose queue moved to another service kept its tickets and started on the earlier one. 'A queue loses its advisor while a call about one of its steps is open' and 'A step whose queue has moved does not start on the earlier service' failed before and pass now: approvals are dropped with the answers on their way when the service changes.

--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -9,8 +9,8 @@
     choose_targets,
     split_request,
 )
+from daisygw.cell._approval import Approval, PendingAdvice
 from daisygw.cell._leader import (
-    Approval,
     CellLeader,
     WaitingStep,
     approval_of,
@@ -20,7 +20,6 @@
     AdviceRequest,
     AdviceResponse,
     Advisor,
-    StepKey,
 )
 
 # A ticket is not used in the last part of its validity: the commit, and the
@@ -69,8 +68,8 @@
     approval = approval_of(lead, waiting.state.key)
     chosen = choose_targets(lead, waiting, targets, fitting, needed)
     approval.chosen = frozenset(chosen)
-    advisor = waiting.queue.advisor
-    answered_at = lead.now + _call_time(advisor, len(chosen)) + _CALL_DELAY_S
+    work = _call_time(waiting.queue.advisor, len(chosen))
+    answered_at = lead.now + work + _CALL_DELAY_S
     asked = [
         key
         for key in chosen
@@ -92,51 +91,52 @@
     """Send one request to the advisor; remember its targets for the answer."""
     approval_of(lead, waiting.state.key).calls += 1
     seq = next(lead.seq_numbers)
-    lead.pending_advice[seq] = (waiting.state.key, tuple(keys), lead.now)
+    work = _call_time(waiting.queue.advisor, len(keys))
+    lead.pending_advice[seq] = PendingAdvice(
+        waiting.state.key, tuple(keys), lead.now, work
+    )
     names = tuple(lead.cell.targets[key].instance.name for key in keys)
-    work = _call_time(waiting.queue.advisor, len(names))
     lead.request_advice(AdviceRequest(seq, waiting.state.key, names, work))
 
 
 def on_advice(lead: CellLeader, answer: AdviceResponse) -> None:
     """Apply the advisor's answer; after a failure, retry with a delay."""
     pending = lead.pending_advice.pop(answer.seq, None)
-    approval = lead.approvals.get(pending[0]) if pending else None
+    approval = lead.approvals.get(pending.step) if pending else None
     if approval is None:
         return
-    step_key, target_keys, sent_at = pending
     approval.calls -= 1
     lead.changed = True
     if not answer.answered:
         approval.retry_at = lead.now + ADVICE_RETRY_DELAY_S
-        lead.log_event('advice failed', id=step_key.job, step=step_key.step)
+        lead.log_event(
+            'advice failed', id=pending.step.job, step=pending.step.step
+        )
         return
     _store_tickets(lead, approval, pending, dict(answer.tickets))
     lead.log_event(
         'advice',
-        id=step_key.job,
-        step=step_key.step,
-        asked=len(target_keys),
+        id=pending.step.job,
+        step=pending.step.step,
+        asked=len(pending.targets),
         approved=len(answer.tickets),
-        took_s=round(lead.now - sent_at, 3),
+        took_s=round(lead.now - pending.sent_at, 3),
     )
 
 
 def _store_tickets(
     lead: CellLeader,
     approval: Approval,
-    pending: tuple[StepKey, tuple[str, ...], float],
+    pending: PendingAdvice,
     tickets: dict[str, str],
 ) -> None:
-    waiting = lead.waiting.get(pending[0])
-    validity = waiting.queue.advisor.validity if waiting else 0
+    waiting = lead.waiting.get(pending.step)
+    advisor = waiting.queue.advisor if waiting else None
+    validity = advisor.validity if advisor else 0
     if waiting:
-        # A renewal is granted always, so it tells nothing about the rate.
-        first = [key for key in pending[1] if key not in approval.tickets]
-        approved = sum(_name_of(key) in tickets for key in first)
-        _update_approval_rate(lead, waiting.queue.name, approved, len(first))
+        _learn_from_answer(lead, waiting, approval, pending, tickets)
     until = lead.now + validity - TICKET_MARGIN_S
-    for key in pending[1]:
+    for key in pending.targets:
         ticket = tickets.get(_name_of(key))
         if ticket is None:
             approval.denied.add(key)
@@ -144,6 +144,21 @@
             approval.tickets[key] = (ticket, until)
 
 
+def _learn_from_answer(
+    lead: CellLeader,
+    waiting: WaitingStep,
+    approval: Approval,
+    pending: PendingAdvice,
+    tickets: dict[str, str],
+) -> None:
+    """Update a queue's approval rate."""
+    queue = waiting.queue.name
+    # Renewals are always granted, so they tell nothing about the rate.
+    first = [key for key in pending.targets if key not in approval.tickets]
+    approved = sum(_name_of(key) in tickets for key in first)
+    _update_approval_rate(lead, queue, approved, len(first))
+
+
 def _name_of(key: str) -> str:
     return key.partition('@')[0]
 
--- a/daisygw/cell/_advice_targets.py
+++ b/daisygw/cell/_advice_targets.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import ceil, sqrt
 
+from daisygw.cell._approval import Approval
 from daisygw.cell._capacity import target_preference
-from daisygw.cell._leader import Approval, CellLeader, WaitingStep, approval_of
+from daisygw.cell._leader import CellLeader, WaitingStep, approval_of
 from daisygw.cell._state import TargetState
 
 # With this many targets a call takes little longer than its fixed cost; the
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from daisygw.cell._approval import Approval, PendingAdvice
 from daisygw.cell._state import (
     Cell,
     CellJob,
@@ -126,23 +127,6 @@
         self.stop_confirmed_at = float('inf')
 
 
-class Approval:
-    """The placement advisor's answers about a step, by target instance.
-
-    A ticket is the token of an approval, which a start order must carry.
-    ``tickets`` holds it with its expiry on the leader's clock (s).  The step
-    intends to start on the ``chosen`` targets once ``calls`` are answered.
-    """
-
-    def __init__(self) -> None:
-        """Begin without answers or open calls."""
-        self.tickets: dict[str, tuple[str, float]] = {}
-        self.denied: set[str] = set()
-        self.chosen: frozenset[str] = frozenset()
-        self.calls = 0
-        self.retry_at = float('-inf')
-
-
 @dataclass(frozen=True, slots=True)
 class RelativeSpeed:
     """How fast a target runs compared with others.
@@ -194,10 +178,10 @@
     """The leader's working state of its cell.
 
     ``now`` is monotonic (s), ``wall`` since the epoch (s).
-    ``pending_advice`` maps a correlation id to the step, the target keys and
-    the time (s) of a request to the advisor.  ``ended`` lists ended jobs and
-    since when they are kept, ``repeating`` names the unfinished repeating
-    jobs, and ``changed`` requests a placement pass.
+    ``pending_advice`` has the open requests to the advisor by correlation id.
+    ``ended`` lists ended jobs and since when they are kept, ``repeating``
+    names the unfinished repeating jobs, and ``changed`` requests a placement
+    pass.
     """
 
     def __init__(
@@ -223,9 +207,7 @@
         self.outbox: list[OutgoingMessage] = []
         self.waiting: dict[StepKey, WaitingStep] = {}
         self.approvals: dict[StepKey, Approval] = {}
-        self.pending_advice: dict[
-            int, tuple[StepKey, tuple[str, ...], float]
-        ] = {}
+        self.pending_advice: dict[int, PendingAdvice] = {}
         self.lease_states: dict[str, LeaseState] = {}
         self.orders: dict[tuple[StepKey, int], OutstandingOrder] = {}
         self.estimate_factors: dict[str, float] = {}
@@ -375,12 +357,24 @@
     for waiting in lead.waiting.values():
         queue = queue_of(lead.cell, waiting.job)
         if queue and queue != waiting.queue:
+            if queue.service != waiting.queue.service:
+                _forget_approvals(lead, waiting.state.key)
             waiting.queue = queue
             waiting.max_tasks_by_target.clear()
     for job in lead.cell.jobs.values():
         enqueue_job(lead, job)
 
 
+def _forget_approvals(lead: CellLeader, key: StepKey) -> None:
+    """Drop a step's approvals, and the answers that are on their way."""
+    lead.approvals.pop(key, None)
+    lead.pending_advice = {
+        seq: pending
+        for seq, pending in lead.pending_advice.items()
+        if pending.step != key
+    }
+
+
 def enqueue_due(lead: CellLeader) -> None:
     """Queue the steps of repeating jobs whose occurrence became due."""
     for name in list(lead.repeating):
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -86,9 +86,9 @@
         return []
     first = {waiting.state.key for waiting in urgent}
     open_calls = Counter(
-        lead.waiting[key].queue.name
-        for key, _, _ in lead.pending_advice.values()
-        if key in lead.waiting
+        lead.waiting[pending.step].queue.name
+        for pending in lead.pending_advice.values()
+        if pending.step in lead.waiting
     )
     others = [
         waiting
--- a/daisygw/cell/_waits.py
+++ b/daisygw/cell/_waits.py
@@ -1,12 +1,12 @@
 """Log lines about steps that wait long for a start, and what they lack."""
 
+from daisygw.cell._approval import Approval
 from daisygw.cell._capacity import (
     FreeCapacity,
     fitting_tasks,
     suitable_targets,
 )
 from daisygw.cell._leader import (
-    Approval,
     CellLeader,
     OutstandingOrder,
     WaitingStep,
--- a/tests/steps/cell_waiting_steps.py
+++ b/tests/steps/cell_waiting_steps.py
@@ -109,7 +109,7 @@
 def _open_call(world, job):
     """Return the correlation id of the advisor call about a job's step."""
     calls = world.lead.pending_advice.items()
-    return next(seq for seq, (key, _, _) in calls if key.job == job.id)
+    return next(seq for seq, one in calls if one.step.job == job.id)
 
 
 @when('the leader changes while the advisor is asked about a step')
