Expect an advisor call to be as late as the calls before it

Callers: a gang never started while calls to the advisor waited behind others for longer than its tickets outlast: the halves of its tickets were renewed in turn and never valid at the same time. The time of an answer was expected as the advisor's own time and 0.2 s. Now the delay of earlier answers of the queue is expected again (0.9 of it after each answer that came sooner).

--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -25,9 +25,11 @@
 # A ticket is not used in the last part of its validity: the commit, and the
 # start order on its way to the target, take time.
 TICKET_MARGIN_S = 0.3
-# A call may take this much longer than the advisor needs for it: the way to the
-# process that makes it and back, behind other messages.
-_CALL_DELAY_S = 0.2
+# A call takes at least this much longer than the advisor needs for it: the way
+# to the process that makes it and back, behind other messages.
+_MIN_CALL_DELAY_S = 0.2
+# Part of a longer delay that is expected again at the next call.
+_DELAY_DECAY = 0.9
 # Weight of the answer about one target in the average of the approval rate.
 _APPROVAL_RATE_WEIGHT = 0.01
 # Lower bound of that average; limits a request to 7 times what is needed.
@@ -69,7 +71,10 @@
     chosen = choose_targets(lead, waiting, targets, fitting, needed)
     approval.chosen = frozenset(chosen)
     work = _call_time(waiting.queue.advisor, len(chosen))
-    answered_at = lead.now + work + _CALL_DELAY_S
+    delay = max(
+        _MIN_CALL_DELAY_S, lead.advice_delays.get(waiting.queue.name, 0)
+    )
+    answered_at = lead.now + work + delay
     asked = [
         key
         for key in chosen
@@ -151,8 +156,11 @@
     pending: PendingAdvice,
     tickets: dict[str, str],
 ) -> None:
-    """Update a queue's approval rate."""
+    """Update a queue's approval rate, and how long its calls are delayed."""
     queue = waiting.queue.name
+    delay = lead.now - pending.sent_at - pending.work
+    earlier = lead.advice_delays.get(queue, 0) * _DELAY_DECAY
+    lead.advice_delays[queue] = max(delay, earlier)
     # Renewals are always granted, so they tell nothing about the rate.
     first = [key for key in pending.targets if key not in approval.tickets]
     approved = sum(_name_of(key) in tickets for key in first)
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -178,10 +178,11 @@
     """The leader's working state of its cell.
 
     ``now`` is monotonic (s), ``wall`` since the epoch (s).
-    ``pending_advice`` has the open requests to the advisor by correlation id.
-    ``ended`` lists ended jobs and since when they are kept, ``repeating``
-    names the unfinished repeating jobs, and ``changed`` requests a placement
-    pass.
+    ``pending_advice`` has the open requests to the advisor by correlation id;
+    ``advice_delays`` has by queue how much longer than the advisor's own time
+    they take (s).  ``ended`` lists ended jobs and since when they are kept,
+    ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
+    a placement pass.
     """
 
     def __init__(
@@ -208,6 +209,7 @@
         self.waiting: dict[StepKey, WaitingStep] = {}
         self.approvals: dict[StepKey, Approval] = {}
         self.pending_advice: dict[int, PendingAdvice] = {}
+        self.advice_delays: dict[str, float] = {}
         self.lease_states: dict[str, LeaseState] = {}
         self.orders: dict[tuple[StepKey, int], OutstandingOrder] = {}
         self.estimate_factors: dict[str, float] = {}
