Send a long advisor call only while a process is free to make it

Callers: in a burst of gangs no gang started for seconds. Cause: each waiting gang asked; the calls queued at the processes, were given up after 2 s in vain, and retried. Tickets that come late come one by one, so waiting calls help nobody.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -1,6 +1,6 @@
 """A cell: its replicated state, and the scheduling decisions of its leader."""
 
-from daisygw.cell._advice import on_advice
+from daisygw.cell._advice import LONG_CALL_S, on_advice
 from daisygw.cell._jobs import on_config_request, on_job_request, purge_old_jobs
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
@@ -44,6 +44,7 @@
 
 __all__ = (
     'LOCAL_PROCESS',
+    'LONG_CALL_S',
     'Cell',
     'CellLeader',
     'EndsCommitted',
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -34,6 +34,9 @@
 _APPROVAL_RATE_WEIGHT = 0.01
 # Lower bound of that average; limits a request to 7 times what is needed.
 _MIN_APPROVAL_RATE = 0.15
+# Calls that take longer than this use a part of the processes only, so that a
+# short call always finds a free one.
+LONG_CALL_S = 0.3
 # Delay before the next request after a call that was not answered.
 ADVICE_RETRY_DELAY_S = 0.2
 
@@ -47,11 +50,25 @@
 
 
 def may_request_approvals(lead: CellLeader, waiting: WaitingStep) -> bool:
-    """Tell whether a step may send requests now: not while one is open."""
-    if waiting.queue.advisor is None:
+    """Tell whether a step may send requests now: not while one is open.
+
+    A long call must find a process that is free: the advisor serves those of a
+    process in turn, and tickets that are answered late come one by one.
+    """
+    advisor = waiting.queue.advisor
+    if advisor is None:
         return False
     approval = approval_of(lead, waiting.state.key)
-    return approval.calls == 0 and lead.now >= approval.retry_at
+    if approval.calls or lead.now < approval.retry_at:
+        return False
+    return advisor.decision <= LONG_CALL_S or _has_free_caller(lead)
+
+
+def _has_free_caller(lead: CellLeader) -> bool:
+    long_calls = sum(
+        pending.work > LONG_CALL_S for pending in lead.pending_advice.values()
+    )
+    return long_calls < lead.max_long_calls
 
 
 def request_approvals(
--- a/daisygw/nodes/_advisor_calls.py
+++ b/daisygw/nodes/_advisor_calls.py
@@ -11,13 +11,11 @@
 from math import ceil
 from typing import Any
 
+from daisygw.cell import LONG_CALL_S
 from daisygw.contracts import AdviceRequest, AdviceResponse
 from daisygw.links.processes import Link
 from daisygw.nodes._entry import ADVISOR_QUEUE_TIMEOUT_S
 
-# Calls that take longer than this are restricted to a part of the processes,
-# so that a short call always finds a free one.
-_LONG_CALL_S = 0.3
 # The share of the processes that long calls may use; the others stay free for
 # short calls.
 _LONG_CALL_SHARE = 0.75
@@ -75,13 +73,22 @@
         self.checked = False
 
 
+def max_long_calls(calls: AdvisorCalls) -> int:
+    """Return how many long calls the processes can make at the same time."""
+    return _long_callers(len(calls.callers(_MAX_SILENCE_S)))
+
+
+def _long_callers(processes: int) -> int:
+    return ceil(_LONG_CALL_SHARE * processes)
+
+
 def assign_call(calls: AdvisorCalls, request: AdviceRequest) -> Link | None:
     """Assign a call to the process that is free first; return its link."""
     now = asyncio.get_running_loop().time()
     callers = calls.callers(_MAX_SILENCE_S)
     names = sorted(callers)
-    if request.work > _LONG_CALL_S:
-        names = names[: ceil(_LONG_CALL_SHARE * len(names))]
+    if request.work > LONG_CALL_S:
+        names = names[: _long_callers(len(names))]
     overdue = _overdue_callers(calls, now)
     caller = min(
         names,
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -32,7 +32,12 @@
 from daisygw.links import log
 from daisygw.links.processes import Link, post, running
 from daisygw.nodes import _clock
-from daisygw.nodes._advisor_calls import AdvisorCalls, assign_call, end_call
+from daisygw.nodes._advisor_calls import (
+    AdvisorCalls,
+    assign_call,
+    end_call,
+    max_long_calls,
+)
 from daisygw.nodes._entry import call_advisor
 from daisygw.nodes._meters import count
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
@@ -189,6 +194,7 @@
             executor.renewal_tasks.clear()
             lead = executor.node.state.lead
         if lead:
+            lead.max_long_calls = max_long_calls(executor.advisor_calls)
             _start_renewals(executor, lead)
         await asyncio.sleep(_POLL_INTERVAL_S)
 
