Choose a gang's targets once where there is no advisor

A gang of a queue without an advisor has no approvals to ask for, so its second selection of targets returned the same rows as the first: wasted time in each pass, no change of any decision.

--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -124,9 +124,10 @@
     if len(rows) == needed:
         _start_runs(lead, free_capacity, waiting, rows)
         return
-    _request_approvals(lead, free_capacity, waiting, needed)
-    targets = _approved_targets(lead, free_capacity, waiting)
-    rows = _choose_rows(lead, free_capacity, waiting, targets)
+    if waiting.queue.advisor:
+        _request_approvals(lead, free_capacity, waiting, needed)
+        targets = _approved_targets(lead, free_capacity, waiting)
+        rows = _choose_rows(lead, free_capacity, waiting, targets)
     if len(rows) == needed:
         hold_capacity(free_capacity, waiting, rows)
     else:
@@ -225,7 +226,7 @@
     index: int,
     remaining: dict[str, int],
 ) -> Iterator[str]:
-    """Yield targets with capacity, those where the task failed last."""
+    """Yield targets with capacity; those where the task failed come last."""
     avoid = waiting.avoid.get(index, frozenset())
     with_capacity = [key for key, fitting in remaining.items() if fitting > 0]
     yield from (key for key in with_capacity if key not in avoid)
