Log the error that ends a link

On-call saw a link that was lost again and again, and no reason: an error raised by the handler of a message ended the task, and nobody read its exception. It is logged now as 'link crashed' with the peer; errors of the connection itself stay silent, as 'link lost' tells them. 'An error of a message's handler is logged' fails without the change (5 passed, 1 failed in links.feature) and passes with it (6 passed).

--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -19,6 +19,7 @@
 from grpclib.server import Server, Stream
 
 from daisygw.links._codec import BatchCodec, encode_batch
+from daisygw.links._logs import log_error
 
 _EXCHANGE_METHOD = '/daisygw.Links/Exchange'
 _PEER_HEADER = 'daisygw-peer'
@@ -174,7 +175,16 @@
         tasks = [
             await stack.enter_async_context(running(part)) for part in work
         ]
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            _report_fault(link, task)
+
+
+def _report_fault(link: Link, task: asyncio.Task) -> None:
+    """Log an error that is not one of the connection."""
+    exc = None if task.cancelled() else task.exception()
+    if exc and not isinstance(exc, _CONNECTION_ERRORS):
+        log_error('link crashed', exc, peer=link.peer)
 
 
 async def keep_connected(
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -4,6 +4,10 @@
     When a link is cancelled while its task is still ending
     Then the link ends at once
 
+  Scenario: An error of a message's handler is logged
+    When a link receives a message whose handler raises an error
+    Then the log names the error and the peer
+
   Scenario: Loopback connections do not block the ports of a cell
     When 5 ports for a cell are used by connections before it listens
     Then the cell can listen at all of them
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -7,10 +7,18 @@
 import tempfile
 from contextlib import ExitStack, suppress
 from pathlib import Path
+from unittest import mock
 
 from behave import then, when
 
-from daisygw.links import running
+from daisygw.contracts import SchedulerList
+from daisygw.links import _stream, running
+from daisygw.links.processes import (
+    Link,
+    accepting_links,
+    keep_connected,
+    post,
+)
 from standins.cell import (
     all_ports_open,
     free_ports,
@@ -56,6 +64,45 @@
     return bool(done) and link.cancelled()
 
 
+async def _send_to_failing_handler(address, reported):
+    def fail(link, message):
+        raise ValueError('unreadable')
+
+    def send(link):
+        post(link, SchedulerList((), '', 0))
+
+    link = Link('peer')
+    async with (
+        accepting_links(address, fail, lambda _: None),
+        running(keep_connected(link, 'caller', address, fail, send)),
+    ):
+        until = asyncio.get_running_loop().time() + _CANCEL_TIMEOUT_S
+        while not reported and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(_CLEANUP_S / 10)
+
+
+@when('a link receives a message whose handler raises an error')
+def send_to_failing_handler(context):
+    """Record the errors that are logged."""
+    context.reported = []
+
+    def record(event, exc, **fields):
+        context.reported.append((event, repr(exc), fields))
+
+    address = f'127.0.0.1:{free_ports(1)[0]}'
+    with mock.patch.object(_stream, 'log_error', record):
+        asyncio.run(_send_to_failing_handler(address, context.reported))
+
+
+@then('the log names the error and the peer')
+def check_reported(context):
+    """Expect the event, the error and the peer's name."""
+    event, error, fields = context.reported[0]
+    assert event == 'link crashed'
+    assert error == "ValueError('unreadable')", error
+    assert fields == {'peer': 'caller'}, fields
+
+
 @when('a link is cancelled while its task is still ending')
 def cancel_link(context):
     """Cancel the link after it broke but before its task has ended."""
