Soak: tasks of unrecorded jobs count as 1000 CPU again

Found by review: since tasks have different sizes, a task whose job no caller had recorded counted as nothing in the check of a worker's capacity. Before, as any task, it counted as 1000.

--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -15,6 +15,8 @@
 
 # CPU of a worker, thousandths.
 _WORKER_CPU = CAPACITY[0]
+# CPU of a task whose job no caller has recorded, thousandths.
+_UNKNOWN_TASK_CPU = 1000
 # A request may be cut off this soon after its last byte, s.
 _LOSS_SLACK_S = 0.2
 # A fault excuses requests that are sent this long after it was undone, s.
@@ -173,7 +175,7 @@
 
 def _task_cpu(jobs: Mapping[str, Job], task: str) -> int:
     job = jobs.get(_job_of(task))
-    return job.steps[_step_of(task)][1] if job else 0
+    return job.steps[_step_of(task)][1] if job else _UNKNOWN_TASK_CPU
 
 
 def _step_ends(rows, job: Job) -> list[float]:
