Let a process have one long advisor call waiting beside the open one

Fix: two for each process. The one that waits has its turn well before its caller gives it up, and the process is not idle until the leader hears of the first.

--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -37,6 +37,9 @@
 # Calls that take longer than this use a part of the processes only, so that a
 # short call always finds a free one.
 LONG_CALL_S = 0.3
+# Long calls that a process may have open: one at the advisor, and one that
+# waits and keeps the process busy until the leader hears of the first.
+_CALLS_PER_CALLER = 2
 # Delay before the next request after a call that was not answered.
 ADVICE_RETRY_DELAY_S = 0.2
 
@@ -52,8 +55,8 @@
 def may_request_approvals(lead: CellLeader, waiting: WaitingStep) -> bool:
     """Tell whether a step may send requests now: not while one is open.
 
-    A long call must find a process that is free: the advisor serves those of a
-    process in turn, and tickets that are answered late come one by one.
+    The advisor serves the calls of a process in turn, and a long call that
+    waits behind several others is given up.
     """
     advisor = waiting.queue.advisor
     if advisor is None:
@@ -61,14 +64,14 @@
     approval = approval_of(lead, waiting.state.key)
     if approval.calls or lead.now < approval.retry_at:
         return False
-    return advisor.decision <= LONG_CALL_S or _has_free_caller(lead)
+    return advisor.decision <= LONG_CALL_S or _has_caller(lead)
 
 
-def _has_free_caller(lead: CellLeader) -> bool:
+def _has_caller(lead: CellLeader) -> bool:
     long_calls = sum(
         pending.work > LONG_CALL_S for pending in lead.pending_advice.values()
     )
-    return long_calls < lead.max_long_calls
+    return long_calls < _CALLS_PER_CALLER * lead.long_callers
 
 
 def request_approvals(
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -179,7 +179,7 @@
 
     ``now`` is monotonic (s), ``wall`` since the epoch (s).
     ``pending_advice`` has the open requests to the advisor by correlation id;
-    ``max_long_calls`` is how many long ones find a process that is free, and
+    ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
     they take (s).  ``ended`` lists ended jobs and since when they are kept,
     ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
@@ -210,7 +210,7 @@
         self.waiting: dict[StepKey, WaitingStep] = {}
         self.approvals: dict[StepKey, Approval] = {}
         self.pending_advice: dict[int, PendingAdvice] = {}
-        self.max_long_calls = float('inf')
+        self.long_callers = float('inf')
         self.advice_delays: dict[str, float] = {}
         self.lease_states: dict[str, LeaseState] = {}
         self.orders: dict[tuple[StepKey, int], OutstandingOrder] = {}
--- a/daisygw/nodes/_advisor_calls.py
+++ b/daisygw/nodes/_advisor_calls.py
@@ -73,12 +73,12 @@
         self.checked = False
 
 
-def max_long_calls(calls: AdvisorCalls) -> int:
-    """Return how many long calls the processes can make at the same time."""
-    return _long_callers(len(calls.callers(_MAX_SILENCE_S)))
+def long_callers(calls: AdvisorCalls) -> int:
+    """Return how many processes make long calls."""
+    return _long_share(len(calls.callers(_MAX_SILENCE_S)))
 
 
-def _long_callers(processes: int) -> int:
+def _long_share(processes: int) -> int:
     return ceil(_LONG_CALL_SHARE * processes)
 
 
@@ -88,7 +88,7 @@
     callers = calls.callers(_MAX_SILENCE_S)
     names = sorted(callers)
     if request.work > LONG_CALL_S:
-        names = names[: _long_callers(len(names))]
+        names = names[: _long_share(len(names))]
     overdue = _overdue_callers(calls, now)
     caller = min(
         names,
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -36,7 +36,7 @@
     AdvisorCalls,
     assign_call,
     end_call,
-    max_long_calls,
+    long_callers,
 )
 from daisygw.nodes._entry import call_advisor
 from daisygw.nodes._meters import count
@@ -194,7 +194,7 @@
             executor.renewal_tasks.clear()
             lead = executor.node.state.lead
         if lead:
-            lead.max_long_calls = max_long_calls(executor.advisor_calls)
+            lead.long_callers = long_callers(executor.advisor_calls)
             _start_renewals(executor, lead)
         await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -125,7 +125,7 @@
         self.job_by_request: dict[int, str] = {}
         self.ends: dict[str, tuple[float, bool]] = {}
         self.callers = [0.0 for _ in range(load.callers)]
-        self.lead.max_long_calls = load.callers
+        self.lead.long_callers = load.callers
         # How long a call waits for its turn before its caller gives up (s).
         self.advice_patience = float('inf')
         self.failed_advice = 0
