--- a/tests/steps/cell_waiting_steps.py
+++ b/tests/steps/cell_waiting_steps.py
@@ -334,12 +334,8 @@
     assert context.world.cell.jobs[context.waiting_job.id].over
 
 
-@when(
-    'the advisor is asked about a step that lacks room, and its queue then has '
-    'none'
-)
-def remove_advisor_during_call(context):
-    """Change the configuration before the answer, then make room."""
+def _submit_behind_filler(context):
+    """Submit a job behind one that fills the target; return the latter."""
     world = context.world
     whole = Size(cell_world.WORKER_CPUS, 100, 0, 0)
     filler = small_job(1, size=whole, estimate=60, payload='steady')
@@ -347,6 +343,17 @@
     run_for(world, 0.5)
     context.waiting_job = small_job(3, payload='steady')
     submit(world, context.waiting_job)
+    return filler
+
+
+@when(
+    'the advisor is asked about a step that lacks room, and its queue then has '
+    'none'
+)
+def remove_advisor_during_call(context):
+    """Change the configuration before the answer, then make room."""
+    world = context.world
+    filler = _submit_behind_filler(context)
     wait_for_call(world)
     _remove_advisor(world)
     run_for(world, 1)
@@ -360,12 +367,7 @@
 def free_earlier_service(context):
     """Cancel the job that fills the target; the new service has none."""
     world = context.world
-    whole = Size(cell_world.WORKER_CPUS, 100, 0, 0)
-    filler = small_job(1, size=whole, estimate=60, payload='steady')
-    submit(world, filler)
-    run_for(world, 0.5)
-    context.waiting_job = small_job(3, payload='steady')
-    submit(world, context.waiting_job)
+    filler = _submit_behind_filler(context)
     run_for(world, 0.1)
     cell_world.cancel(world, filler.id)
     moved = replace(cell_world.queue('/a/', 0), service='other')
