Check the range of every value in messages from outside

Cause: values were checked for their type only. A number beyond 64 bits, a port of 99999, a name with a line end or a deeply nested field was accepted or raised an error that no decoder caught; two heartbeats ended two of three schedulers. Change: named ranges for numbers, texts, lists and addresses of jobs, configurations, heartbeats, announcements, replies, advice and settings; nesting is an error of the decoder like any other; deadlines of callers and bodies of replies are bounded. Refusals are counted and name the sender.

--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -27,6 +27,7 @@
     ResultCode,
     code_class,
     http_status,
+    is_bad_input,
     is_not_run,
 )
 from daisygw.contracts._configuration import (
@@ -100,6 +101,16 @@
     TaskReport,
     TaskSettled,
 )
+from daisygw.contracts._ranges import (
+    MAX_AMOUNT,
+    MAX_INTEGER,
+    MAX_TASKS,
+    check_cell_config,
+    check_job,
+    check_name,
+    check_range,
+    check_text,
+)
 from daisygw.contracts._records import (
     JobAccepted,
     JobPurged,
@@ -174,6 +185,9 @@
     'InstanceEnded',
     'Limits',
     'LinkError',
+    'MAX_AMOUNT',
+    'MAX_INTEGER',
+    'MAX_TASKS',
     'ZERO_SIZE',
     'ORDERINGS',
     'TaskStartOrder',
@@ -212,8 +226,13 @@
     'apply_job_accepted',
     'backlog_ahead',
     'apply_change',
+    'check_cell_config',
     'check_contract',
     'check_id',
+    'check_job',
+    'check_name',
+    'check_range',
+    'check_text',
     'code_class',
     'apply_task_ended',
     'enqueue',
@@ -222,6 +241,7 @@
     'apply_job_purged',
     'home_domain',
     'http_status',
+    'is_bad_input',
     'is_not_run',
     'critical_path',
     'new_request_id',
--- a/daisygw/contracts/_check.py
+++ b/daisygw/contracts/_check.py
@@ -4,7 +4,6 @@
 names the field.
 """
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import fields
 from typing import Any
@@ -25,12 +24,17 @@
 _MAX_NAME_CHARS = 64
 _FIRST_PRINTABLE = '!'
 _LAST_PRINTABLE = '~'
+_FIRST_SURROGATE = '\ud800'
+_LAST_SURROGATE = '\udfff'
 
 
 def _read_text(raw: Mapping[str, Any], name: str, default: str) -> str:
     value = raw.get(name, default)
     if not isinstance(value, str):
         raise ContractError(ResultCode.BAD_VALUE, f'{name}: must be text')
+    # JSON may have half of a surrogate pair, which has no encoding.
+    if any(_FIRST_SURROGATE <= char <= _LAST_SURROGATE for char in value):
+        raise ContractError(ResultCode.BAD_VALUE, f'{name}: is not Unicode')
     return value
 
 
@@ -61,7 +65,8 @@
 def _read_seconds(raw: Mapping[str, Any], name: str, maximum: float) -> float:
     value = raw.get(name, 0)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or not 0 <= value <= maximum:
+    # NaN is in no range.
+    if not is_number or not 0 <= value <= maximum:
         raise ContractError(
             ResultCode.BAD_VALUE,
             f'{name}: must be seconds from 0 to {maximum}',
--- a/daisygw/contracts/_codes.py
+++ b/daisygw/contracts/_codes.py
@@ -31,6 +31,7 @@
     ID_REUSED = 208
     BAD_VALUE = 209
     UNKNOWN_QUEUE = 210
+    NOT_STORABLE = 211
     NEVER_FITS = 301
     QUOTA_EXCEEDED = 302
     OVERLOADED = 303
@@ -111,6 +112,11 @@
     return code_class(code) in {CodeClass.BAD_INPUT, CodeClass.NOT_RUN}
 
 
+def is_bad_input(code: int) -> bool:
+    """Return whether ``code`` is about the input, so that a retry is vain."""
+    return code_class(code) is CodeClass.BAD_INPUT
+
+
 def http_status(code: int) -> int:
     """Return the HTTP status for ``code``; raises ``ValueError`` if unknown."""
     by_code = _HTTP_BY_CODE.get(ResultCode(code))
--- a/daisygw/contracts/_jobs.py
+++ b/daisygw/contracts/_jobs.py
@@ -169,12 +169,10 @@
 
     The chain starts at the step ``first``, or at any step where it is None.
     """
-    chains = [0.0 for _ in steps]
+    chains = [step.estimate for step in steps]
     for number in range(len(steps) - 1, -1, -1):
-        dependents = [
-            chains[other]
-            for other in range(number + 1, len(steps))
-            if number in steps[other].after
-        ]
-        chains[number] = steps[number].estimate + max(dependents, default=0)
+        for earlier in steps[number].after:
+            chains[earlier] = max(
+                chains[earlier], steps[earlier].estimate + chains[number]
+            )
     return max(chains, default=0) if first is None else chains[first]
--- a/daisygw/entries/_announce_http.py
+++ b/daisygw/entries/_announce_http.py
@@ -7,17 +7,20 @@
 import msgspec
 
 from daisygw.contracts import ContractError, ResultCode
-from daisygw.entries._http import Resource, write_result
+from daisygw.entries._http import Resource, read_body, write_result
 from daisygw.entries._state import Entry, send_to_leader
 from daisygw.machines import (
     Announcement,
     AnnouncementAccepted,
     ForwardedAnnouncement,
+    check_announcement,
 )
 
 # Time to wait for the leader's acknowledgement: two of the usual intervals
 # between announcements.
 _ANNOUNCEMENT_TIMEOUT_S = 2.0
+# Upper bound on an announcement: lists of some 50,000 attempts.
+_MAX_ANNOUNCEMENT_BYTES = 4_194_304
 
 
 class Announcements(Resource):
@@ -30,7 +33,9 @@
         name: str,
     ) -> None:
         """Forward an announcement; respond once the leader accepted it."""
-        announcement = _parse_announcement(await req.stream.read(), name)
+        announcement = _parse_announcement(
+            await read_body(req, _MAX_ANNOUNCEMENT_BYTES), name
+        )
         accepted = await _forward_announcement(self.entry, announcement)
         if accepted is None:
             reason = 'no leader accepted the announcement in time'
@@ -45,18 +50,13 @@
 def _parse_announcement(raw: bytes, name: str) -> Announcement:
     try:
         announcement = _decode_announcement(raw)
-    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise ContractError(ResultCode.MALFORMED, str(exc)) from exc
-    spec = announcement.spec
-    if spec.name != name:
+    if announcement.spec.name != name:
         raise ContractError(
             ResultCode.BAD_VALUE, 'spec.name: differs from the path'
         )
-    capacity = spec.capacity
-    amounts = (capacity.cpus, capacity.memory, capacity.accelerators)
-    if min(amounts) < 0 or capacity.slots < 1 or announcement.number < 1:
-        reason = 'spec.capacity or number: out of range'
-        raise ContractError(ResultCode.BAD_SIZE, reason)
+    check_announcement(announcement)
     return announcement
 
 
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -20,6 +20,11 @@
     is_responsive,
     record_clock,
 )
+from daisygw.machines._ranges import (
+    check_address,
+    check_announcement,
+    check_report,
+)
 from daisygw.machines._scoring import SCORINGS, Score
 from daisygw.machines._target import (
     Announcement,
@@ -71,6 +76,9 @@
     'Workers',
     'add_worker',
     'candidates',
+    'check_address',
+    'check_announcement',
+    'check_report',
     'drain_target',
     'drop_target',
     'grant_lease',
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import aiohttp
-import msgspec
 
 from daisygw.cell import LeaseRenewal, OrderOutcome, Run, StartOrder
 from daisygw.contracts import LinkError, ResultCode, StepKey
@@ -26,6 +25,8 @@
 _KEEP_ALIVE_S = 60.0
 # One lease renewal and concurrent orders; a worker allows 64 connections.
 _MAX_CONNECTIONS_PER_WORKER = 12
+# Upper bound on a reply: lists of some 50,000 runs.
+_MAX_REPLY_BYTES = 4_194_304
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
 _HTTP_OTHER_INSTANCE = 421
@@ -53,12 +54,23 @@
         async with session.post(
             url, data=body, headers=headers, timeout=timeout
         ) as resp:
-            return resp.status, await resp.read()
+            return resp.status, await _read_reply(resp)
     except _CONNECTION_ERRORS as exc:
         reason = f'{url}: {exc!r}'
         raise LinkError(ResultCode.OUTCOME_UNKNOWN, reason) from exc
 
 
+async def _read_reply(resp: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raises ``LinkError`` where it is too long."""
+    raw = b''
+    async for chunk in resp.content.iter_any():
+        raw += chunk
+        if len(raw) > _MAX_REPLY_BYTES:
+            reason = f'{resp.url}: more than {_MAX_REPLY_BYTES} bytes'
+            raise LinkError(ResultCode.MALFORMED, reason)
+    return raw
+
+
 def _instance_headers(instance: TargetInstance) -> dict[str, str]:
     return {'X-Expected-Instance': instance.name}
 
@@ -80,9 +92,9 @@
 
 def _refusal_reason(raw: bytes) -> str:
     try:
-        return _codec.decode_reply(raw).reason
-    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
-        return f'invalid reply: {exc}'
+        return _codec.decode_reason(raw)
+    except LinkError as exc:
+        return exc.reason
 
 
 def _make_calls(session: aiohttp.ClientSession, advisor: str) -> TargetCalls:
@@ -150,10 +162,7 @@
     if status != _HTTP_OK:
         reason = f'advisor: status {status}'
         raise LinkError(ResultCode.OUTCOME_UNKNOWN, reason)
-    try:
-        return _codec.decode_advice(raw).approved
-    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
-        raise LinkError(ResultCode.MALFORMED, f'advisor: {exc}') from exc
+    return _codec.decode_approvals(raw)
 
 
 @asynccontextmanager
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -3,7 +3,8 @@
 The platform's field names do not occur outside this package.
 """
 
-from typing import Any
+from collections.abc import Generator
+from contextlib import contextmanager
 
 import msgspec
 
@@ -20,6 +21,8 @@
     Size,
     Step,
     StepKey,
+    check_cell_config,
+    check_job,
 )
 from daisygw.machines import (
     ActiveRun,
@@ -27,11 +30,14 @@
     RenewalReply,
     TargetInstance,
     TargetReport,
+    check_report,
 )
 from daisygw.platform._wire import (
+    WireActiveRun,
     WireAdvice,
     WireConfig,
     WireJob,
+    WireListedEnd,
     WireRenewalReply,
     WireReply,
     WireReport,
@@ -44,16 +50,27 @@
 _ID_DIGITS = frozenset('0123456789abcdef')
 _ID_LENGTH = 16
 _TASK_NAME_PARTS = 4
+# Digits of a number in a task's name: fewer than those of 64 bits.
+_MAX_TASK_NUMBER_DIGITS = 18
 _WORKER_STATES = frozenset({'ready', 'draining'})
-
-
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, IndexError)
+# How a worker says that a run ended; the others are the project's own.
+_LISTED_ENDS = frozenset({
+    RunEnd.DONE,
+    RunEnd.FAILED,
+    RunEnd.STOPPED,
+    RunEnd.LAPSED,
+    RunEnd.BROKEN,
+    RunEnd.ALONE,
+})
+
+# msgspec raises RecursionError for input that is nested too deeply.
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 _decode_wire_job = msgspec.json.Decoder(WireJob).decode
 _decode_wire_config = msgspec.json.Decoder(WireConfig).decode
 _decode_wire_report = msgspec.json.Decoder(WireReport).decode
 _decode_wire_renewal = msgspec.json.Decoder(WireRenewalReply).decode
-decode_reply = msgspec.json.Decoder(WireReply).decode
-decode_advice = msgspec.json.Decoder(WireAdvice).decode
+_decode_wire_reply = msgspec.json.Decoder(WireReply).decode
+_decode_wire_advice = msgspec.json.Decoder(WireAdvice).decode
 encode = msgspec.json.Encoder().encode
 
 
@@ -63,6 +80,27 @@
     return ContractError(code, reason)
 
 
+@contextmanager
+def _reading_request(
+    code: ResultCode = ResultCode.MALFORMED,
+) -> Generator[None, None, None]:
+    """Turn the errors of a decoder into ``ContractError`` with ``code``."""
+    try:
+        yield
+    except _DECODE_ERRORS as exc:
+        raise ContractError(code, str(exc)) from exc
+
+
+@contextmanager
+def _reading_reply(sender: str) -> Generator[None, None, None]:
+    """Turn the errors of a decoder into ``LinkError`` (MALFORMED)."""
+    try:
+        yield
+    except _DECODE_ERRORS as exc:
+        reason = f'invalid reply of the {sender}: {exc}'
+        raise LinkError(ResultCode.MALFORMED, reason) from exc
+
+
 def is_job_id(name: str) -> bool:
     """Return whether a name is a valid job id: 16 hexadecimal digits."""
     return len(name) == _ID_LENGTH and set(name) <= _ID_DIGITS
@@ -74,35 +112,23 @@
         raise _contract_error(
             f'{name!r}: not 16 hexadecimal digits', ResultCode.BAD_ID
         )
-    try:
+    with _reading_request():
         wire = _decode_wire_job(raw)
-    except _DECODE_ERRORS as exc:
-        raise _contract_error(str(exc)) from exc
-    if not wire.steps or len(wire.spec.encode('utf-8')) > _MAX_PAYLOAD_BYTES:
-        raise _contract_error('no steps, or spec is too long')
-    steps = tuple(
-        _to_step(number, step) for number, step in enumerate(wire.steps)
-    )
-    return JobSpec(
+    if len(wire.spec.encode('utf-8')) > _MAX_PAYLOAD_BYTES:
+        raise _contract_error(f'spec: more than {_MAX_PAYLOAD_BYTES} bytes')
+    job = JobSpec(
         name,
         wire.spec,
-        steps,
+        tuple(map(_to_step, wire.steps)),
         wire.repeat_count,
         wire.start_at_ms / _MS_PER_S,
         wire.interval_ms / _MS_PER_S,
     )
+    check_job(job)
+    return job
 
 
-def _to_step(number: int, wire: WireStep) -> Step:
-    amounts = (wire.cpu, wire.mem_mb, wire.gpu, wire.max_per_server)
-    if wire.count < 1 or min(amounts) < 0 or wire.estimate_ms < 0:
-        raise _contract_error(
-            f'steps[{number}]: amount out of range', ResultCode.BAD_SIZE
-        )
-    if any(not 0 <= other < number for other in wire.depends_on):
-        raise _contract_error(
-            f'steps[{number}]: depends on a step that is not earlier'
-        )
+def _to_step(wire: WireStep) -> Step:
     return Step(
         count=wire.count,
         size=Size(wire.cpu, wire.mem_mb, wire.gpu, 0),
@@ -122,10 +148,8 @@
 
 def decode_config(raw: bytes) -> CellConfig:
     """Decode and validate a configuration; raises ``ContractError``."""
-    try:
+    with _reading_request(ResultCode.CONFIG_INVALID):
         wire = _decode_wire_config(raw)
-    except _DECODE_ERRORS as exc:
-        raise _contract_error(str(exc), ResultCode.CONFIG_INVALID) from exc
     services = {service.name for service in wire.services}
     route_keys = {(route.host, route.path_prefix) for route in wire.routes}
     if len(route_keys) < len(wire.routes):
@@ -135,13 +159,15 @@
         if route.service not in services or route.timeout_ms <= 0:
             reason = f'{route.name}: unknown service or timeout not positive'
             raise _contract_error(reason, ResultCode.CONFIG_INVALID)
-    return CellConfig(
+    cfg = CellConfig(
         wire.version,
         tuple(map(_to_queue, wire.routes)),
         tuple(sorted(services)),
         wire.limits.max_body_bytes,
         raw,
     )
+    check_cell_config(cfg)
+    return cfg
 
 
 def _to_queue(route: WireRoute) -> Queue:
@@ -169,13 +195,11 @@
 
 def decode_report(raw: bytes, name: str) -> TargetReport:
     """Decode a worker's heartbeat; raises ``ContractError``."""
-    try:
+    with _reading_request():
         wire = _decode_wire_report(raw)
-    except _DECODE_ERRORS as exc:
-        raise _contract_error(str(exc)) from exc
     size = Size(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu, 0)
-    if wire.state not in _WORKER_STATES or min(size.cpus, size.memory) < 0:
-        raise _contract_error(f'invalid state {wire.state!r} or capacity')
+    if wire.state not in _WORKER_STATES:
+        raise _contract_error('state: neither ready nor draining')
     instance = TargetInstance(
         name,
         wire.born,
@@ -186,9 +210,18 @@
         wire.labels[0] if wire.labels else '',
         wire.labels[-1] if wire.labels else '',
     )
-    return TargetReport(
+    report = TargetReport(
         0, name, instance, wire.sequence, wire.state == 'draining'
     )
+    check_report(report)
+    return report
+
+
+def decode_shutdown(name: str) -> TargetReport:
+    """Return the report of a worker that ends; raises ``ContractError``."""
+    report = TargetReport(0, name, None, left=True)
+    check_report(report)
+    return report
 
 
 def encode_step(key: StepKey) -> str:
@@ -204,11 +237,18 @@
 def _decode_task(name: str) -> tuple[StepKey, int]:
     parts = name.split('.')
     if len(parts) != _TASK_NAME_PARTS:
-        raise ValueError(f'{name!r}: not a task name')
-    occurrence, step, index = map(int, parts[1:])
+        raise ValueError('not a task name')
+    occurrence, step, index = map(_decode_task_number, parts[1:])
     return StepKey(parts[0], occurrence, step), index
 
 
+def _decode_task_number(digits: str) -> int:
+    is_number = digits.isascii() and digits.isdecimal()
+    if not is_number or len(digits) > _MAX_TASK_NUMBER_DIGITS:
+        raise ValueError('not a number in a task name')
+    return int(digits)
+
+
 def encode_start(order: StartOrder, deadline: int, fence: int) -> bytes:
     """Encode a start order; ``deadline`` is on the worker's clock (ms)."""
     body = {
@@ -248,25 +288,32 @@
 
 def decode_renewal_reply(raw: bytes) -> RenewalReply:
     """Decode a reply to a lease renewal; raises ``LinkError`` (MALFORMED)."""
-    try:
+    with _reading_reply('worker'):
         wire = _decode_wire_renewal(raw)
-        active = tuple(_to_active_run(row) for row in wire.active)
-        ended = tuple(_to_listed_end(row) for row in wire.finished)
-    except _DECODE_ERRORS as exc:
-        raise LinkError(
-            ResultCode.MALFORMED, f'invalid renewal reply: {exc}'
-        ) from exc
+        active = tuple(map(_to_active_run, wire.active))
+        ended = tuple(map(_to_listed_end, wire.finished))
     return RenewalReply(wire.born, wire.clock_ms, active, ended)
 
 
-def _to_active_run(row: tuple[Any, ...]) -> ActiveRun:
-    # A fifth value may follow: usage, or the tail latency of a serving task.
-    name, number, checkpoint, percent, *_ = row
-    step, index = _decode_task(name)
-    return ActiveRun(step, index, int(number), str(checkpoint), int(percent))
+def _to_active_run(row: WireActiveRun) -> ActiveRun:
+    step, index = _decode_task(row.task)
+    return ActiveRun(step, index, row.run, row.saved, int(row.percent))
+
+
+def _to_listed_end(row: WireListedEnd) -> EndedRun:
+    if row.how not in _LISTED_ENDS:
+        raise ValueError('unknown end of a run')
+    step, index = _decode_task(row.task)
+    return EndedRun(row.position, step, index, row.run, row.how, row.saved)
+
+
+def decode_reason(raw: bytes) -> str:
+    """Decode why a worker refused an order; raises ``LinkError``."""
+    with _reading_reply('worker'):
+        return _decode_wire_reply(raw).reason
 
 
-def _to_listed_end(row: tuple[Any, ...]) -> EndedRun:
-    position, name, number, how, checkpoint, *_ = row
-    step, index = _decode_task(name)
-    return EndedRun(position, step, index, number, RunEnd(how), checkpoint)
+def decode_approvals(raw: bytes) -> tuple[tuple[str, str], ...]:
+    """Decode the advisor's approvals; raises ``LinkError`` (MALFORMED)."""
+    with _reading_reply('advisor'):
+        return _decode_wire_advice(raw).approved
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -1,6 +1,7 @@
 """HTTP endpoints for callers, the load balancer, workers and operators."""
 
 import time
+from collections.abc import Awaitable, Callable
 from types import MappingProxyType
 from typing import Any
 
@@ -16,6 +17,7 @@
     JobState,
     JobVerb,
     ResultCode,
+    is_bad_input,
 )
 from daisygw.links import log, log_error
 from daisygw.machines import TargetReport, instance_key
@@ -24,6 +26,7 @@
     Meters,
     SchedulerNode,
     call_leader,
+    count,
     is_ready,
     show,
 )
@@ -33,6 +36,8 @@
 _DEFAULT_CALLER_TIMEOUT_S = 3.0
 # Part of a caller's deadline to use; the rest is for returning the response.
 _DEADLINE_FRACTION = 0.9
+# Digits of a deadline in ms: up to some hours.
+_MAX_DEADLINE_DIGITS = 8
 # Workers and operators wait one second for a response.
 _CONTROL_TIMEOUT_S = 0.9
 # Upper bound on a job's body, whatever the configuration allows.
@@ -88,14 +93,26 @@
     return raw
 
 
-async def _on_contract_error(
-    req: falcon.asgi.Request,
-    resp: falcon.asgi.Response,
-    exc: ContractError,
-    params: dict[str, Any],
-) -> None:
-    log('bad request', path=req.path, code=exc.code, reason=exc.reason)
-    _write_result(resp, exc.code, exc.reason)
+def _refusing_malformed(meters: Meters) -> Callable[..., Awaitable[None]]:
+    """Return a handler that answers, logs and counts invalid requests."""
+
+    async def on_contract_error(
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        exc: ContractError,
+        params: dict[str, Any],
+    ) -> None:
+        fields = {
+            'path': req.path,
+            'client': req.remote_addr,
+            'code': exc.code,
+            'reason': exc.reason,
+        }
+        log('bad request', **fields)
+        count(meters, 'bad request', fields)
+        _write_result(resp, exc.code, exc.reason)
+
+    return on_contract_error
 
 
 async def _on_unexpected_error(
@@ -108,23 +125,25 @@
     _write_result(resp, ResultCode.OUTCOME_UNKNOWN, type(exc).__name__)
 
 
-def _make_app() -> falcon.asgi.App:
+def _make_app(meters: Meters) -> falcon.asgi.App:
     app = falcon.asgi.App()
     app.add_error_handler(Exception, _on_unexpected_error)
-    app.add_error_handler(ContractError, _on_contract_error)
+    app.add_error_handler(ContractError, _refusing_malformed(meters))
     return app
 
 
 def _caller_timeout(req: falcon.asgi.Request) -> float:
+    """Return how long to wait for the leader (s); ignore an odd deadline."""
     deadline_ms = req.get_header('X-Deadline-Ms') or ''
-    if not deadline_ms.isdigit():
+    is_number = deadline_ms.isascii() and deadline_ms.isdecimal()
+    if not is_number or len(deadline_ms) > _MAX_DEADLINE_DIGITS:
         return _DEFAULT_CALLER_TIMEOUT_S
-    return max(int(deadline_ms) / _MS_PER_S * _DEADLINE_FRACTION, 0)
+    return int(deadline_ms) / _MS_PER_S * _DEADLINE_FRACTION
 
 
 def callers_app(node: EntryNode) -> falcon.asgi.App:
     """Return the application that serves callers' jobs at every path."""
-    app = _make_app()
+    app = _make_app(node.meters)
 
     async def serve(
         req: falcon.asgi.Request, resp: falcon.asgi.Response
@@ -211,7 +230,7 @@
 
 def metrics_app(meters: Meters) -> falcon.asgi.App:
     """Return the application that serves a process's metrics."""
-    app = _make_app()
+    app = _make_app(meters)
     app.add_route('/metrics', _Metrics(meters))
     return app
 
@@ -231,7 +250,7 @@
 
 def readiness_app(node: EntryNode) -> falcon.asgi.App:
     """Return the application that the load balancer checks."""
-    app = _make_app()
+    app = _make_app(node.meters)
     app.add_route('/readyz', _Readiness(node))
     return app
 
@@ -257,9 +276,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, name: str
     ) -> None:
         """Report that a worker is shutting down."""
-        await _forward_report(
-            self.node, resp, TargetReport(0, name, None, left=True)
-        )
+        await _forward_report(self.node, resp, _codec.decode_shutdown(name))
 
 
 def _changes_state(node: SchedulerNode, report: TargetReport) -> bool:
@@ -294,7 +311,7 @@
     if answer.code == ResultCode.ACCEPTED:
         resp.media = {}
     else:
-        _write_result(resp, answer.code)
+        _write_result(resp, answer.code, answer.reason)
 
 
 class _Configurations:
@@ -315,8 +332,9 @@
         )
         if answer.code == ResultCode.ANSWERED:
             resp.media = {}
-        else:
-            _write_result(resp, answer.code)
+            return
+        _write_result(resp, answer.code, answer.reason)
+        if not is_bad_input(answer.code):
             resp.status = _HTTP_UNAVAILABLE
 
     async def on_get(
@@ -336,7 +354,7 @@
 
 def control_app(node: SchedulerNode) -> falcon.asgi.App:
     """Return the application that serves workers and operators."""
-    app = _make_app()
+    app = _make_app(node.meters)
     app.add_route('/instances/{name}', _Instances(node))
     app.add_route('/config', _Configurations(node))
     return app
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -34,6 +34,7 @@
     BOOT_VARIABLE,
     PlatformSettings,
     load_settings,
+    read_port,
 )
 from daisygw.status import ExitStatus
 
@@ -147,10 +148,8 @@
 
 
 def _run_with_settings(running: _RunProcess, path: Path, metrics: str) -> None:
-    if not metrics.isdigit():
-        reason = f'--metrics: {metrics!r} is not a port'
-        raise SettingsError(ResultCode.SETTINGS_INVALID, reason)
-    asyncio.run(running(load_settings(path, int(metrics)), path))
+    port = read_port('--metrics', metrics)
+    asyncio.run(running(load_settings(path, port), path))
 
 
 def run(role: str, ctx: Context, metrics: str) -> ExitStatus:
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -4,11 +4,18 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from daisygw.contracts import ResultCode, SettingsError
+from daisygw.contracts import ContractError, ResultCode, SettingsError
+from daisygw.links import log
+from daisygw.machines import check_address
 from daisygw.nodes import NodeSettings
 
 BOOT_VARIABLE = 'DAISYGW_BOOT'
 _MS_PER_S = 1000
+# Longest duration of a setting (ms).
+_DAY_MS = 86_400_000
+_MAX_PORT = 65_535
+# One digit more than a port has.
+_PORT_DIGITS = 6
 _BOOLEANS = frozenset({'true', 'false'})
 
 
@@ -55,30 +62,57 @@
     return value == 'true'
 
 
-def _number(raw: Mapping[str, str], key: str, default: str) -> float:
+def _positive(raw: Mapping[str, str], key: str, default: str) -> float:
+    """Return a number above 0 that is no more than a day in ms."""
     value = raw.get(key) or default
     try:
-        return float(value)
+        number = float(value)
     except ValueError as exc:
         raise _settings_error(key, f'{value!r} is not a number') from exc
+    if not 0 < number <= _DAY_MS:
+        raise _settings_error(key, f'{value} is not between 0 and {_DAY_MS}')
+    return number
 
 
-def _port(raw: Mapping[str, str], position: int) -> int:
-    ports = _required(raw, 'internalPorts').split(',')
+def read_port(key: str, value: str) -> int:
+    """Return a port number; raises ``SettingsError`` (SETTINGS_INVALID)."""
+    is_number = value.isascii() and value.isdecimal()
+    if not is_number or not 0 < int(value[:_PORT_DIGITS]) <= _MAX_PORT:
+        reason = f'{value!r} is not a port from 1 to {_MAX_PORT}'
+        raise _settings_error(key, reason)
+    return int(value)
+
+
+def _address(raw: Mapping[str, str], key: str) -> str:
+    """Return an address to listen on or to call, or '' where there is none."""
+    address = raw.get(key, '')
+    if address:
+        _check_address(key, address)
+    return address
+
+
+def _check_address(key: str, address: str) -> None:
     try:
-        return int(ports[position])
-    except (ValueError, IndexError) as exc:
-        raise _settings_error(
-            'internalPorts', 'must be two port numbers'
-        ) from exc
+        check_address(key, address)
+    except ContractError as exc:
+        raise SettingsError(ResultCode.SETTINGS_INVALID, exc.reason) from exc
 
 
 def _seeds(raw: Mapping[str, str]) -> tuple[str, ...]:
-    """Return the seed hosts, without the ports, which links do not use."""
-    addresses = raw.get('seedNodes', '').split(',')
-    return tuple(
-        address.rpartition(':')[0] for address in addresses if ':' in address
-    )
+    """Return the seed hosts, without the ports, which links do not use.
+
+    One that is no address is left out: the others are a way in.
+    """
+    seeds = []
+    for address in raw.get('seedNodes', '').split(','):
+        try:
+            check_address('seedNodes', address)
+        except ContractError as exc:
+            if address:
+                log('seed ignored', address=address, reason=exc.reason)
+        else:
+            seeds.append(address.rpartition(':')[0])
+    return tuple(seeds)
 
 
 def load_settings(path: Path, metrics_port: int) -> PlatformSettings:
@@ -87,23 +121,24 @@
     Unknown fields are ignored.  Raises ``SettingsError`` (SETTINGS_INVALID).
     """
     raw = _read_file(path)
+    ports = _required(raw, 'internalPorts')
     data = raw.get('dataDir', '')
     node = NodeSettings(
         name=_required(raw, 'nodeName'),
         host=_required(raw, 'ip'),
         domain=_required(raw, 'zone'),
-        port=_port(raw, 0),
+        port=read_port('internalPorts', ports.partition(',')[0].strip()),
         seeds=_seeds(raw),
         first_start=_boolean(raw, 'bootstrap'),
         data=Path(data) if data else None,
-        grace=_number(raw, 'bounds.graceS', '6'),
-        longest_lease=_number(raw, 'bounds.holdMaxMs', '4000') / _MS_PER_S,
+        grace=_positive(raw, 'bounds.graceS', '6'),
+        longest_lease=_positive(raw, 'bounds.holdMaxMs', '4000') / _MS_PER_S,
     )
     return PlatformSettings(
         node=node,
-        callers=raw.get('listenAddrs.frontend', ''),
-        readiness=raw.get('listenAddrs.ready', ''),
-        control=raw.get('listenAddrs.controlPlane', ''),
-        advisor=raw.get('placementAdvisor', ''),
+        callers=_address(raw, 'listenAddrs.frontend'),
+        readiness=_address(raw, 'listenAddrs.ready'),
+        control=_address(raw, 'listenAddrs.controlPlane'),
+        advisor=_address(raw, 'placementAdvisor'),
         metrics=f'{node.host}:{metrics_port}',
     )
--- a/daisygw/platform/_wire.py
+++ b/daisygw/platform/_wire.py
@@ -2,13 +2,30 @@
 
 They are frozen ``msgspec`` structs instead of data classes, because a data
 class cannot map its fields to other names in JSON.  Processors are counted in
-thousandths of a core, memory in MiB and times in milliseconds.
+thousandths of a core, memory in MiB and times in milliseconds.  Ranges are
+checked here where a leader reads many rows a second, and otherwise on the
+project's types.
 """
 
-from typing import Any
+from typing import Annotated, TypeAlias
 
 import msgspec
 
+from daisygw.contracts import MAX_INTEGER
+
+# Clock readings, and leases added to them, are exact in JSON.
+_MAX_CLOCK_MS = 9_007_199_254_740_992
+# A job id of 16 characters and three numbers.
+_MAX_TASK_NAME_CHARS = 80
+# Length of a checkpoint's name or a ticket, which each start repeats.
+_MAX_TOKEN_CHARS = 65_536
+_Natural: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Clock: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_MAX_CLOCK_MS)]
+_TaskName: TypeAlias = Annotated[
+    str, msgspec.Meta(max_length=_MAX_TASK_NAME_CHARS)
+]
+_Token: TypeAlias = Annotated[str, msgspec.Meta(max_length=_MAX_TOKEN_CHARS)]
+
 
 class Wire(msgspec.Struct, frozen=True, rename='camel'):
     """Base class that maps field names to camel case in JSON."""
@@ -96,11 +113,31 @@
     sequence: int = 0
 
 
+class WireActiveRun(Wire, array_like=True):
+    """A row of runs; more values may follow, as the usage of a task."""
+
+    task: _TaskName
+    run: _Natural
+    # Name of the newest checkpoint.
+    saved: _Token
+    percent: float
+
+
+class WireListedEnd(Wire, array_like=True):
+    """A row of ended runs; more values may follow."""
+
+    position: _Natural
+    task: _TaskName
+    run: _Natural
+    how: str
+    saved: _Token
+
+
 class WireRenewalReply(Wire):
-    clock_ms: int
-    born: int
-    active: tuple[tuple[Any, ...], ...] = ()
-    finished: tuple[tuple[Any, ...], ...] = ()
+    clock_ms: _Clock
+    born: _Natural
+    active: tuple[WireActiveRun, ...] = ()
+    finished: tuple[WireListedEnd, ...] = ()
 
 
 class WireReply(Wire):
@@ -113,4 +150,4 @@
 class WireAdvice(Wire):
     """The advisor's reply: rows of worker id and approval ticket."""
 
-    approved: tuple[tuple[str, str], ...] = ()
+    approved: tuple[tuple[str, _Token], ...] = ()
--- /dev/null
+++ b/tests/steps/odd_platform_steps.py
@@ -0,0 +1,173 @@
+"""Steps that send odd messages to a cell of real processes."""
+
+import itertools
+import time
+
+from behave import then, when
+
+from standins import platform_cell as cells
+from standins.platform_cell import ENTRIES, SCHEDULERS, call, call_entry
+from tests import odd_input
+
+_names = itertools.count(1)
+_STATE_TIMEOUT_S = 30
+# Time for the faults of a message to show.
+_AFTER_S = 2.0
+# Events that tell of a fault of the program, or of a change of the leader.
+_FAULTS = frozenset({
+    'crashed',
+    'link crashed',
+    'request crashed',
+    'message failed',
+    'message dropped',
+    'message unreadable',
+    'turn failed',
+    'record not applied',
+    'renewal crashed',
+    'background task failed',
+    'not leading',
+})
+
+
+def _faults(cell):
+    return [
+        (host, line)
+        for host in (*SCHEDULERS, *ENTRIES)
+        for line in cells.log_lines(cell, host)
+        if line['event'] in _FAULTS
+    ]
+
+
+def _note_state(context):
+    """Keep the processes and the faults logged so far."""
+    context.processes = dict(context.cell.running)
+    context.faults = _faults(context.cell)
+    context.leaders = _leaderships(context.cell)
+
+
+def _leaderships(cell):
+    return [
+        (host, line['term'])
+        for host in SCHEDULERS
+        for line in cells.log_lines(cell, host)
+        if line['event'] == 'leading'
+    ]
+
+
+def _new_job_id():
+    return f'{0xEE:02x}{next(_names):014x}'
+
+
+def _odd_requests(cell):
+    """Yield what each odd message is and how it is sent."""
+    for number, host in enumerate(SCHEDULERS):
+        control = f'{host}:{cell.ports.control}'
+        path = f'/instances/i-odd{number}'
+        for what, beat in odd_input.ODD_HEARTBEATS.items():
+            yield what, (control, 'PUT', path, odd_input.encode(beat))
+        yield (
+            'line end in a name',
+            (
+                control,
+                'PUT',
+                '/instances/i%0Aodd',
+                odd_input.encode(odd_input.heartbeat()),
+            ),
+        )
+        for what, cfg in odd_input.ODD_CONFIGS.items():
+            yield what, (control, 'PUT', '/config', odd_input.encode(cfg))
+
+
+@when('a worker, an operator and a caller send each odd message')
+def send_odd(context):
+    """Send heartbeats and configurations to schedulers, jobs to entries."""
+    cell = context.cell
+    _note_state(context)
+    context.answers = []
+    for what, request in _odd_requests(cell):
+        started = time.monotonic()
+        status, _ = call(*request)
+        took = time.monotonic() - started
+        context.answers.append((what, status, took))
+    for what, job in odd_input.ODD_JOBS.items():
+        started = time.monotonic()
+        raw = odd_input.encode(job)
+        status, _ = call_entry(cell, ENTRIES[0], 'POST', _new_job_id(), raw)
+        took = time.monotonic() - started
+        context.answers.append((what, status, took))
+    time.sleep(_AFTER_S)
+
+
+@then(
+    'each was answered with a status from {low:d} to {high:d} within '
+    '{seconds:d} second'
+)
+def check_answers(context, low, high, seconds):
+    """Compare the statuses and the times of all."""
+    odd = [
+        (what, status, round(took, 3))
+        for what, status, took in context.answers
+        if not low <= status <= high or took > seconds
+    ]
+    assert not odd, odd
+
+
+@then('no process has ended, lost its leader or logged an error')
+def check_processes(context):
+    """Compare the processes, the terms and the logs with those before."""
+    cell = context.cell
+    ended = [
+        (host, process.poll())
+        for host, process in context.processes.items()
+        if process.poll() is not None
+    ]
+    assert not ended, ended
+    faults = _faults(cell)[len(context.faults) :]
+    assert not faults, faults
+    assert _leaderships(cell) == context.leaders
+
+
+def _shown_state(cell, name):
+    return (call_entry(cell, ENTRIES[0], 'GET', name)[1] or {}).get('state')
+
+
+def _submit(cell, name, job):
+    """Submit a job until it is accepted: workers may not be known yet."""
+    cells.wait_until(
+        lambda: call_entry(cell, ENTRIES[0], 'POST', name, job)[0] == 200,
+        f'{name} to be accepted',
+        _STATE_TIMEOUT_S,
+    )
+
+
+@then('a job of {count:d} tasks is still completed')
+def check_served(context, count):
+    """Submit a job, and wait until it is shown as completed."""
+    cell = context.cell
+    name = _new_job_id()
+    _submit(cell, name, cells.job(count))
+    cells.wait_until(
+        lambda: _shown_state(cell, name) == 'completed',
+        f'{name} to be completed',
+        _STATE_TIMEOUT_S,
+    )
+
+
+@when('a job of {count:d} small tasks is submitted and cancelled')
+def submit_many(context, count):
+    """Let as many of them start as fit, and cancel the job."""
+    cell = context.cell
+    _note_state(context)
+    job = cells.job(count, work_s=60)
+    job['steps'][0] |= {'cpu': 1, 'memMb': 1}
+    name = _new_job_id()
+    _submit(cell, name, job)
+    cells.wait_until(
+        lambda: _shown_state(cell, name) == 'in_progress',
+        f'{name} to begin',
+        _STATE_TIMEOUT_S,
+    )
+    time.sleep(_AFTER_S)
+    status, body = call_entry(cell, ENTRIES[1], 'DELETE', name)
+    assert status == 200, (status, body)
+    time.sleep(_AFTER_S)
