Refuse what cannot be encoded before it has an effect; keep links and processes

Cause: an encoder's error, found when the leader's state had the value already, ended the turn and the process, or the link with all other requests on it. So did any unexpected error in a turn, a message's handler or a background task.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -8,6 +8,7 @@
 
 import itertools
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -174,6 +175,10 @@
         self.max_tasks_by_target: dict[str, int] = {}
 
 
+def _accept_record(record: Any) -> None:
+    """Accept any record."""
+
+
 class CellLeader:
     """The leader's working state of its cell.
 
@@ -183,7 +188,8 @@
     ``advice_delays`` has by queue how much longer than the advisor's own time
     they take (s).  ``ended`` lists ended jobs and since when they are kept,
     ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
-    a placement pass.
+    a placement pass.  ``check_record`` raises ``ContractError`` for a record
+    that the log cannot hold.
     """
 
     def __init__(
@@ -205,6 +211,7 @@
         self.now = now
         self.wall = wall
         self.elected = now
+        self.check_record: Callable[[Any], None] = _accept_record
         self.records: list[Any] = []
         self.outbox: list[OutgoingMessage] = []
         self.waiting: dict[StepKey, WaitingStep] = {}
@@ -227,7 +234,12 @@
         self.approval_rates: dict[str, float] = {}
 
     def record(self, record: Any) -> None:
-        """Append a log record and apply it immediately."""
+        """Append a log record and apply it immediately.
+
+        Raises ``ContractError`` for a record that ``check_record`` refuses,
+        before it has any effect.
+        """
+        self.check_record(record)
         apply(self.cell, record)
         self.records.append(record)
         self.changed = True
--- a/daisygw/entries/_job_driver.py
+++ b/daisygw/entries/_job_driver.py
@@ -5,6 +5,7 @@
 
 from daisygw.contracts import (
     Contract,
+    ContractError,
     Kind,
     LinkError,
     OrderRejected,
@@ -82,12 +83,15 @@
     *,
     id_generated: bool,
 ) -> SchedulerResponse:
-    answer, forwarded = await call_leader(
-        entry,
-        request_home(entry, contract.id),
-        lambda seq: Submit(seq, contract),
-        entry.boot_settings.process.patience,
-    )
+    try:
+        answer, forwarded = await call_leader(
+            entry,
+            request_home(entry, contract.id),
+            lambda seq: Submit(seq, contract),
+            entry.boot_settings.process.patience,
+        )
+    except ContractError as exc:
+        return SchedulerResponse(0, exc.code, exc.reason)
     if answer is not None:
         return answer
     code, reason = unanswered_result(
--- a/daisygw/entries/_state.py
+++ b/daisygw/entries/_state.py
@@ -21,6 +21,7 @@
     TaskStartOrder,
     home_domain,
 )
+from daisygw.links import codec
 from daisygw.links.processes import Link, post
 from daisygw.settings import Settings, configuration_of
 
@@ -147,8 +148,10 @@
 
     The request is sent again, with a new correlation id, until any copy is
     answered or ``patience`` (s) has passed.  Returns the response or None,
-    and whether any copy was sent.
+    and whether any copy was sent.  Raises ``ContractError`` (NOT_STORABLE) for
+    a request that has no encoding.
     """
+    codec.check_storable(make_message(0))
     loop = asyncio.get_running_loop()
     until = loop.time() + patience
     fut = loop.create_future()
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from operator import attrgetter
 from types import MappingProxyType
 from typing import Any
@@ -17,6 +17,21 @@
 from grpclib.encoding.base import CodecBase
 
 from daisygw import contracts, machines, zones
+from daisygw.links._logs import log_error
+
+# What the encoder raises for a value without an encoding: an integer of more
+# than 64 bits, half of a surrogate pair, a foreign type, a deep nesting.
+_ENCODE_ERRORS = (
+    OverflowError,
+    UnicodeError,
+    TypeError,
+    ValueError,
+    RecursionError,
+    KeyError,
+)
+# What reading one row raises: a value of another type, or an unknown tag.
+DECODE_ERRORS = (msgspec.MsgspecError, KeyError, TypeError, RecursionError)
+_STORE_ERRORS = (*_ENCODE_ERRORS, msgspec.MsgspecError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,17 +148,81 @@
     return _encode(rows)
 
 
-def decode_batch(encoded: bytes) -> list[Any]:
-    """Decode the result of ``encode_batch``."""
+def check_storable(message: Any) -> None:
+    """Check that a message or record can be encoded, and read again.
+
+    Raises ``ContractError`` (NOT_STORABLE).
+    """
+    try:
+        decode_batch(encode_batch((message,)))
+    except _STORE_ERRORS as exc:
+        reason = f'{type(message).__name__}: {exc}'
+        raise contracts.ContractError(
+            contracts.ResultCode.NOT_STORABLE, reason
+        ) from exc
+
+
+def encode_storable(
+    messages: Iterable[Any],
+    on_refused: Callable[[Any, contracts.ContractError], None],
+) -> bytes:
+    """Encode messages, without those that have no encoding.
+
+    ``on_refused`` is called with each of these and its error.
+    """
+    batch = list(messages)
+    try:
+        return encode_batch(batch)
+    except _ENCODE_ERRORS:
+        return encode_batch(list(_storable(batch, on_refused)))
+
+
+def _storable(
+    batch: list[Any],
+    on_refused: Callable[[Any, contracts.ContractError], None],
+) -> Iterator[Any]:
+    for message in batch:
+        try:
+            check_storable(message)
+        except contracts.ContractError as exc:
+            on_refused(message, exc)
+        else:
+            yield message
+
+
+def _raise_error(tag: int, exc: Exception) -> None:
+    raise exc
+
+
+def decode_batch(
+    encoded: bytes,
+    on_unreadable: Callable[[int, Exception], None] = _raise_error,
+) -> list[Any]:
+    """Decode the result of ``encode_batch``.
+
+    ``on_unreadable`` is called with the tag and the error of each message
+    that cannot be read; the others are returned.
+    """
     messages = []
     for tag, raw in _rows_decoder.decode(encoded):
-        message_format = _FORMATS_BY_TAG[tag]
-        messages.append(
-            message_format.kind(*_row_of(message_format.decoder.decode(raw)))
-        )
+        try:
+            message = _decode_row(tag, raw)
+        except DECODE_ERRORS as exc:
+            on_unreadable(tag, exc)
+        else:
+            messages.append(message)
     return messages
 
 
+def _decode_row(tag: int, raw: msgspec.Raw) -> Any:
+    message_format = _FORMATS_BY_TAG[tag]
+    return message_format.kind(*_row_of(message_format.decoder.decode(raw)))
+
+
+def _log_unreadable(tag: int, exc: Exception) -> None:
+    log_error('message unreadable', exc, tag=tag)
+
+
 class BatchCodec(CodecBase):
     """Lets grpclib carry batches that the sender has already encoded."""
 
@@ -154,5 +233,5 @@
         return message
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Decode one batch."""
-        return decode_batch(data)
+        """Decode one batch, without the messages that cannot be read."""
+        return decode_batch(data, _log_unreadable)
--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, TypeAlias
 
 from grpclib.client import Channel, StreamStreamMethod
@@ -18,8 +19,9 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
-from daisygw.links._codec import BatchCodec, encode_batch
-from daisygw.links._logs import log_error
+from daisygw.contracts import ContractError
+from daisygw.links._codec import BatchCodec, encode_storable
+from daisygw.links._logs import log, log_error
 
 _EXCHANGE_METHOD = '/daisygw.Links/Exchange'
 _PEER_HEADER = 'daisygw-peer'
@@ -103,11 +105,22 @@
         batch = link.waiting
         link.waiting = []
         link.sent += len(batch)
-        encoded = encode_batch(batch)
+        encoded = encode_storable(batch, partial(_drop_message, link))
         link.sent_bytes += len(encoded)
         await stream.send_message(encoded)
 
 
+def _drop_message(link: Link, message: Any, exc: ContractError) -> None:
+    link.dropped += 1
+    log(
+        'message dropped',
+        peer=link.peer,
+        kind=type(message).__name__,
+        code=exc.code,
+        reason=exc.reason,
+    )
+
+
 async def _receive_batches(
     link: Link,
     stream: Any,
@@ -118,7 +131,16 @@
         link.heard = loop.time()
         link.received += len(batch)
         for message in batch:
-            on_message(link, message)
+            _handle_message(link, message, on_message)
+
+
+def _handle_message(link: Link, message: Any, on_message: OnMessage) -> None:
+    """Handle one message; an error concerns neither the link nor the others."""
+    try:
+        on_message(link, message)
+    except Exception as exc:
+        kind = type(message).__name__
+        log_error('message failed', exc, peer=link.peer, kind=kind)
 
 
 def _set_state(link: Link, on_change: OnChange, *, up: bool) -> None:
@@ -206,6 +228,9 @@
             )
         except _CONNECTION_ERRORS:
             link.up = False
+        except Exception as exc:
+            link.up = False
+            log_error('link crashed', exc, peer=link.peer)
         finally:
             channel.close()
         await asyncio.sleep(_RECONNECT_DELAY_S)
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -9,6 +9,7 @@
     compact_log,
     describe_group,
     leads,
+    resign,
 )
 from daisygw.links._journal import (
     Journal,
@@ -46,6 +47,7 @@
     'listen',
     'load',
     'post',
+    'resign',
     'running',
     'accepting_links',
     'serving_http',
--- a/daisygw/nodes/_entry.py
+++ b/daisygw/nodes/_entry.py
@@ -16,7 +16,7 @@
     LinkError,
     SchedulerList,
 )
-from daisygw.links import log
+from daisygw.links import log, log_error
 from daisygw.links.processes import Link, post
 from daisygw.nodes._meters import Meters, add_gauge
 from daisygw.nodes._peers import (
@@ -70,6 +70,9 @@
     except LinkError as exc:
         log('advisor failed', id=request.step.job, reason=exc.reason)
         return AdviceResponse(request.seq, answered=False)
+    except Exception as exc:
+        log_error('advisor call crashed', exc, id=request.step.job)
+        return AdviceResponse(request.seq, answered=False)
     return AdviceResponse(request.seq, answered=True, tickets=tickets)
 
 
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from daisygw.contracts import CellResponse, ResultCode, SchedulerList
-from daisygw.links import log
+from daisygw.links import codec, log
 from daisygw.links.processes import Link, LinkTiming, keep_connected, post
 from daisygw.nodes import _clock
 
@@ -185,10 +185,12 @@
 
     ``make_request`` builds the message from a correlation id; ``patience`` is
     the timeout (s).  Without a response the code is NO_LEADER if no leader
-    can have received the request, and OUTCOME_UNKNOWN otherwise.
+    can have received the request, and OUTCOME_UNKNOWN otherwise.  Raises
+    ``ContractError`` (NOT_STORABLE) for a request that has no encoding.
     """
     seq = next(peers.seq_numbers)
     request = _PendingRequest(make_request(seq))
+    codec.check_storable(request.message)
     peers.open[seq] = request
     _send(peers, request)
     try:
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -26,12 +26,13 @@
     AdviceResponse,
     CellResponse,
     ConfigRequest,
+    ContractError,
     JobRequest,
     JournalError,
     ResultCode,
     SchedulerList,
 )
-from daisygw.links import log
+from daisygw.links import log, log_error
 from daisygw.links.processes import (
     Group,
     Link,
@@ -43,6 +44,7 @@
     describe_journal,
     leads,
     post,
+    resign,
     running,
 )
 from daisygw.machines import TargetReport
@@ -86,6 +88,9 @@
 _TRANSFER_INTERVAL_S = 5.0
 # How many log entries the successor may then lag behind: those of a few turns.
 _MAX_SUCCESSOR_LAG = 64
+# Delay after a turn that failed, so that a lasting fault uses little of the
+# processor: an election of another host takes longer.
+_FAILED_TURN_DELAY_S = 0.2
 # Time for the last messages to be sent before the process ends.
 _FLUSH_WAIT_S = 0.2
 _ENTRY_PREFIX = 'entry/'
@@ -191,7 +196,12 @@
         return
     lead.now = _clock.now()
     lead.wall = _clock.wall()
-    _LEADER_HANDLERS[type(message)](lead, message, entry)
+    try:
+        _LEADER_HANDLERS[type(message)](lead, message, entry)
+    except ContractError as exc:
+        log('refused', id=entry, code=exc.code, reason=exc.reason)
+        answer = CellResponse(message.seq, exc.code, reason=exc.reason)
+        lead.answer(entry, answer)
     node.wake.set()
 
 
@@ -343,7 +353,12 @@
         await node.wake.wait()
         await asyncio.sleep(0)
         node.wake.clear()
-        run_turn(node)
+        try:
+            run_turn(node)
+        except Exception as exc:
+            log_error('turn failed', exc, term=node.group.replica.term)
+            resign(node.group, _clock.now())
+            await asyncio.sleep(_FAILED_TURN_DELAY_S)
 
 
 async def _tick_loop(node: SchedulerNode) -> None:
@@ -361,7 +376,7 @@
     until = _clock.now() + _TRANSFER_TIMEOUT_S
     while leads(node.group) and _clock.now() < until:
         transfer_leadership(node.group.replica, _clock.now())
-        carry_out(node.group, _clock.now(), node.transport)
+        _carry_out_effects(node)
         await asyncio.sleep(_TICK_S)
     await asyncio.sleep(_FLUSH_WAIT_S)
 
@@ -381,10 +396,7 @@
     cfg: NodeSettings,
     calls: TargetCalls,
 ) -> AsyncGenerator[SchedulerNode, None]:
-    """Run a scheduler process for the duration of the context.
-
-    Leaving the context raises the error of a turn that failed.
-    """
+    """Run a scheduler process for the duration of the context."""
     node = SchedulerNode(cfg, calls)
     on_message = partial(_on_message, node)
     listener = accepting_links(
--- a/daisygw/nodes/_state_machine.py
+++ b/daisygw/nodes/_state_machine.py
@@ -40,14 +40,16 @@
     """
 
     def restore(encoded: bytes) -> None:
+        records = codec.decode_batch(encoded) if encoded else ()
         state.cell = Cell()
-        for record in codec.decode_batch(encoded) if encoded else ():
+        for record in records:
             apply(state.cell, record)
 
     def elected(term: int) -> None:
         lead = CellLeader(
             state.cell, term, _clock.now(), _clock.wall(), longest_lease
         )
+        lead.check_record = codec.check_storable
         state.lead = lead
         start_leading(lead)
         on_leadership_change(term)
--- a/daisygw/schedulers/_config_machine.py
+++ b/daisygw/schedulers/_config_machine.py
@@ -97,9 +97,9 @@
         on_change(change)
 
     def restore(encoded: bytes) -> None:
+        saved = _decode(encoded) if encoded else None
         state.history = ConfigHistory()
-        if encoded:
-            saved = _decode(encoded)
+        if saved:
             state.history.current = saved.current
             state.history.versions = saved.versions
             state.history.noted.extend(saved.noted)
--- a/daisygw/schedulers/_process.py
+++ b/daisygw/schedulers/_process.py
@@ -19,12 +19,14 @@
 from daisygw.contracts import (
     CONFIGURATION_GROUP,
     Change,
+    JournalError,
     LeaderStatus,
     Query,
     SelectGroup,
 )
-from daisygw.links import log
+from daisygw.links import log, log_error
 from daisygw.links.processes import (
+    Group,
     Link,
     accepting_links,
     carry_out,
@@ -33,6 +35,7 @@
     keep_connected,
     leads,
     post,
+    resign,
     running,
 )
 from daisygw.schedulers._config_machine import (
@@ -143,14 +146,36 @@
     for state in scheduler.domains.values():
         set_clock(state, now, wall)
     for name, group in scheduler.groups.items():
-        tick(group.replica, now)
-        if name == CONFIGURATION_GROUP:
-            process_changes(scheduler.config, group, now)
-        carry_out(group, now, scheduler.transport)
-        compact_log(group, _max_log_entries(scheduler, name))
+        _run_group_safely(scheduler, name, group, now)
     update_config_known(scheduler, now)
 
 
+def _run_group_safely(
+    scheduler: Scheduler, name: str, group: Group, now: float
+) -> None:
+    """Run a turn of one group; its errors do not concern the other groups.
+
+    A disk that refuses writes ends the process, so that another host leads.
+    """
+    try:
+        _run_group(scheduler, name, group, now)
+    except JournalError:
+        raise
+    except Exception as exc:
+        log_error('turn failed', exc, group=name)
+        resign(group, now)
+
+
+def _run_group(
+    scheduler: Scheduler, name: str, group: Group, now: float
+) -> None:
+    tick(group.replica, now)
+    if name == CONFIGURATION_GROUP:
+        process_changes(scheduler.config, group, now)
+    carry_out(group, now, scheduler.transport)
+    compact_log(group, _max_log_entries(scheduler, name))
+
+
 def _max_log_entries(scheduler: Scheduler, group: str) -> int:
     every = scheduler.boot_settings.process.snapshot_every
     return (
@@ -208,11 +233,11 @@
     """
     until = time.monotonic() + _TRANSFER_TIMEOUT_S
     for behind in (0, 0, 0, _MAX_SUCCESSOR_LAG):
-        for group in scheduler.groups.values():
+        for name, group in scheduler.groups.items():
             now = time.monotonic()
             if leads(group):
                 transfer_leadership(group.replica, now, behind)
-                carry_out(group, now, scheduler.transport)
+                _run_group_safely(scheduler, name, group, now)
         if not scheduler.leading or time.monotonic() > until:
             break
         await asyncio.sleep(_TICK_S * 2)
--- a/daisygw/zones/__init__.py
+++ b/daisygw/zones/__init__.py
@@ -58,6 +58,7 @@
     last_index,
     may_sync_later,
     restore_replica,
+    step_down,
 )
 from daisygw.zones._replicated import ReplicatedState, apply
 from daisygw.zones._replication import flush, propose
@@ -120,5 +121,6 @@
     'restore_replica',
     'transfer_leadership',
     'collect_output',
+    'step_down',
     'tick',
 )
