--- a/daisygw/links/_group.py
+++ b/daisygw/links/_group.py
@@ -11,8 +11,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from daisygw.links._codec import decode_batch, encode_batch
+from daisygw.links._codec import (
+    DECODE_ERRORS,
+    decode_batch,
+    encode_batch,
+)
 from daisygw.links._journal import Journal, save
+from daisygw.links._logs import log_error
 from daisygw.zones import (
     Append,
     Commit,
@@ -25,6 +30,7 @@
     Restore,
     Role,
     Send,
+    SnapshotTaken,
     compact,
     drain,
     entries_from,
@@ -33,6 +39,7 @@
     last_index,
     may_sync_later,
     propose,
+    step_down,
 )
 
 # Longest time between syncs of a leader whose peers can commit without it.
@@ -106,16 +113,53 @@
     for entry in entries:
         if entry.index <= group.applied:
             continue
+        records = _read_records(group, entry)
+        if group.replica.snapshots.unreadable:
+            return
         group.applied = entry.index
-        if entry.body:
-            for record in decode_batch(entry.body):
-                group.machine.apply(record)
+        for record in records:
+            _apply_record(group, entry.index, record)
+
+
+def _read_records(group: Group, entry: LogEntry) -> list[Any]:
+    """Return the records of an entry.
+
+    Where they cannot be read, the replica asks for a snapshot and applies
+    nothing until it has one.
+    """
+    try:
+        return decode_batch(entry.body) if entry.body else []
+    except DECODE_ERRORS as exc:
+        log_error('log unreadable', exc, index=entry.index)
+        group.replica.snapshots.unreadable = entry.index
+        return []
+
+
+def _restore(group: Group, snapshot: SnapshotTaken) -> None:
+    """Replace the state by that of a snapshot, if it can be read."""
+    try:
+        group.machine.restore(snapshot.state)
+    except DECODE_ERRORS as exc:
+        log_error('snapshot unreadable', exc, index=snapshot.index)
+        group.replica.snapshots.unreadable = snapshot.index + 1
+    group.applied = snapshot.index
+
+
+def _apply_record(group: Group, index: int, record: Any) -> None:
+    """Apply a committed record; one that fails changes nothing more.
+
+    It fails in the same way on every replica, as their states are equal.
+    """
+    try:
+        group.machine.apply(record)
+    except Exception as exc:
+        kind = type(record).__name__
+        log_error('record not applied', exc, index=index, kind=kind)
 
 
 def _rebuild(group: Group) -> None:
     replica = group.replica
-    group.machine.restore(replica.base.state)
-    group.applied = replica.base.index
+    _restore(group, replica.base)
     committed = replica.commit - replica.base.index
     _apply(group, tuple(replica.log[:committed]))
 
@@ -129,16 +173,14 @@
         _rebuild(group)
 
 
-def _on_elected(group: Group, term: int) -> None:
+def _on_elected(group: Group, term: int, now: float) -> None:
     replica = group.replica
     if group.machine.eager:
         _apply(group, entries_from(replica, replica.base.index + 1))
-    group.machine.elected(term)
-
-
-def _on_restore(group: Group, effect: Restore) -> None:
-    group.machine.restore(effect.snapshot.state)
-    group.applied = effect.snapshot.index
+    if replica.snapshots.unreadable:
+        step_down(replica, replica.term, now)
+    else:
+        group.machine.elected(term)
 
 
 def _emit_committed(group: Group, now: float, transport: Transport) -> None:
@@ -169,9 +211,9 @@
         case Commit():
             _apply(group, effect.entries)
         case Restore():
-            _on_restore(group, effect)
+            _restore(group, effect.snapshot)
         case Elected():
-            _on_elected(group, effect.term)
+            _on_elected(group, effect.term, now)
         case Deposed():
             _on_deposed(group)
 
@@ -237,14 +279,28 @@
     _emit_committed(group, now, transport)
 
 
+def resign(group: Group, now: float) -> None:
+    """Stop leading after an unexpected error in a turn.
+
+    The leader's state may be incomplete.  It is built again from the
+    committed log, so that this replica knows no more than the log says.
+    """
+    if leads(group):
+        step_down(group.replica, group.replica.term, now)
+
+
 def compact_log(group: Group, max_entries: int) -> None:
     """Take a snapshot when the log has more than ``max_entries`` entries.
 
+    One is taken too where a peer needs a newer one.
+
     The state of an eager leader can be ahead of the committed log; the log is
     then compacted once the commit has caught up.
     """
     replica = group.replica
-    if group.snapshot is None and len(replica.log) > max_entries:
+    wanted = replica.snapshots.wanted > replica.base.index
+    is_long = wanted or len(replica.log) > max_entries
+    if group.snapshot is None and is_long:
         group.snapshot = (group.applied, group.machine.dump())
     if group.snapshot and group.snapshot[0] <= replica.commit:
         index, state = group.snapshot
--- a/daisygw/zones/_election.py
+++ b/daisygw/zones/_election.py
@@ -64,7 +64,7 @@
 def start_pre_vote(replica: Replica, now: float) -> None:
     """Start a pre-vote; an election follows only if a majority grants it."""
     reset_election_timer(replica, now)
-    if not is_voter(replica):
+    if not is_voter(replica) or replica.snapshots.unreadable:
         return
     replica.role = Role.CANDIDATE
     replica.leader = ''
--- a/daisygw/zones/_messages.py
+++ b/daisygw/zones/_messages.py
@@ -127,7 +127,8 @@
     """Reply to ``Append``; ``taken`` tells whether the entries were appended.
 
     ``match`` is the last index at which both logs are known to agree, or,
-    where the entries were refused, the index to try next.
+    where the entries were refused, the index to try next.  A sender that
+    cannot read the entry at ``unreadable`` (0: none) asks for a snapshot.
     """
 
     group: str
@@ -138,6 +139,7 @@
     match: int
     commit: int
     sent_at: float
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -41,7 +41,8 @@
     reported, ``sent_commit`` the one it was sent.  ``acked_sent_at`` is when
     the newest message that it has acknowledged was sent.  While ``probing``,
     the index where both logs agree is searched; while ``waiting``, a snapshot
-    part is unanswered.
+    part is unanswered.  It needs a snapshot of the index ``unreadable`` or a
+    later one (0: none).
     """
 
     def __init__(self, next_index: int) -> None:
@@ -54,17 +55,27 @@
         self.heard = float('-inf')
         self.snapshot_offset = 0
         self.waiting = False
+        self.unreadable = 0
         self.probing = False
         self.probed_at = float('-inf')
 
 
-class IncomingSnapshot:
-    """The parts received so far of the snapshot of a term and an index."""
+class Snapshots:
+    """The snapshots that a replica receives, and those that are asked for.
 
-    def __init__(self, term: int = 0, index: int = 0) -> None:
-        """Begin without parts."""
-        self.source = (term, index)
+    ``source`` is the term and index of the one whose parts are in ``state``.
+    The owner cannot read the entry at ``unreadable`` (0: none), and asks its
+    leader for a snapshot from ``request_at`` (s) on; it does not lead
+    meanwhile.  A peer needs a snapshot of the index ``wanted`` or a later one.
+    """
+
+    def __init__(self) -> None:
+        """Begin without parts and requests."""
+        self.source = (0, 0)
         self.state = bytearray()
+        self.unreadable = 0
+        self.request_at = float('-inf')
+        self.wanted = 0
 
 
 class Replica:
@@ -120,7 +131,7 @@
         self.pre_vote = False
         self.join_requests: dict[str, tuple[str, float]] = {}
         self.unformed_replicas: dict[str, str] = {}
-        self.incoming = IncomingSnapshot()
+        self.snapshots = Snapshots()
         self.heard = float('-inf')
         self.election_due = 0.0
         self.heartbeat_due = 0.0
--- a/daisygw/zones/_replication.py
+++ b/daisygw/zones/_replication.py
@@ -11,7 +11,6 @@
     SnapshotTaken,
 )
 from daisygw.zones._replica import (
-    IncomingSnapshot,
     Peer,
     Replica,
     Role,
@@ -31,6 +30,9 @@
 
 # A peer that lacks more entries gets the next ones when it has replied.
 MAX_ENTRIES_PER_APPEND = 256
+# How long a replica that cannot read an entry waits for the snapshot that it
+# has asked for.
+_SNAPSHOT_REQUEST_INTERVAL_S = 5.0
 
 
 def propose(
@@ -69,7 +71,8 @@
 
 
 def _send_next(replica: Replica, name: str, peer: Peer, now: float) -> None:
-    if peer.next_index <= replica.base.index:
+    helps = 0 < peer.unreadable <= replica.base.index
+    if helps or peer.next_index <= replica.base.index:
         _send_snapshot(replica, name, peer, now)
         return
     prev = peer.next_index - 1
@@ -175,7 +178,13 @@
     match = message.prev_index + len(message.entries)
     advance_commit(replica, min(message.commit, match))
     replica.current = replica.commit >= message.commit
-    _send_append_reply(replica, message, match, taken=True)
+    unreadable = 0
+    if replica.snapshots.unreadable and now >= replica.snapshots.request_at:
+        replica.snapshots.request_at = now + _SNAPSHOT_REQUEST_INTERVAL_S
+        unreadable = replica.snapshots.unreadable
+    _send_append_reply(
+        replica, message, match, taken=True, unreadable=unreadable
+    )
 
 
 def _send_append_reply(
@@ -184,6 +193,7 @@
     match: int,
     *,
     taken: bool,
+    unreadable: int = 0,
 ) -> None:
     reply = AppendReply(
         replica.group,
@@ -194,6 +204,7 @@
         match,
         replica.commit,
         message.sent_at,
+        unreadable,
     )
     send(replica, reply)
 
@@ -228,6 +239,11 @@
     if peer is None:
         return
     peer.commit = max(peer.commit, reply.commit)
+    if reply.unreadable:
+        peer.unreadable = reply.unreadable
+        replica.snapshots.wanted = max(
+            replica.snapshots.wanted, reply.unreadable
+        )
     if reply.taken:
         peer.probing = False
         peer.match = max(peer.match, reply.match)
@@ -271,10 +287,12 @@
         return
     _follow(replica, message.sender, message.term, now)
     source = (message.term, message.index)
-    if message.offset == 0 or replica.incoming.source != source:
-        replica.incoming = IncomingSnapshot(*source)
-    if message.offset == len(replica.incoming.state):
-        replica.incoming.state += message.part
+    incoming = replica.snapshots
+    if message.offset == 0 or incoming.source != source:
+        incoming.source = source
+        incoming.state = bytearray()
+    if message.offset == len(incoming.state):
+        incoming.state += message.part
         if message.last:
             _install_snapshot(replica, message)
     reply = SnapshotReply(
@@ -283,20 +301,23 @@
         message.sender,
         replica.term,
         message.index,
-        len(replica.incoming.state),
+        len(incoming.state),
         message.sent_at,
     )
     send(replica, reply)
 
 
 def _install_snapshot(replica: Replica, message: SnapshotPart) -> None:
-    if message.index <= replica.commit:
+    unreadable = replica.snapshots.unreadable
+    replaces_unreadable = 0 < unreadable <= message.index
+    if message.index <= replica.commit and not replaces_unreadable:
         return
+    replica.snapshots.unreadable = 0
     snapshot = SnapshotTaken(
         message.index,
         message.index_term,
         message.members,
-        bytes(replica.incoming.state),
+        bytes(replica.snapshots.state),
     )
     is_in_log = term_at(replica, message.index) == message.index_term
     kept = entries_from(replica, message.index + 1) if is_in_log else ()
@@ -326,6 +347,7 @@
         peer.snapshot_offset = 0
     elif reply.offset >= len(replica.base.state):
         peer.snapshot_offset = 0
+        peer.unreadable = 0
         peer.match = max(peer.match, reply.index)
         peer.next_index = max(peer.next_index, reply.index + 1)
         commit_majority(replica)
--- a/tests/features/snapshot.feature
+++ b/tests/features/snapshot.feature
@@ -24,3 +24,19 @@
     When its queue is removed, a snapshot is restored, and its first run fails
     Then the job has not failed
     And it has failed after another failed run
+
+  Scenario: A replica that cannot read a committed entry asks for a snapshot
+    Given a group of three replicas whose third cannot read one entry
+    When the entry is committed, and 20 others after it
+    Then the third replica has the state of the others, and has logged the entry
+    And it did not lead or apply a later entry before it had the snapshot
+
+  Scenario: A replica that cannot read an entry does not lead
+    Given a group of three replicas whose third cannot read one entry
+    When the entry is committed, and the two others fall silent
+    Then the third replica does not become a candidate
+
+  Scenario: A committed record that cannot be applied changes no replica
+    Given a group of three replicas whose third cannot read one entry
+    When a record that no state machine can apply is committed, and 3 others
+    Then all replicas have the state of the 3 others, and have logged the record
