Bound what one accepted job costs the leader

Cause: a job of 10,000 small tasks was placed in one pass (324 ms for 24 targets), its starts and later its stops were all begun in one turn of the loop; the leader lost its lead ("not leading" in platform.feature on and with the ranges alone).

--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -47,6 +47,10 @@
 # Of the other steps this many are considered in a pass, in turn: those before
 # them may be unable to start for a long time.
 TURNS_PER_PASS = 16
+# Tasks of a step that start in one pass; the others follow in the next ones.
+MAX_STARTS_PER_STEP = 256
+# Placed tasks that a log line names.
+_MAX_LOGGED_ROWS = 100
 
 
 def order_key(waiting: WaitingStep, now: float) -> tuple[int, float]:
@@ -70,8 +74,21 @@
     )
     others = _take_turns(lead, urgent)
     for waiting in (*urgent, *others):
-        place = _place_gang if waiting.state.step.gang else _place_tasks
+        _place_step(lead, free_capacity, waiting)
+
+
+def _place_step(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> None:
+    """Place one step; an unexpected error does not concern the others."""
+    place = _place_gang if waiting.state.step.gang else _place_tasks
+    try:
         place(lead, free_capacity, waiting)
+    except Exception as exc:
+        key = waiting.state.key
+        lead.log_event(
+            'placement failed', id=key.job, step=key.step, error=repr(exc)
+        )
 
 
 def _take_turns(
@@ -194,6 +211,8 @@
 ) -> list[tuple[int, str]]:
     """Return (task index, target key) for the pending tasks that fit."""
     pending = pending_indexes(waiting.state)
+    if not waiting.state.step.gang:
+        pending = pending[:MAX_STARTS_PER_STEP]
     fitting = _fitting_tasks(free_capacity, waiting, targets)
     targets = [target for target in targets if fitting[target.key]]
     targets.sort(key=_preference(lead, waiting, fitting))
@@ -204,9 +223,12 @@
     rows = []
     for index in pending:
         key = next(_targets_for_task(waiting, index, remaining), None)
-        if key is not None:
-            remaining[key] -= 1
-            rows.append((index, key))
+        if key is None:
+            break
+        rows.append((index, key))
+        remaining[key] -= 1
+        if not remaining[key]:
+            remaining.pop(key)
     return rows
 
 
@@ -228,9 +250,8 @@
 ) -> Iterator[str]:
     """Yield targets with capacity; those where the task failed come last."""
     avoid = waiting.avoid.get(index, frozenset())
-    with_capacity = [key for key, fitting in remaining.items() if fitting > 0]
-    yield from (key for key in with_capacity if key not in avoid)
-    yield from (key for key in with_capacity if key in avoid)
+    yield from (key for key in remaining if key not in avoid)
+    yield from (key for key in remaining if key in avoid)
 
 
 def _order_by_rack(
@@ -274,7 +295,8 @@
         'placed',
         id=state.key.job,
         step=state.key.step,
-        rows=placed,
+        rows=placed[:_MAX_LOGGED_ROWS],
+        tasks=len(placed),
         age_s=round(lead.wall - waiting.job.enqueued.at, 3),
         slack_s=round(waiting.due - lead.now, 3),
         waited_s=round(lead.now - waiting.since, 3),
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -13,35 +13,34 @@
     EndsCommitted,
     LeaseRenewal,
     LogEvent,
-    OrderOutcome,
     Probe,
     StartOrder,
-    StartResult,
     StopOrder,
     TargetState,
     acknowledge_ends,
     next_renewal,
-    on_advice,
     on_renewal_failure,
     on_renewal_reply,
-    on_started,
-    on_stopped,
-    start_deadline,
 )
 from daisygw.contracts import AdviceRequest, AdviceResponse, LinkError
-from daisygw.links import log
+from daisygw.links import log, log_error
 from daisygw.links.processes import Link, post, running
 from daisygw.nodes import _clock
 from daisygw.nodes._advisor_calls import (
-    AdvisorCalls,
     assign_call,
     end_call,
     long_callers,
 )
 from daisygw.nodes._entry import call_advisor
+from daisygw.nodes._executor import (
+    EffectExecutor,
+    current_lead,
+    start_background_task,
+    still_leads,
+)
 from daisygw.nodes._meters import count
+from daisygw.nodes._orders import queue_start, queue_stop
 from daisygw.nodes._scheduler import SchedulerNode, fence_of
-from daisygw.zones import holds_leader_lease
 
 # Delay after the first failed lease renewal; each further failure doubles it,
 # up to _MAX_RETRY_DELAY_S.
@@ -56,66 +55,6 @@
 _COMMIT_WAIT_S = 0.5
 
 
-class EffectExecutor:
-    """State of the effects in progress on the leader.
-
-    ``renewal_tasks`` has one task per target; ``noted`` wakes renewals that
-    wait for a commit.
-    """
-
-    def __init__(self, node: SchedulerNode) -> None:
-        """Create the state with no effects in progress."""
-        self.node = node
-        self.renewal_tasks: dict[str, asyncio.Task] = {}
-        self.noted = asyncio.Event()
-        self.advisor_calls = AdvisorCalls(
-            partial(_advisor_callers, node),
-            partial(_apply_advice, self),
-            partial(_start_background_task, self),
-        )
-
-
-def _current_lead(executor: EffectExecutor) -> CellLeader | None:
-    """Return the leader's state, or None unless this leader's lease is valid.
-
-    Updates the clock of the state.
-    """
-    node = executor.node
-    lead = node.state.lead
-    if lead is None or not holds_leader_lease(node.group.replica, _clock.now()):
-        return None
-    lead.now = _clock.now()
-    return lead
-
-
-def _still_leads(executor: EffectExecutor, lead: CellLeader) -> bool:
-    """Return whether ``lead`` still leads in its term.
-
-    Only then may a reply be applied to it.  If so, updates its clock and
-    wakes the turn loop.
-    """
-    if executor.node.state.lead is not lead:
-        return False
-    lead.now = _clock.now()
-    executor.node.wake.set()
-    return True
-
-
-def _start_background_task(executor: EffectExecutor, work: Any) -> None:
-    task = asyncio.ensure_future(work)
-    background_tasks = executor.node.background_tasks
-    background_tasks.add(task)
-    task.add_done_callback(partial(_on_task_done, background_tasks))
-
-
-def _on_task_done(
-    background_tasks: set[asyncio.Task], task: asyncio.Task
-) -> None:
-    background_tasks.discard(task)
-    if not task.cancelled() and task.exception():
-        log('background task failed', error=repr(task.exception()))
-
-
 async def _renew_once(
     executor: EffectExecutor,
     lead: CellLeader,
@@ -128,15 +67,31 @@
             target.instance, fence_of(executor.node), renewal
         )
     except LinkError as exc:
-        if _still_leads(executor, lead) and _is_known(lead, target):
+        if still_leads(executor, lead) and _is_known(lead, target):
             on_renewal_failure(lead, target)
             await asyncio.sleep(_retry_delay(lead, target, exc))
         return
-    if _still_leads(executor, lead) and _is_known(lead, target):
+    if still_leads(executor, lead) and _is_known(lead, target):
         on_renewal_reply(lead, target, reply, sent)
         await _wait_for_commit(executor, lead, target)
 
 
+async def _renew_safely(
+    executor: EffectExecutor,
+    lead: CellLeader,
+    target: TargetState,
+    renewal: LeaseRenewal,
+) -> None:
+    """Renew once; an unexpected error counts as a renewal without an answer."""
+    try:
+        await _renew_once(executor, lead, target, renewal)
+    except Exception as exc:
+        log_error('renewal crashed', exc, target=target.key)
+        if still_leads(executor, lead) and _is_known(lead, target):
+            on_renewal_failure(lead, target)
+        await asyncio.sleep(_MAX_RETRY_DELAY_S)
+
+
 def _is_known(lead: CellLeader, target: TargetState) -> bool:
     """Tell whether this is still the state of a known target instance.
 
@@ -178,11 +133,11 @@
 ) -> None:
     """Renew a target's lease repeatedly for as long as this process leads."""
     while executor.node.state.lead is lead and _is_known(lead, target):
-        if _current_lead(executor) is None:
+        if current_lead(executor) is None:
             await asyncio.sleep(_POLL_INTERVAL_S)
             continue
         renewal = next_renewal(lead, target)
-        await _renew_once(executor, lead, target, renewal)
+        await _renew_safely(executor, lead, target, renewal)
 
 
 async def _manage_renewals(executor: EffectExecutor) -> None:
@@ -194,11 +149,19 @@
             executor.renewal_tasks.clear()
             lead = executor.node.state.lead
         if lead:
-            lead.long_callers = long_callers(executor.advisor_calls)
-            _start_renewals(executor, lead)
+            _renew_all(executor, lead)
         await asyncio.sleep(_POLL_INTERVAL_S)
 
 
+def _renew_all(executor: EffectExecutor, lead: CellLeader) -> None:
+    """Start the renewals that do not run; an error must not end the others."""
+    try:
+        lead.long_callers = long_callers(executor.advisor_calls)
+        _start_renewals(executor, lead)
+    except Exception as exc:
+        log_error('renewals not started', exc)
+
+
 def _start_renewals(executor: EffectExecutor, lead: CellLeader) -> None:
     for key, target in lead.cell.targets.items():
         task = executor.renewal_tasks.get(key)
@@ -217,62 +180,11 @@
         log('renewal ended', target=key, error=repr(task.exception()))
 
 
-async def _start(executor: EffectExecutor, order: StartOrder) -> None:
-    lead = _current_lead(executor)
-    target = lead.cell.targets.get(order.run.instance) if lead else None
-    deadline = start_deadline(lead, order.run) if target else None
-    if deadline is None:
-        return
-    sent = _clock.now()
-    try:
-        outcome, reason = await executor.node.calls.start(
-            target.instance, order, deadline, fence_of(executor.node)
-        )
-    except LinkError as exc:
-        outcome, reason = OrderOutcome.NO_ANSWER, exc.reason
-    if _still_leads(executor, lead):
-        on_started(lead, StartResult(order, outcome, sent, reason))
-
-
-async def _stop(executor: EffectExecutor, order: StopOrder) -> None:
-    lead = _current_lead(executor)
-    target = lead.cell.targets.get(order.run.instance) if lead else None
-    if target is None:
-        return
-    fence = fence_of(executor.node)
-    try:
-        outcome = await executor.node.calls.stop(
-            target.instance, order.run, fence
-        )
-    except LinkError as exc:
-        log('stop failed', id=order.run.step.job, reason=exc.reason)
-        return
-    if _still_leads(executor, lead):
-        on_stopped(lead, order.run, outcome)
-
-
-def _advisor_callers(
-    node: SchedulerNode, max_silence: float
-) -> dict[str, Link | None]:
-    """Return this process and the linked ones heard within a time (s).
-
-    Each name maps to its link, that of this process to None.
-    """
-    since = asyncio.get_running_loop().time() - max_silence
-    callers: dict[str, Link | None] = {
-        name: link
-        for name, link in node.sessions.items()
-        if link.up and link.heard > since
-    }
-    callers[node.cfg.host] = None
-    return callers
-
-
 def _delegate_advice(executor: EffectExecutor, request: AdviceRequest) -> None:
     """Let the process expected to be free first call the advisor."""
     link = assign_call(executor.advisor_calls, request)
     if link is None:
-        _start_background_task(
+        start_background_task(
             executor, _call_advisor_locally(executor, request)
         )
     else:
@@ -286,12 +198,6 @@
     end_call(executor.advisor_calls, answer)
 
 
-def _apply_advice(executor: EffectExecutor, answer: AdviceResponse) -> None:
-    lead = executor.node.state.lead
-    if lead and _still_leads(executor, lead):
-        on_advice(lead, answer)
-
-
 async def _call_advisor_for_peer(
     executor: EffectExecutor, link: Link, request: AdviceRequest
 ) -> None:
@@ -306,7 +212,7 @@
 
 
 async def _probe(executor: EffectExecutor, probe: Probe) -> None:
-    lead = _current_lead(executor)
+    lead = current_lead(executor)
     target = lead.cell.targets.get(probe.instance) if lead else None
     if target and _is_known(lead, target):
         renewal = replace(next_renewal(lead, target), wait=0)
@@ -325,18 +231,14 @@
         executor.advisor_calls, answer
     ),
     LogEvent: _log_decision,
-    Probe: lambda executor, probe: _start_background_task(
+    Probe: lambda executor, probe: start_background_task(
         executor, _probe(executor, probe)
     ),
     EndsCommitted: _acknowledge_ends,
-    StartOrder: lambda executor, order: _start_background_task(
-        executor, _start(executor, order)
-    ),
-    StopOrder: lambda executor, order: _start_background_task(
-        executor, _stop(executor, order)
-    ),
+    StartOrder: queue_start,
+    StopOrder: queue_stop,
     # A peer's link and the advisor call that it requests.
-    tuple: lambda executor, link_and_request: _start_background_task(
+    tuple: lambda executor, link_and_request: start_background_task(
         executor, _call_advisor_for_peer(executor, *link_and_request)
     ),
 })
