--- a/daisygw/links/_logs.py
+++ b/daisygw/links/_logs.py
@@ -24,19 +24,28 @@
 _VERBOSE_LIBRARIES = ('uvicorn', 'grpclib')
 # Rate limit for the lines of each event: several times the rate on a busy day.
 MAX_EVENT_LINES_PER_SECOND = 400
+# Characters of a text in a line.
+_MAX_FIELD_CHARS = 1000
 _FIELDS_ATTRIBUTE = 'daisygw_fields'
 
 
+def _shorten(value: Any) -> Any:
+    """Cut a text that someone else may have chosen, such as a path."""
+    is_long = isinstance(value, str) and len(value) > _MAX_FIELD_CHARS
+    return f'{value[:_MAX_FIELD_CHARS]}...' if is_long else value
+
+
 class _JsonFormatter(std_logging.Formatter):
     """Formats one record as one JSON object on a line."""
 
     def format(self, record: std_logging.LogRecord) -> str:
         """Return the record as a line of JSON."""
+        fields = getattr(record, _FIELDS_ATTRIBUTE, {})
         line = {
             'at': round(record.created, 3),
             'level': record.levelname.lower(),
             'event': record.getMessage(),
-            **getattr(record, _FIELDS_ATTRIBUTE, {}),
+            **{name: _shorten(value) for name, value in fields.items()},
         }
         if record.exc_info:
             line['error'] = self.formatException(record.exc_info)
@@ -52,13 +61,17 @@
 
 
 class NonBlockingStream:
-    """A stream that drops lines instead of blocking on a slow reader."""
+    """A stream that drops lines instead of blocking on a slow reader.
+
+    ``rest`` is the end of a line that did not fit into the pipe any more.
+    """
 
     def __init__(self, descriptor: int) -> None:
         """Make an open file descriptor non-blocking, and write to it."""
         os.set_blocking(descriptor, False)
         self.descriptor = descriptor
         self.dropped = 0
+        self.rest = b''
 
     def write(self, text: str) -> None:
         """Write a line, or count it as dropped."""
@@ -66,7 +79,7 @@
             note = json.dumps({'event': 'lines dropped', 'n': self.dropped})
             text = f'{note}\n{text}'
         try:
-            os.write(self.descriptor, text.encode('utf-8', 'replace'))
+            self._write(text.encode('utf-8', 'replace'))
         except BlockingIOError:
             self.dropped += 1
         else:
@@ -78,6 +91,15 @@
     def close(self) -> None:
         """Leave the descriptor open: the process owns it."""
 
+    def _write(self, line: bytes) -> None:
+        """Write the rest of the line before, and as much of this one as fits.
+
+        Raises ``BlockingIOError`` where nothing of this line was written.
+        """
+        while self.rest:
+            self.rest = self.rest[os.write(self.descriptor, self.rest) :]
+        self.rest = line[os.write(self.descriptor, line) :]
+
 
 _line_counter = _LineCounter()
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -37,6 +37,17 @@
       | beat of no state   | 400    |
     And the entry still answers
 
+  Scenario: Odd messages are refused at once, and end no process
+    When a worker, an operator and a caller send each odd message
+    Then each was answered with a status from 400 to 422 within 1 second
+    And no process has ended, lost its leader or logged an error
+    And a job of 2 tasks is still completed
+
+  Scenario: A job of as many tasks as are allowed costs the cell no leader
+    When a job of 10000 small tasks is submitted and cancelled
+    Then no process has ended, lost its leader or logged an error
+    And a job of 2 tasks is still completed
+
   Scenario: A cancelled job stops
     When a job that takes long is submitted and cancelled
     Then it is shown as "cancelled" and none of its tasks runs
