Refuse jobs that the advisor has no time for; survey before long calls

Traced in the load "slow-advice", made after the soak: one call a step is enough, the waiting is all in the queue for calls. Change: a job of a queue with long calls is refused at once (303) if its first answer is expected after 2.2 s, counting open calls, steps without an answer and a quarter of the later steps of jobs of the last 10 s; refused callers are told to return one after the other. A new leader makes no long call before four fifths of its targets have answered, or 0.5 s have passed. The scenario about calls that are given up now takes out the bound of the admission: the burst of accepted gangs that it needs would be refused.

--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -1,5 +1,6 @@
 """Admission control: which jobs are refused, and when to retry them."""
 
+from daisygw.cell._advice import expected_answer, is_long_call
 from daisygw.cell._capacity import max_tasks_on
 from daisygw.cell._leader import CellLeader
 from daisygw.contracts import JobSpec, Queue, ResultCode
@@ -7,6 +8,11 @@
 # Retry delay for a job that no known target could hold: targets that were
 # lost or moved are back by then, or never.
 NEVER_FITS_RETRY_S = 10.0
+# Longest expected time until the advisor's first answer about a new job: less
+# than the 3 s that a step may stand still, as later steps need calls too.
+MAX_ANSWER_TIME_S = 2.2
+# Longest time until a refused caller is to return: a burst is over by then.
+MAX_RETRY_S = 10.0
 # A refusal: its code, the retry delay (s) and the reason.
 Refusal = tuple[ResultCode, float, str]
 
@@ -22,4 +28,26 @@
         if fitting < least and not step.lasting:
             reason = f'step {number}: capacity for {fitting} of {least} tasks'
             return (ResultCode.NEVER_FITS, NEVER_FITS_RETRY_S, reason)
-    return None
+    return _advice_refusal(lead, queue)
+
+
+def _advice_refusal(lead: CellLeader, queue: Queue) -> Refusal | None:
+    """Refuse a job whose first call to the advisor would take too long.
+
+    Answers the load of a burst of gangs whose calls take longer than all
+    processes have time for: the steps would stand still beside free capacity,
+    and so would those of the jobs accepted before.  On a free process a call
+    may take any time.  The refused callers return one after the other, as
+    fast as the advisor answers.
+    """
+    if not is_long_call(queue.advisor):
+        return None
+    expected = expected_answer(lead, queue.advisor)
+    if not expected.wait or expected.time <= MAX_ANSWER_TIME_S:
+        return None
+    earliest = lead.now + expected.time - MAX_ANSWER_TIME_S
+    return_at = max(earliest, lead.next_return_at)
+    retry = min(return_at - lead.now, MAX_RETRY_S)
+    lead.next_return_at = lead.now + retry + expected.interval
+    reason = f'answers of the advisor take {expected.time:.1f} s'
+    return (ResultCode.OVERLOADED, retry, reason)
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -4,6 +4,8 @@
 which a start order must carry, expires.
 """
 
+from dataclasses import dataclass
+
 from daisygw.cell._advice_targets import (
     INITIAL_APPROVAL_RATE,
     choose_targets,
@@ -15,7 +17,7 @@
     WaitingStep,
     approval_of,
 )
-from daisygw.cell._state import TargetState
+from daisygw.cell._state import CellJob, StepState, TargetState, queue_of
 from daisygw.contracts import (
     AdviceRequest,
     AdviceResponse,
@@ -40,6 +42,16 @@
 # Long calls that a process may have open: one at the advisor, and one that
 # waits and keeps the process busy until the leader hears of the first.
 _CALLS_PER_CALLER = 2
+# Targets that a call about a new step is expected to name.
+_USUAL_TARGETS = 20
+# Share of the later steps of jobs accepted in the last seconds whose calls come
+# before that of a new job.
+_LATER_STEP_WEIGHT = 0.25
+_RECENT_S = 10.0
+# How long a new leader waits for the first answers of the targets before it
+# makes long calls, and the share of them that is enough.
+_SURVEY_S = 0.5
+_SURVEYED_SHARE = 0.8
 # Delay before the next request after a call that was not answered.
 ADVICE_RETRY_DELAY_S = 0.2
 
@@ -64,7 +76,20 @@
     approval = approval_of(lead, waiting.state.key)
     if approval.calls or lead.now < approval.retry_at:
         return False
-    return advisor.decision <= LONG_CALL_S or _has_caller(lead)
+    if not is_long_call(advisor):
+        return True
+    return _has_caller(lead) and _knows_targets(lead)
+
+
+def _knows_targets(lead: CellLeader) -> bool:
+    """Tell whether a new leader has heard from most of the targets.
+
+    A long call about the few that have answered first is often in vain.
+    """
+    if lead.now - lead.elected >= _SURVEY_S:
+        return True
+    answered = sum(one.has_answered for one in lead.lease_states.values())
+    return answered >= _SURVEYED_SHARE * len(lead.lease_states)
 
 
 def _has_caller(lead: CellLeader) -> bool:
@@ -74,6 +99,75 @@
     return long_calls < _CALLS_PER_CALLER * lead.long_callers
 
 
+def is_long_call(advisor: Advisor | None) -> bool:
+    """Tell whether calls about a queue's steps use a part of the processes."""
+    return advisor is not None and advisor.decision > LONG_CALL_S
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedAnswer:
+    """The answer to a new long call: when, and how often one comes (s).
+
+    ``time`` is that from now until the answer, of which the call waits
+    ``wait`` for its turn; ``interval`` is the mean time between two answers.
+    """
+
+    time: float
+    wait: float
+    interval: float
+
+
+def expected_answer(lead: CellLeader, advisor: Advisor) -> ExpectedAnswer:
+    """Return what to expect of a new long call to the advisor.
+
+    Open calls come before it, and those about steps that have no answer yet;
+    some of the later steps of recent jobs come in between.
+    """
+    open_calls = sum(
+        max(pending.sent_at + pending.work - lead.now, 0)
+        for pending in lead.pending_advice.values()
+        if pending.work > LONG_CALL_S
+    )
+    own_call = _call_time(advisor, _USUAL_TARGETS)
+    first_calls = sum(
+        is_long_call(waiting.queue.advisor) and _is_unanswered(lead, waiting)
+        for waiting in lead.waiting.values()
+    )
+    first_calls += _LATER_STEP_WEIGHT * _later_steps(lead)
+    wait = (open_calls + first_calls * own_call) / lead.long_callers
+    interval = own_call / lead.long_callers
+    return ExpectedAnswer(wait + own_call, wait, interval)
+
+
+def _later_steps(lead: CellLeader) -> int:
+    """Return how many steps of recent jobs wait for steps before them."""
+    later = 0
+    for job in reversed(lead.cell.jobs.values()):
+        if lead.wall - job.enqueued.at > _RECENT_S:
+            break
+        queue = None if job.over else queue_of(lead.cell, job)
+        if queue and is_long_call(queue.advisor):
+            later += sum(
+                _is_blocked(job, state) for state in job.steps.values()
+            )
+    return later
+
+
+def _is_blocked(job: CellJob, state: StepState) -> bool:
+    return any(
+        not job.steps[state.key.occurrence, earlier].complete
+        for earlier in state.step.after
+    )
+
+
+def _is_unanswered(lead: CellLeader, waiting: WaitingStep) -> bool:
+    """Tell whether nothing is known or asked about a step's targets."""
+    approval = lead.approvals.get(waiting.state.key)
+    if approval is None:
+        return True
+    return not (approval.calls or approval.tickets or approval.denied)
+
+
 def request_approvals(
     lead: CellLeader,
     waiting: WaitingStep,
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -186,10 +186,11 @@
     ``pending_advice`` has the open requests to the advisor by correlation id;
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
-    they take (s).  ``ended`` lists ended jobs and since when they are kept,
-    ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
-    a placement pass.  ``check_record`` raises ``ContractError`` for a record
-    that the log cannot hold.
+    they take (s).  The next caller that is refused for the advisor's time is
+    to return at ``next_return_at`` (s).  ``ended`` lists ended jobs and since
+    when they are kept, ``repeating`` names the unfinished repeating jobs, and
+    ``changed`` requests a placement pass.  ``check_record`` raises
+    ``ContractError`` for a record that the log cannot hold.
     """
 
     def __init__(
@@ -230,6 +231,7 @@
         self.seq_numbers = itertools.count(term << _SEQ_BITS)
         self.repeating: set[str] = set()
         self.changed = True
+        self.next_return_at = float('-inf')
         self.scan_due = now
         self.approval_rates: dict[str, float] = {}
 
--- a/standins/cell_loads.py
+++ b/standins/cell_loads.py
@@ -77,7 +77,27 @@
     bursts=(Burst('stamp', 9.8, 4, 2.1), Burst('plan', 18, 4, 1.5)),
 )  # fmt: skip
 
+# The gangs of the soak, whose advice takes as long as all its callers have, and
+# a burst of them as faults leave it.
+SLOW_ADVICE = Load(
+    (
+        JobKind(
+            'slow', 1.5, 2, 10, 0.85, 20_000, 1_000, 1, 3, 1, 0,
+            1, 0.2, Advisor(1.12, 0.01, _OBRAPASE_VALIDITY_S), 0.2, 2, 0.3,
+        ),
+        JobKind(
+            'quick', 4.5, 1.5, 2.5, 0.85, 8_000, 1_000, 0.2, 3, 1, 0,
+            1, 0.2, Advisor(0.005, 0.0001, _OBRAPASE_VALIDITY_S), 1, 2, 0.3,
+        ),
+    ),
+    targets=40,
+    rack=_LATAS_RACK_SIZE,
+    callers=4,
+    bursts=(Burst('slow', 2, 3, 5),),
+)  # fmt: skip
+
 LOADS = {
+    'slow-advice': SLOW_ADVICE,
     'latas': LATAS,
     'latas-grown': LATAS_GROWN,
     'obrapase-grown': OBRAPASE_GROWN,
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -45,6 +45,13 @@
     And all targets have answered 0.1 seconds later
     Then it has started within 1.5 times the duration of one advisor call about 30 targets
 
+  Scenario: A new leader makes no long call about the few targets that answered first
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    And only 12 targets have answered the leader, which was elected just now
+    When a gang of 20 tasks that fill a third of a target is submitted
+    And all targets have answered 0.1 seconds later
+    Then it has started within 1.5 times the duration of one advisor call about 30 targets
+
   Scenario: Gangs of a queue that come at the same time do not compete for the same targets
     Given a cell of 60 targets whose advisor approves 3 of 10 and is slow
     When 3 gangs of 20 tasks that fill a third of a target are submitted at once
@@ -73,7 +80,30 @@
 
   Scenario: In a burst of gangs the leader sends no call to the advisor that its caller gives up
     Given a cell of 60 targets whose advisor approves 3 of 10 and is slow
+    And jobs are accepted however late the advisor answers
     And callers that wait 2 s for a call's turn
     When 60 gangs of 2 tasks that fill a third of a target are submitted at once
     And 12 seconds pass
     Then no call to the advisor was given up
+
+  Scenario Outline: Gangs that the advisor has no time for are refused, and accepted ones do not stand still, seed <seed>
+    When the load "slow-advice" is replayed for 8 s from seed <seed> and watched
+    Then no step stood still for 3 s in a cell that is mostly free
+    And at least 9 "slow" jobs were accepted, and the others refused at once with code 303
+    And all "quick" jobs were accepted
+
+    Examples:
+      | seed |
+      | 1    |
+      | 3    |
+
+  Scenario: Without the refusals gangs stand still for more than 3 s
+    Given jobs are accepted however late the advisor answers
+    When the load "slow-advice" is replayed for 8 s from seed 1 and watched
+    Then at least 10 steps stood still for 3 s
+
+  Scenario: Refused gangs are told to return one after the other
+    Given a cell of 60 targets whose advisor approves 3 of 10 and is slow
+    When 30 gangs of 2 tasks that fill a third of a target are submitted at once
+    Then the times to return of those refused rise to between 3 and 10 s
+    And of those that return then, at least half are accepted
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -1,15 +1,18 @@
 """Steps that replay a user's load through a cell's decisions."""
 
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 
-from daisygw.cell import on_job_request
+from daisygw.cell import _admission, on_job_request
 from daisygw.contracts import (
     Advisor,
+    CellResponse,
     JobRequest,
     JobSpec,
     JobVerb,
+    ResultCode,
     RunsPlaced,
     Size,
     Step,
@@ -31,6 +34,7 @@
 _CALL_S = _ADVISOR.decision + 30 * _ADVISOR.per_target
 _SLOW_CALL_S = _SLOW_ADVISOR.decision + 30 * _SLOW_ADVISOR.per_target
 _GANG_JOB = 'f' * 16
+_ACCEPTED = 101
 _FILLER_JOB = 'e' * 16
 _PATIENT_JOB = 'd' * 16
 
@@ -91,12 +95,25 @@
         lease_state.failures = 1
 
 
+@given(
+    'only {count:d} targets have answered the leader, which was elected just '
+    'now'
+)
+def elect_leader(context, count):
+    """Let the leader know the others from its log only."""
+    lead = context.world.lead
+    lead.elected = context.world.now
+    for lease_state in list(lead.lease_states.values())[count:]:
+        lease_state.has_answered = False
+
+
 @when('all targets have answered 0.1 seconds later')
 def answer_renewals(context):
-    """Clear the failed renewals."""
+    """Clear the failed renewals; the first answers arrive."""
     _run_for(context.world, 0.1)
     for lease_state in context.world.lead.lease_states.values():
         lease_state.failures = 0
+        lease_state.has_answered = True
 
 
 @given('{part:d} thirds of every target are in use')
@@ -262,6 +279,7 @@
 def replay_watched(context, name, seconds, seed):
     """Replay the first seconds of a load, and 12 s without arrivals."""
     world = World(replace(LOADS[name], seconds=seconds), seed)
+    context.world = world
     context.monitor = StandstillMonitor()
     until = world.now + seconds + 12
     while world.now < until:
@@ -278,6 +296,85 @@
     assert not broken, broken
 
 
+@then(
+    'at least {count:d} "{kind}" jobs were accepted, and the others refused at '
+    'once with code {code:d}'
+)
+def check_some_refused(context, count, kind, code):
+    """Every job has its answer; those that were refused never ran."""
+    world = context.world
+    codes = _codes_of(world, kind)
+    accepted = [name for name, own in codes.items() if own == _ACCEPTED]
+    refused = [name for name, own in codes.items() if own == code]
+    assert len(accepted) >= count, codes
+    assert refused and len(accepted) + len(refused) == len(codes), codes
+    assert not set(refused) & set(world.cell.jobs)
+
+
+@then('all "{kind}" jobs were accepted')
+def check_all_accepted(context, kind):
+    """Look at the answers to the jobs of this kind."""
+    codes = _codes_of(context.world, kind)
+    assert codes and set(codes.values()) == {_ACCEPTED}, codes
+
+
+def _codes_of(world, kind):
+    return {
+        name: world.codes.get(name)
+        for name, (own, _, _) in world.jobs.items()
+        if own.name == kind
+    }
+
+
+@given('jobs are accepted however late the advisor answers')
+def accept_late(context):
+    """Take out the bound of the admission until the scenario ends."""
+    bound = mock.patch.object(_admission, 'MAX_ANSWER_TIME_S', float('inf'))
+    bound.start()
+    context.add_cleanup(bound.stop)
+
+
+@then('at least {count:d} steps stood still for {limit:d} s')
+def check_many_standstills(context, count, limit):
+    """Count the steps whose longest time reached the limit."""
+    found = context.monitor.longest.values()
+    broken = [one for one in found if one.until - one.since >= limit]
+    assert len(broken) >= count, broken
+
+
+@then(
+    'the times to return of those refused rise to between {low:d} and '
+    '{high:d} s'
+)
+def check_times_to_return(context, low, high):
+    """Read the answers in the order of the submissions."""
+    answers = [
+        row.message
+        for row in context.world.lead.outbox
+        if isinstance(row.message, CellResponse)
+    ]
+    refused = [one for one in answers if one.code == ResultCode.OVERLOADED]
+    assert len(answers) == len(context.gangs), answers
+    context.times = [one.retry_after for one in refused]
+    assert context.times == sorted(context.times), context.times
+    assert len(set(context.times)) == len(context.times), context.times
+    assert low <= context.times[-1] <= high, context.times
+
+
+@then('of those that return then, at least half are accepted')
+def check_accepted_later(context):
+    """Submit each refused gang again when it was told to come back."""
+    world = context.world
+    began = world.now
+    step = Step(2, _THIRD_OF_TARGET, 5, gang=True)
+    refused = [one for one in context.gangs if one not in world.cell.jobs]
+    for name, after in zip(refused, context.times, strict=True):
+        _run_for(world, began + after - world.now)
+        _submit(world, name, context.kind, step, 5)
+    accepted = [one for one in refused if one in world.cell.jobs]
+    assert len(accepted) >= len(refused) / 2, (len(accepted), len(refused))
+
+
 @then(
     'after one advisor call it holds approvals for twice the capacity it needs'
 )
