Soak: a writer of odd heartbeats, configurations and jobs, and logged faults

A run is broken by an odd message that is accepted, and by a log line that tells of a fault of the program. The documents are shared by the soak and the tests (standins/odd_messages.py).

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -56,9 +56,27 @@
     slow_down_entries,
 )
 from standins import platform_cell as cells
-from standins.platform_cell import ENTRIES, PlatformCell
+from standins.platform_cell import ENTRIES, SCHEDULERS, PlatformCell
 from standins.soak_callers import Call, read_calls
 
+# Log events that tell of a fault of the program.
+FAULT_EVENTS = frozenset({
+    'crashed',
+    'link crashed',
+    'request crashed',
+    'message failed',
+    'message dropped',
+    'message unreadable',
+    'turn failed',
+    'placement failed',
+    'record not applied',
+    'log unreadable',
+    'snapshot unreadable',
+    'renewal crashed',
+    'renewals not started',
+    'advisor call crashed',
+    'background task failed',
+})
 # Interval between faults.
 FAULT_INTERVAL_S = 0.3
 # Duration of planned work, which is without other faults.
@@ -185,6 +203,14 @@
             yield f'not as it was sent: {cfg}'
 
 
+def _logged_faults(cell: PlatformCell) -> Iterator[str]:
+    """Yield the lines that tell of a fault of the program."""
+    for host in (*SCHEDULERS, *ENTRIES):
+        for line in cells.log_lines(cell, host):
+            if line['event'] in FAULT_EVENTS:
+                yield f'logged by {host}: {line}'
+
+
 def run(seed: int, seconds: float) -> SoakResult:
     """Run one seed, wait until all jobs are completed, and check the run."""
     with (
@@ -214,6 +240,8 @@
         workers = cells.worker_names(WORKERS)
         broken += [
             *_check_config(soak),
+            *soak.accepted_odd,
+            *_logged_faults(cell),
             *cut_requests(calls, [*soak.undone, *stalls]),
             *lost_jobs(calls, jobs),
             *stalled_jobs(rows, jobs, workers, [all_faults, *stalls], ended_at),
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -8,8 +8,9 @@
 from types import MappingProxyType
 
 from bench.soak_checks import Fault, Job
+from standins import odd_messages
 from standins import platform_cell as cells
-from standins.platform_cell import PlatformCell
+from standins.platform_cell import ENTRIES, SCHEDULERS, PlatformCell
 
 WORKERS = 40
 # A scheduler's data folder is deleted only after all hosts have been up and
@@ -25,6 +26,13 @@
 _MAX_RESTART_DELAY_S = 1.0
 # Maximum delay of a slow link, s: a good part of an election timeout.
 _MAX_LINK_DELAY_S = 0.3
+# Share of the faults beside which another writer sends an odd message.
+_ODD_MESSAGE_SHARE = 0.5
+_ODD_MESSAGES = MappingProxyType({
+    'heartbeat': tuple(odd_messages.ODD_HEARTBEATS.items()),
+    'configuration': tuple(odd_messages.ODD_CONFIGS.items()),
+    'job': tuple(odd_messages.ODD_JOBS.items()),
+})
 
 
 class SoakRun:
@@ -33,8 +41,10 @@
     ``pending_repairs`` holds (due time, function) pairs that undo faults,
     ``undone`` the faults that they have undone.  ``jobs`` are the jobs
     that the soak submitted itself.
-    ``links`` holds the states of impaired links, ``faults_changed_at`` when a
-    fault of a host or link last began or ended (s).
+    ``odd_random`` draws the odd messages, ``accepted_odd`` names those that
+    were accepted.  ``links`` holds the states of impaired links,
+    ``faults_changed_at`` when a fault of a host or link last began or ended
+    (s).
     """
 
     def __init__(self, cell: PlatformCell, seed: int) -> None:
@@ -49,6 +59,8 @@
         self.faults: dict[str, int] = defaultdict(int)
         self.links: dict[str, tuple[bool, bool, float]] = {}
         self.faults_changed_at = time.monotonic()
+        self.odd_random = Random(f'odd {seed}')
+        self.accepted_odd: list[str] = []
         self.version = 3
         self.acknowledged_version = 0
 
@@ -213,8 +225,35 @@
 })
 
 
+def _write_odd_message(soak: SoakRun) -> None:
+    """Send an odd heartbeat, configuration or job; note one that is accepted.
+
+    Its random numbers are its own, so that the faults of a seed stay the same.
+    """
+    random = soak.odd_random
+    kind = random.choice(('heartbeat', 'configuration', 'job'))
+    host = random.choice(ENTRIES if kind == 'job' else SCHEDULERS)
+    if not cells.is_serving(soak.cell, host):
+        return
+    what, document = random.choice(_ODD_MESSAGES[kind])
+    raw = odd_messages.encode(document)
+    control = f'{host}:{soak.cell.ports.control}'
+    name = f'{random.getrandbits(64):016x}'
+    if kind == 'job':
+        status, _ = cells.call_entry(soak.cell, host, 'POST', name, raw)
+    elif kind == 'heartbeat':
+        status, _ = cells.call(control, 'PUT', f'/instances/i-{name}', raw)
+    else:
+        status, _ = cells.call(control, 'PUT', '/config', raw)
+    soak.faults[f'odd {kind}'] += 1
+    if status == cells.HTTP_OK:
+        soak.accepted_odd.append(f'accepted: odd {kind} ({what})')
+
+
 def inject_fault(soak: SoakRun) -> None:
     """Inject one random fault; at most two hosts are down at a time."""
+    if soak.odd_random.random() < _ODD_MESSAGE_SHARE:
+        _write_odd_message(soak)
     kind = soak.random.choice((*_HOST_FAULTS, *_OTHER_FAULTS))
     soak.faults[kind] += 1
     inject = _OTHER_FAULTS.get(kind)
--- /dev/null
+++ b/standins/odd_messages.py
@@ -0,0 +1,196 @@
+"""Messages as another writer may send them: odd values in valid documents."""
+
+import json
+from typing import Any
+
+JOB_ID = f'{7:016x}'
+# An integer that neither the log nor a link can hold.
+WIDE_INTEGER = 2**70
+# Levels of nesting far beyond what a decoder follows.
+_DEPTH = 100_000
+
+
+def nested(key: str) -> bytes:
+    """Return a document whose field ``key`` is very deeply nested."""
+    levels = b'[' * _DEPTH, b']' * _DEPTH
+    return b'{"%b": %b%b}' % (key.encode(), *levels)
+
+
+def job(**step: Any) -> dict[str, Any]:
+    """Return a job of one step; ``step`` replaces fields of the step."""
+    fields = {'count': 2, 'cpu': 1000, 'memMb': 100, 'gpu': 1}
+    fields |= {'estimateMs': 300, 'maxPerServer': 1, 'dataRack': 'r1'}
+    return {'spec': 'work', 'steps': [{**fields, **step}]}
+
+
+def heartbeat(**more: Any) -> dict[str, Any]:
+    """Return a worker's heartbeat; ``more`` replaces its fields."""
+    fields = {
+        'service': 'svc',
+        'address': '127.0.20.99:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'capacity': {'cpu': 8000, 'memMb': 8000, 'gpu': 0},
+        'labels': ['a', 'r1'],
+        'clockMs': 1000,
+        'born': 1_700_000_000_000,
+        'sequence': 1,
+    }
+    return {**fields, **more}
+
+
+def config(version: int = 5, **route: Any) -> dict[str, Any]:
+    """Return a configuration; ``route`` replaces fields of its only route."""
+    fields = {
+        'name': 'r-1',
+        'host': 'jobs.example',
+        'pathPrefix': '/q/',
+        'timeoutMs': 3000,
+        'targetLatencyMs': 1000,
+        'priority': 0,
+        'service': 'svc',
+        'maxAttempts': 2,
+        'slackFactor': 3.0,
+        'placementAdvisor': {
+            'decisionMs': 5.0,
+            'perWorkerMs': 0.1,
+            'validityMs': 1500,
+        },
+    }
+    return {
+        'version': version,
+        'routes': [{**fields, **route}],
+        'services': [{'name': 'svc'}],
+        'limits': {'maxBodyBytes': 262144},
+    }
+
+
+def renewal_reply(**more: Any) -> dict[str, Any]:
+    """Return a worker's lists of runs; ``more`` replaces fields."""
+    fields = {
+        'clockMs': 1000,
+        'born': 1_700_000_000_000,
+        'active': [[f'{JOB_ID}.0.0.0', 1, '', 41, 900]],
+        'finished': [[1, f'{JOB_ID}.0.0.1', 1, 'done', '']],
+    }
+    return {**fields, **more}
+
+
+def advice() -> dict[str, Any]:
+    """Return the approvals of the placement advisor."""
+    return {'approved': [['i-1', 'ticket'], ['i-2', 'ticket']]}
+
+
+def encode(document: Any) -> bytes:
+    """Return a document as JSON, with half surrogate pairs as escapes."""
+    return document if isinstance(document, bytes) else _dump(document)
+
+
+def _dump(document: Any) -> bytes:
+    return json.dumps(document).encode()
+
+
+def _nested_row() -> bytes:
+    """Return a list of runs whose row has more values, deeply nested."""
+    row = b'["%b.0.0.0", 1, "", 41, %b' % (JOB_ID.encode(), b'[' * _DEPTH)
+    return b'{"clockMs": 1, "born": 1, "active": [%b' % row
+
+
+ODD_JOBS = {
+    'cpu of 70 bits': job(cpu=WIDE_INTEGER),
+    'memMb of 70 bits': job(memMb=WIDE_INTEGER),
+    'gpu of 70 bits': job(gpu=WIDE_INTEGER),
+    'count of 70 bits': job(count=WIDE_INTEGER),
+    'maxPerServer of 70 bits': job(maxPerServer=WIDE_INTEGER),
+    'negative maxPerServer': job(maxPerServer=-1),
+    'repeatCount of 70 bits': {**job(), 'repeatCount': WIDE_INTEGER},
+    'negative repeatCount': {**job(), 'repeatCount': -1},
+    'dependsOn of 70 bits': job(dependsOn=[WIDE_INTEGER]),
+    'an endless estimate': job(estimateMs=1e300),
+    'a negative estimate': job(estimateMs=-1),
+    'an endless interval': {**job(), 'intervalMs': 1e300},
+    'a time out of range': {**job(), 'startAtMs': 1e300},
+    '10 million tasks': job(count=10_000_000),
+    '10 million occurrences': {**job(), 'repeatCount': 10_000_000},
+    '10 thousand occurrences of 2 tasks': {**job(), 'repeatCount': 10_000},
+    '300 steps': {'spec': '', 'steps': job()['steps'] * 300},
+    'a label of 10000 characters': job(requiredLabel='x' * 10_000),
+    'a rack with a line end': job(dataRack='r\n1'),
+    'half a surrogate pair': job(dataRack='\ud800'),
+    'deep nesting': nested('steps'),
+    'deep nesting in an unknown field': nested('odd'),
+}
+ODD_CONFIGS = {
+    'version of 70 bits': config(WIDE_INTEGER),
+    'negative version': config(-1),
+    'priority of 70 bits': config(priority=WIDE_INTEGER),
+    'maxAttempts of 70 bits': config(maxAttempts=WIDE_INTEGER),
+    'an endless timeout': config(timeoutMs=1e300),
+    'a negative slackFactor': config(slackFactor=-1),
+    'maxBodyBytes of 70 bits': {
+        **config(),
+        'limits': {'maxBodyBytes': WIDE_INTEGER},
+    },
+    'a host of 10000 characters': config(host='x' * 10_000),
+    'an endless decision time': config(
+        placementAdvisor={
+            'decisionMs': 1e300,
+            'perWorkerMs': 1,
+            'validityMs': 1,
+        }
+    ),
+    'half a surrogate pair': config(name='\ud800'),
+    'deep nesting': nested('routes'),
+    'deep nesting in an unknown field': nested('odd'),
+}
+ODD_HEARTBEATS = {
+    'sequence of 70 bits': heartbeat(sequence=WIDE_INTEGER),
+    'negative sequence': heartbeat(sequence=-1),
+    'born of 70 bits': heartbeat(born=WIDE_INTEGER),
+    'negative born': heartbeat(born=-WIDE_INTEGER),
+    'cpu of 70 bits': heartbeat(capacity={'cpu': WIDE_INTEGER, 'memMb': 1}),
+    'memMb of 70 bits': heartbeat(capacity={'cpu': 1, 'memMb': WIDE_INTEGER}),
+    'gpu of 70 bits': heartbeat(
+        capacity={'cpu': 1, 'memMb': 1, 'gpu': WIDE_INTEGER}
+    ),
+    'negative gpu': heartbeat(capacity={'cpu': 1, 'memMb': 1, 'gpu': -1}),
+    'port 99999': heartbeat(address='127.0.20.99:99999'),
+    'port -1': heartbeat(address='127.0.20.99:-1'),
+    'port 0': heartbeat(address='127.0.20.99:0'),
+    'no port': heartbeat(address='127.0.20.99'),
+    'no host': heartbeat(address=':80'),
+    'a path in its address': heartbeat(address='127.0.20.99:80/x'),
+    'a line end in its address': heartbeat(address='127.0.20.99:80\n'),
+    'a zone of 10000 characters': heartbeat(zone='z' * 10_000),
+    'a label with a line end': heartbeat(labels=['a', 'r\r\n1']),
+    'half a surrogate pair': heartbeat(zone='\ud800'),
+    'deep nesting': nested('capacity'),
+    'deep nesting in an unknown field': nested('odd'),
+}
+ODD_REPLIES = {
+    'clockMs of 70 bits': renewal_reply(clockMs=WIDE_INTEGER),
+    'born of 70 bits': renewal_reply(born=WIDE_INTEGER),
+    'a run number of 70 bits': renewal_reply(
+        active=[[f'{JOB_ID}.0.0.0', WIDE_INTEGER, '', 41]]
+    ),
+    'an index of 70 bits': renewal_reply(
+        active=[[f'{JOB_ID}.0.0.{WIDE_INTEGER}', 1, '', 41]]
+    ),
+    'a position of 70 bits': renewal_reply(
+        finished=[[WIDE_INTEGER, f'{JOB_ID}.0.0.0', 1, 'done', '']]
+    ),
+    'an unknown end': renewal_reply(
+        finished=[[1, f'{JOB_ID}.0.0.0', 1, 'odd', '']]
+    ),
+    "an end of the system's own": renewal_reply(
+        finished=[[1, f'{JOB_ID}.0.0.0', 1, 'refused', '']]
+    ),
+    'a row of another type': renewal_reply(active=[7]),
+    'a row that is too short': renewal_reply(active=[['x']]),
+    'deep nesting': nested('active'),
+    'deep nesting in a row': _nested_row(),
+    'deep nesting in an unknown field': nested('odd'),
+}
--- a/tests/steps/odd_input_steps.py
+++ b/tests/steps/odd_input_steps.py
@@ -41,18 +41,19 @@
 from daisygw.nodes import NodeSettings, Peers, SchedulerNode, call_leader
 from daisygw.nodes import _scheduler as scheduler_module
 from daisygw.platform import _codec
+from standins import odd_messages
 from standins.cell import free_ports
 from tests import odd_input
 from tests.cell_world import World, run_for, submit
 
-_WIDE = odd_input.WIDE_INTEGER
+_WIDE = odd_messages.WIDE_INTEGER
 _LINK_TIMEOUT_S = 5
 _UNKNOWN_TAG = 9999
 _CONTRACT_CFG = SimpleNamespace(limits=Limits(), teams={'patio': None})
 
 
 def _decode_job(raw):
-    job = _codec.decode_job(raw, odd_input.JOB_ID)
+    job = _codec.decode_job(raw, odd_messages.JOB_ID)
     return JobRequest(1, JobVerb.SUBMIT, 'host', f'/a/{job.id}', job)
 
 
@@ -78,12 +79,16 @@
 
 
 _REQUESTS = {
-    'jobs': (_decode_job, odd_input.ODD_JOBS, odd_input.job()),
-    'configs': (_decode_config, odd_input.ODD_CONFIGS, odd_input.config()),
+    'jobs': (_decode_job, odd_messages.ODD_JOBS, odd_messages.job()),
+    'configs': (
+        _decode_config,
+        odd_messages.ODD_CONFIGS,
+        odd_messages.config(),
+    ),
     'heartbeats': (
         _decode_heartbeat,
-        odd_input.ODD_HEARTBEATS,
-        odd_input.heartbeat(),
+        odd_messages.ODD_HEARTBEATS,
+        odd_messages.heartbeat(),
     ),
     'contracts': (
         _decode_contract,
@@ -102,8 +107,8 @@
     'announcements': (_decode_announcement, {}, _announcement()),
 }
 _REPLIES = {
-    'replies': (_codec.decode_renewal_reply, odd_input.renewal_reply()),
-    'advice': (_codec.decode_approvals, odd_input.advice()),
+    'replies': (_codec.decode_renewal_reply, odd_messages.renewal_reply()),
+    'advice': (_codec.decode_approvals, odd_messages.advice()),
 }
 
 
@@ -123,7 +128,7 @@
     decode, odd, _ = _REQUESTS[kind]
     codes = set()
     for what, document in odd.items():
-        refusal = _code_of(decode, odd_input.encode(document))
+        refusal = _code_of(decode, odd_messages.encode(document))
         assert isinstance(refusal, ResultCode), (what, refusal)
         assert is_not_run(refusal), (what, refusal)
         codes.add(refusal)
@@ -133,8 +138,8 @@
 @then('each odd configuration is refused with code {code:d}')
 def check_odd_configs(context, code):
     """Expect the same code for all."""
-    for what, document in odd_input.ODD_CONFIGS.items():
-        refusal = _code_of(_decode_config, odd_input.encode(document))
+    for what, document in odd_messages.ODD_CONFIGS.items():
+        refusal = _code_of(_decode_config, odd_messages.encode(document))
         assert refusal == code, (what, refusal)
 
 
@@ -150,11 +155,11 @@
 @then('each odd reply to a renewal is a failed call with code {code:d}')
 def check_odd_replies(context, code):
     """Expect the error that counts as a renewal without an answer."""
-    for what, document in odd_input.ODD_REPLIES.items():
-        raw = odd_input.encode(document)
+    for what, document in odd_messages.ODD_REPLIES.items():
+        raw = odd_messages.encode(document)
         _check_failed_call(_codec.decode_renewal_reply, what, raw, code)
     # The reply that the odd ones were made of is read.
-    raw = odd_input.encode(odd_input.renewal_reply())
+    raw = odd_messages.encode(odd_messages.renewal_reply())
     assert len(_codec.decode_renewal_reply(raw).active) == 1
 
 
@@ -164,10 +169,10 @@
 def check_nested_replies(context):
     """Nest a known and an unknown field of each."""
     for key in ('reason', 'odd'):
-        raw = odd_input.nested(key)
+        raw = odd_messages.nested(key)
         _check_failed_call(_codec.decode_reason, key, raw)
     for key in ('approved', 'odd'):
-        raw = odd_input.nested(key)
+        raw = odd_messages.nested(key)
         _check_failed_call(_codec.decode_approvals, key, raw)
 
 
@@ -178,7 +183,7 @@
 def check_odd_name(context, name, code):
     """A name stands in the path; there its line ends are encoded."""
     name = name.encode().decode('unicode_escape')
-    raw = odd_input.encode(odd_input.heartbeat())
+    raw = odd_messages.encode(odd_messages.heartbeat())
     decode = partial(_codec.decode_report, name=name)
     assert _code_of(decode, raw) == code
     assert _code_of(_codec.decode_shutdown, name) == code
@@ -304,7 +309,9 @@
         peers.leader = peers.host
         context.handled = []
         peers.handle_locally = context.handled.append
-        report = _decode_heartbeat(odd_input.encode(odd_input.heartbeat()))
+        report = _decode_heartbeat(
+            odd_messages.encode(odd_messages.heartbeat())
+        )
         try:
             await call_leader(
                 peers, lambda seq: replace(report, number=_WIDE), 0.1
--- a/tests/steps/odd_platform_steps.py
+++ b/tests/steps/odd_platform_steps.py
@@ -5,28 +5,17 @@
 
 from behave import then, when
 
+from bench.soak import FAULT_EVENTS
+from standins import odd_messages
 from standins import platform_cell as cells
 from standins.platform_cell import ENTRIES, SCHEDULERS, call, call_entry
-from tests import odd_input
 
 _names = itertools.count(1)
 _STATE_TIMEOUT_S = 30
 # Time for the faults of a message to show.
 _AFTER_S = 2.0
 # Events that tell of a fault of the program, or of a change of the leader.
-_FAULTS = frozenset({
-    'crashed',
-    'link crashed',
-    'request crashed',
-    'message failed',
-    'message dropped',
-    'message unreadable',
-    'turn failed',
-    'record not applied',
-    'renewal crashed',
-    'background task failed',
-    'not leading',
-})
+_FAULTS = FAULT_EVENTS | {'not leading'}
 
 
 def _faults(cell):
@@ -63,19 +52,19 @@
     for number, host in enumerate(SCHEDULERS):
         control = f'{host}:{cell.ports.control}'
         path = f'/instances/i-odd{number}'
-        for what, beat in odd_input.ODD_HEARTBEATS.items():
-            yield what, (control, 'PUT', path, odd_input.encode(beat))
+        for what, beat in odd_messages.ODD_HEARTBEATS.items():
+            yield what, (control, 'PUT', path, odd_messages.encode(beat))
         yield (
             'line end in a name',
             (
                 control,
                 'PUT',
                 '/instances/i%0Aodd',
-                odd_input.encode(odd_input.heartbeat()),
+                odd_messages.encode(odd_messages.heartbeat()),
             ),
         )
-        for what, cfg in odd_input.ODD_CONFIGS.items():
-            yield what, (control, 'PUT', '/config', odd_input.encode(cfg))
+        for what, cfg in odd_messages.ODD_CONFIGS.items():
+            yield what, (control, 'PUT', '/config', odd_messages.encode(cfg))
 
 
 @when('a worker, an operator and a caller send each odd message')
@@ -89,9 +78,9 @@
         status, _ = call(*request)
         took = time.monotonic() - started
         context.answers.append((what, status, took))
-    for what, job in odd_input.ODD_JOBS.items():
+    for what, job in odd_messages.ODD_JOBS.items():
         started = time.monotonic()
-        raw = odd_input.encode(job)
+        raw = odd_messages.encode(job)
         status, _ = call_entry(cell, ENTRIES[0], 'POST', _new_job_id(), raw)
         took = time.monotonic() - started
         context.answers.append((what, status, took))
