--- a/standins/cell_loads.py
+++ b/standins/cell_loads.py
@@ -82,15 +82,18 @@
     (
         JobKind(
             'recall', 2.38, 1.2, 20, 5, 18_000, 67_000, 1, 2.2, 1, 1,
-            8.62, 1.72, Advisor(0.92, 0.0078, _OBRAPASE_VALIDITY_S), 0.33, 3, 0.3,
+            8.62, 1.72, Advisor(0.92, 0.0078, _OBRAPASE_VALIDITY_S),
+            0.33, 3, 0.3,
         ),
         JobKind(
             'lote', 3.94, 1.5, 25, 3.4, 6_900, 20_000, 0, 4, 3, 2,
-            3.25, 0.65, Advisor(0.2, 0.0023, _OBRAPASE_VALIDITY_S), 0.45, 3, 0.3,
+            3.25, 0.65, Advisor(0.2, 0.0023, _OBRAPASE_VALIDITY_S),
+            0.45, 3, 0.3,
         ),
         JobKind(
             'reserva', 44.2, 1, 3, 1, 9_900, 20_000, 0.3, 1.5, 0.25, 0,
-            0.407, 0.0814, Advisor(0.02, 0.0002, _OBRAPASE_VALIDITY_S), 0.7, 2, 0.5,
+            0.407, 0.0814, Advisor(0.02, 0.0002, _OBRAPASE_VALIDITY_S),
+            0.7, 2, 0.5,
         ),
     ),
     targets=176,
