--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -100,6 +100,16 @@
     When it is cut off for 6 seconds with a task running
     Then each of its tasks ran once, and has ended when the cut heals
 
+  Scenario: A target that reports but answers no renewal for a while keeps its task
+    Given a cell of one target that accepts leases of 10 s
+    When it answers no renewals for 6 seconds, but reports, with a task running
+    Then each of its tasks ran once, and has ended when the cut heals
+
+  Scenario: A target whose reports stay away keeps its tasks
+    Given a cell of one target that accepts leases of 10 s
+    When it sends no reports for 60 seconds while it answers renewals
+    Then each of its tasks ran once, and has ended when the cut heals
+
   Scenario: A target with a lasting task gets a short lease
     Given a cell of one target that accepts leases of 10 s
     When a lasting task is submitted
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -48,6 +48,11 @@
     Then no process has ended, lost its leader or logged an error
     And a job of 2 tasks is still completed
 
+  Scenario: A leader that is paused for seconds does nothing on what it was allowed before
+    When the leader is paused for 3 seconds while 6 jobs of 3 tasks are submitted
+    Then all of them are completed, and each of their tasks ran once
+    And the paused process gave no order after it woke up
+
   Scenario: A cancelled job stops
     When a job that takes long is submitted and cancelled
     Then it is shown as "cancelled" and none of its tasks runs
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -6,13 +6,14 @@
     Cell,
     apply,
     lease_for,
+    on_target_report,
     snapshot,
 )
 from daisygw.contracts import (
     ResultCode,
     Size,
 )
-from daisygw.machines import is_responsive
+from daisygw.machines import TargetReport, is_responsive
 from tests import cell_fault_runs, cell_history, cell_world
 from tests.cell_history import spans
 from tests.cell_jobs import placed_runs, small_job
@@ -341,6 +342,32 @@
     run_for(world, 1)
 
 
+@when('it answers no renewals for 6 seconds, but reports, with a task running')
+def answer_no_renewals(context):
+    """Let its reports reach the leader while its network is cut."""
+    world = context.world
+    submit(world, small_job(1, estimate=1, payload='steady'))
+    run_for(world, 0.3)
+    assert placed_runs(world)
+    (target,) = world.cell.targets.values()
+    world.cut.add('w1')
+    for number in range(12):
+        run_for(world, 0.5)
+        heartbeat = TargetReport(0, 'w1', target.instance, number)
+        on_target_report(world.lead, heartbeat, 'w1')
+    world.cut.clear()
+    run_for(world, 1)
+
+
+@when('it sends no reports for 60 seconds while it answers renewals')
+def send_no_reports(context):
+    """Run a task at the end; targets here report only when they join."""
+    world = context.world
+    run_for(world, 60)
+    submit(world, small_job(1, estimate=1, payload='steady'))
+    run_for(world, 3)
+
+
 @then('each of its tasks ran once, and has ended when the cut heals')
 def check_survived_cut(context):
     """Expect one successful run and no unfinished job."""
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -263,6 +263,45 @@
     cells.start(context.cell, host)
 
 
+@when(
+    'the leader is paused for {seconds:d} seconds while {jobs:d} jobs of '
+    '{count:d} tasks are submitted'
+)
+def pause_leader(context, seconds, jobs, count):
+    """Submit half of them before the pause, the others once another leads."""
+    cell = context.cell
+    host, term = _leader(cell)
+    body = cells.job(count, work_s=2)
+    context.jobs = [_submit_job(context, body) for _ in range(jobs // 2)]
+    paused_at = time.monotonic()
+    cell.running[host].send_signal(signal.SIGSTOP)
+    wait_until(lambda: _leader(cell)[1] > term, 'another leader')
+    context.jobs += [_submit_job(context, body) for _ in range(jobs // 2)]
+    time.sleep(max(paused_at + seconds - time.monotonic(), 0))
+    context.paused = (host, len(cells.log_lines(cell, host)))
+    cell.running[host].send_signal(signal.SIGCONT)
+    context.tasks = count
+
+
+@then('all of them are completed, and each of their tasks ran once')
+def check_each_once(context):
+    """Look at the workers' histories once all jobs are over."""
+    for name in context.jobs:
+        context.job = name
+        _until_state(context, 'completed')
+        check_runs(context)
+
+
+@then('the paused process gave no order after it woke up')
+def check_no_orders(context):
+    """Read what it logged since: that it leads no more, and no decision."""
+    host, logged = context.paused
+    lines = cells.log_lines(context.cell, host)[logged:]
+    events = {line['event'] for line in lines}
+    assert 'not leading' in events, events
+    assert not events & {'placed', 'accepted', 'run over', 'stop failed'}
+
+
 @when(
     'all schedulers are killed while a job of {count:d} tasks runs, and '
     'restarted',
