Fewer heartbeats between entries and schedulers that do not lead

Cause: each entry sent four heartbeats a second to each scheduler and got as many, also where nothing else is sent; 97 entries and 5 schedulers exchange some 3,900 a second. Change: an entry and a scheduler that does not lead send one each 0.8 s, and count their link as broken after 2.5 s; the leader's links are as before, at once when the leader changes. Result: links.feature shows the numbers of heartbeats; of an entry's 40 messages a second with 5 schedulers 18 are left (counted, not measured).

--- a/daisygw/links/_stream.py
+++ b/daisygw/links/_stream.py
@@ -49,11 +49,14 @@
     """Heartbeat interval and receive timeout of a link, in seconds.
 
     A link sends a batch at least every ``heartbeat_interval``, and counts as
-    broken when it has received nothing for ``silence``.
+    broken when it has received nothing for ``silence``.  Between processes
+    that only stay in touch, it is ``idle_interval`` and ``idle_silence``.
     """
 
     heartbeat_interval: float = 1.0
     silence: float = 2.5
+    idle_interval: float = 1.0
+    idle_silence: float = 2.5
 
 
 _DEFAULT_TIMING = LinkTiming()
@@ -66,7 +69,8 @@
 
     ``heard`` is the loop time (s) of the last batch received, ``sent_at`` that
     of the last one sent;
-    ``current_group`` is the group that the messages sent now are for.
+    ``current_group`` is the group that the messages sent now are for.  An
+    ``idle`` link is kept for later only, so it has fewer heartbeats.
     """
 
     def __init__(self, peer: str) -> None:
@@ -74,6 +78,7 @@
         self.peer = peer
         self.current_group = ''
         self.up = False
+        self.idle = False
         self.heard = 0.0
         self.sent_at = 0.0
         self.waiting: list[Any] = []
@@ -101,12 +106,26 @@
     loop = asyncio.get_running_loop()
     link.heard = loop.time()
     link.sent_at = loop.time()
-    while loop.time() - link.heard < timing.silence:
-        due = link.sent_at + timing.heartbeat_interval - loop.time()
+    while loop.time() - link.heard < _receive_timeout(link, timing):
+        interval = timing.idle_interval if link.idle else 0
+        interval = max(interval, timing.heartbeat_interval)
+        due = link.sent_at + interval - loop.time()
         if due <= _SOON_S:
             link.ready.set()
-            due = timing.heartbeat_interval
-        await asyncio.sleep(due)
+            due = interval
+        # A link that is needed again is noticed within the shorter interval.
+        await asyncio.sleep(min(due, timing.heartbeat_interval))
+
+
+def _receive_timeout(link: Link, timing: LinkTiming) -> float:
+    return timing.idle_silence if link.idle else timing.silence
+
+
+def set_idle(link: Link, *, idle: bool) -> None:
+    """Let a link have fewer heartbeats, or as many as usual from now on."""
+    if link.idle and not idle:
+        link.ready.set()
+    link.idle = idle
 
 
 async def _send_batches(link: Link, stream: Any) -> None:
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -26,6 +26,7 @@
     keep_connected,
     post,
     running,
+    set_idle,
 )
 
 __all__ = (
@@ -51,6 +52,7 @@
     'running',
     'accepting_links',
     'serving_http',
+    'set_idle',
     'to_json',
     'usage',
 )
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -13,7 +13,13 @@
 
 from daisygw.contracts import CellResponse, ResultCode, SchedulerList
 from daisygw.links import codec, log
-from daisygw.links.processes import Link, LinkTiming, keep_connected, post
+from daisygw.links.processes import (
+    Link,
+    LinkTiming,
+    keep_connected,
+    post,
+    set_idle,
+)
 from daisygw.nodes import _clock
 
 # How long an unsent request waits for a reachable leader.  Most elections
@@ -37,7 +43,14 @@
 _HEARTBEAT_INTERVAL_S = 0.25
 # A link without messages for this long is closed: nearly 5 heartbeats.
 _LINK_TIMEOUT_S = 1.2
-LINK_TIMING = LinkTiming(_HEARTBEAT_INTERVAL_S, _LINK_TIMEOUT_S)
+# The same for links between an entry and a scheduler that does not lead.  The
+# interval is shorter than the usual timeout, as one end may know of a new
+# leader before the other.
+_IDLE_INTERVAL_S = 0.8
+_IDLE_TIMEOUT_S = 2.5
+LINK_TIMING = LinkTiming(
+    _HEARTBEAT_INTERVAL_S, _LINK_TIMEOUT_S, _IDLE_INTERVAL_S, _IDLE_TIMEOUT_S
+)
 # A request is sent only over a link that received something this recently:
 # the outcome of one sent over a link that is already broken stays unknown.
 _LEADER_MAX_SILENCE_S = 0.7
@@ -116,6 +129,7 @@
 
 
 def _on_link_change(peers: Peers, link: Link) -> None:
+    _update_idle_links(peers)
     event = 'link up' if link.up else 'link lost'
     log(event, peer=link.peer, leader=peers.leader, term=peers.term)
     if link.up and link.peer == peers.leader:
@@ -135,16 +149,25 @@
     if source == peers.leader and scheduler_list.leader != source:
         peers.leader_left_at = asyncio.get_running_loop().time()
         peers.leader = ''
+        _update_idle_links(peers)
     if scheduler_list.term < peers.term or not scheduler_list.leader:
         return
     changed = scheduler_list.leader != peers.leader
     peers.term = scheduler_list.term
     peers.leader = scheduler_list.leader
     if changed:
+        _update_idle_links(peers)
         log('leader', host=scheduler_list.leader, term=scheduler_list.term)
         _send_pending(peers)
 
 
+def _update_idle_links(peers: Peers) -> None:
+    """Keep only the leader's link busy, if this process has no replica."""
+    if peers.handle_locally is None:
+        for host, link in peers.links.items():
+            set_idle(link, idle=bool(peers.leader) and host != peers.leader)
+
+
 def _send_pending(peers: Peers) -> None:
     for request in list(peers.open.values()):
         _send(peers, request)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -46,6 +46,7 @@
     post,
     resign,
     running,
+    set_idle,
 )
 from daisygw.machines import TargetReport
 from daisygw.nodes import _clock
@@ -185,9 +186,17 @@
 
 def _on_leadership_change(node: SchedulerNode, term: int) -> None:
     log('leading' if term else 'not leading', term=node.group.replica.term)
+    for link in node.sessions.values():
+        _update_idle_session(node, link)
     node.wake.set()
 
 
+def _update_idle_session(node: SchedulerNode, link: Link) -> None:
+    """Keep the links of entries busy only while this process leads."""
+    from_entry = link.peer.startswith(_ENTRY_PREFIX)
+    set_idle(link, idle=from_entry and node.state.lead is None)
+
+
 def _handle_as_leader(node: SchedulerNode, entry: str, message: Any) -> None:
     lead = node.state.lead
     if lead is None:
@@ -253,6 +262,7 @@
 def _on_inbound_link(node: SchedulerNode, link: Link) -> None:
     if link.up:
         node.sessions[link.peer] = link
+        _update_idle_session(node, link)
         post(link, node.scheduler_list)
         if not link.peer.startswith(_ENTRY_PREFIX):
             connect_to_hosts(node.peers, (link.peer,))
--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -9,6 +9,12 @@
     Then the log names the error, the peer and the kind of message
     And the second message is handled, over the same connection
 
+  Scenario: A link that is kept for later has fewer heartbeats, and is quick when it is needed
+    When a link is idle for 2 seconds, and then needed for 2 seconds
+    Then it had 4 to 8 heartbeats in the first, and 16 to 24 in the second
+    And the first of the second came within 0.1 seconds
+    And the link was never lost
+
   Scenario: Loopback connections do not block the ports of a cell
     When 5 ports for a cell are used by connections before it listens
     Then the cell can listen at all of them
--- a/tests/steps/links_steps.py
+++ b/tests/steps/links_steps.py
@@ -15,9 +15,11 @@
 from daisygw.links import _stream, running
 from daisygw.links.processes import (
     Link,
+    LinkTiming,
     accepting_links,
     keep_connected,
     post,
+    set_idle,
 )
 from standins.cell import (
     all_ports_open,
@@ -127,6 +129,86 @@
     assert len(context.connections) == 1, context.connections
 
 
+_IDLE_TIMING = LinkTiming(0.1, 0.35, 0.3, 1.0)
+
+
+async def _count_heartbeats(address, seconds):
+    """Return when batches arrived, by phase, and how often the link was up."""
+    loop = asyncio.get_running_loop()
+    ups = []
+    accepted = []
+    arrivals = ([], [])
+
+    def on_accepted(link):
+        if link.up:
+            accepted.append(link)
+            set_idle(link, idle=True)
+
+    link = Link('peer')
+    connecting = keep_connected(
+        link,
+        'caller',
+        address,
+        lambda *_: None,
+        lambda one: ups.append(one.up),
+        _IDLE_TIMING,
+    )
+    set_idle(link, idle=True)
+    async with (
+        accepting_links(address, lambda *_: None, on_accepted, _IDLE_TIMING),
+        running(connecting),
+    ):
+        while not accepted or not link.up:
+            await asyncio.sleep(0.01)
+        for phase, idle in enumerate((True, False)):
+            set_idle(link, idle=idle)
+            set_idle(accepted[0], idle=idle)
+            began = loop.time()
+            heard = accepted[0].heard
+            while loop.time() < began + seconds:
+                await asyncio.sleep(0.002)
+                if accepted[0].heard != heard:
+                    heard = accepted[0].heard
+                    arrivals[phase].append(heard - began)
+        return arrivals, list(ups)
+
+
+@when(
+    'a link is idle for {seconds:d} seconds, and then needed for {again:d} '
+    'seconds'
+)
+def idle_link(context, seconds, again):
+    """Count what the accepting end receives in both times."""
+    assert seconds == again
+    address = f'127.0.0.1:{free_ports(1)[0]}'
+    context.arrivals, context.ups = asyncio.run(
+        _count_heartbeats(address, seconds)
+    )
+
+
+@then(
+    'it had {low:d} to {high:d} heartbeats in the first, and {least:d} to '
+    '{most:d} in the second'
+)
+def check_heartbeats(context, low, high, least, most):
+    """Compare the numbers of batches."""
+    idle, busy = map(len, context.arrivals)
+    assert low <= idle <= high, context.arrivals
+    assert least <= busy <= most, context.arrivals
+
+
+@then('the first of the second came within {seconds:g} seconds')
+def check_quick(context, seconds):
+    """Look at the first batch after the link was needed."""
+    assert context.arrivals[1][0] < seconds, context.arrivals
+
+
+@then('the link was never lost')
+def check_never_lost(context):
+    """Expect it to have come up once."""
+    assert context.ups == [True], context.ups
+
+
 @when('a link is cancelled while its task is still ending')
 def cancel_link(context):
     """Cancel the link after it broke but before its task has ended."""
