Refuse for the advisor's time only in a cell that is mostly free

Change: the bound is on the wait for the call, at least 0.3 of its duration, and holds while less than half of the cell is used; otherwise steps wait for room.

--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -1,7 +1,7 @@
 """Admission control: which jobs are refused, and when to retry them."""
 
 from daisygw.cell._advice import expected_answer, is_long_call
-from daisygw.cell._capacity import max_tasks_on
+from daisygw.cell._capacity import is_mostly_free, max_tasks_on
 from daisygw.cell._leader import CellLeader
 from daisygw.contracts import JobSpec, Queue, ResultCode
 
@@ -11,6 +11,8 @@
 # Longest expected time until the advisor's first answer about a new job: less
 # than the 3 s that a step may stand still, as later steps need calls too.
 MAX_ANSWER_TIME_S = 2.2
+# A call may wait for this share of its own duration, however long that is.
+_WAIT_SHARE = 0.3
 # Longest time until a refused caller is to return: a burst is over by then.
 MAX_RETRY_S = 10.0
 # A refusal: its code, the retry delay (s) and the reason.
@@ -36,18 +38,20 @@
 
     Answers the load of a burst of gangs whose calls take longer than all
     processes have time for: the steps would stand still beside free capacity,
-    and so would those of the jobs accepted before.  On a free process a call
-    may take any time.  The refused callers return one after the other, as
-    fast as the advisor answers.
+    and so would those of the jobs accepted before.  In a cell that is mostly
+    used they wait for room in any case.  The refused callers return one after
+    the other, as fast as the advisor answers.
     """
-    if not is_long_call(queue.advisor):
+    if not is_long_call(queue.advisor) or not is_mostly_free(lead):
         return None
     expected = expected_answer(lead, queue.advisor)
-    if not expected.wait or expected.time <= MAX_ANSWER_TIME_S:
+    longest = max(
+        MAX_ANSWER_TIME_S - expected.call, _WAIT_SHARE * expected.call
+    )
+    if expected.wait <= longest:
         return None
-    earliest = lead.now + expected.time - MAX_ANSWER_TIME_S
-    return_at = max(earliest, lead.next_return_at)
+    return_at = max(lead.now + expected.wait - longest, lead.next_return_at)
     retry = min(return_at - lead.now, MAX_RETRY_S)
     lead.next_return_at = lead.now + retry + expected.interval
-    reason = f'answers of the advisor take {expected.time:.1f} s'
+    reason = f'calls to the advisor wait {expected.wait:.1f} s'
     return (ResultCode.OVERLOADED, retry, reason)
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -106,14 +106,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExpectedAnswer:
-    """The answer to a new long call: when, and how often one comes (s).
+    """What to expect of a new long call to the advisor (s).
 
-    ``time`` is that from now until the answer, of which the call waits
-    ``wait`` for its turn; ``interval`` is the mean time between two answers.
+    It waits ``wait`` for its turn, and then takes ``call``; ``interval`` is the
+    mean time between two answers.
     """
 
-    time: float
     wait: float
+    call: float
     interval: float
 
 
@@ -136,7 +136,7 @@
     first_calls += _LATER_STEP_WEIGHT * _later_steps(lead)
     wait = (open_calls + first_calls * own_call) / lead.long_callers
     interval = own_call / lead.long_callers
-    return ExpectedAnswer(wait + own_call, wait, interval)
+    return ExpectedAnswer(wait, own_call, interval)
 
 
 def _later_steps(lead: CellLeader) -> int:
--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -163,3 +163,19 @@
     slowness = lead.relative_speed.get(target.key, DEFAULT_SPEED).slowness
     fullness = dominant_share(target.used, target.instance.capacity)
     return (round(slowness / _SLOWNESS_STEP), -fullness)
+
+
+def is_mostly_free(lead: CellLeader) -> bool:
+    """Tell whether less than half of the cell's processors and memory is used.
+
+    Where it is, a step waits for something else than room.
+    """
+    targets = lead.cell.targets.values()
+    used = [target.used for target in targets]
+    capacity = [target.instance.capacity for target in targets]
+    cpus = sum(size.cpus for size in capacity)
+    memory = sum(size.memory for size in capacity)
+    return (
+        2 * sum(size.cpus for size in used) < cpus
+        and 2 * sum(size.memory for size in used) < memory
+    )
