--- a/review/lab/worker.py
+++ b/review/lab/worker.py
@@ -295,8 +295,7 @@
         if run.due <= min(now, lapse):
             _end(machine, life, run, run.due, 'done')
     if lapse <= now:
-        if life.running:
-            life.lapsed_at = lapse
+        life.lapsed_at = lapse
         for run in list(life.running.values()):
             _end(machine, life, run, lapse, 'lapsed')
 
