--- a/review/lab/case.py
+++ b/review/lab/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -151,6 +152,9 @@
 async def _run(
     case: Case, workers: int, play: Callable[[Case], Awaitable[int]]
 ) -> int:
+    # Ends the programs also when the script is told to stop.
+    stop = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
     async with (
         asyncio.timeout(_LIMIT_S),
         running_cell() as cell,
@@ -168,7 +172,8 @@
     case = Case(Path(path).resolve().parent)
     try:
         result = asyncio.run(_run(case, workers, play))
-    except (CannotRunError, TimeoutError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
+        # Also an error of the script itself: it must not look like a fault.
         case.record('cannot run', why=repr(exc))
         result = CANNOT_RUN
     words = {HELD: 'held', BROKEN: 'broken', CANNOT_RUN: 'could not run'}
