Do not take ends beyond the first page for lost runs

Cause: a worker lists 500 ended runs at a time, and on_renewal_reply took a run that is in neither list of a reply for lost, although its end may follow on the next page.

Evidence: lines of 'run over' are bounded, so the log could not tell the reasons apart; with the new line 'runs unlisted' one reply within the lease had 500 ended runs and lost the 468 others.

Change: a reply says whether its page is full; nothing is decided about unlisted runs before the last page. The worker model lists 500 ends at most.

--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -108,9 +108,42 @@
         )
     ended = _apply_ends(lead, target, reply.ended)
     active = _apply_active(lead, target, reply.active, sent)
-    for key, run in list(target.runs.items()):
-        if key not in active and (key, run.number) not in ended:
-            _resolve_unlisted(lead, run, reply.clock, sent)
+    unlisted = [
+        run
+        for key, run in target.runs.items()
+        if key not in active and (key, run.number) not in ended
+    ]
+    if reply.more_ended:
+        # The missing runs may be on a later page of ended runs.
+        lead.log_event(
+            'ends continue',
+            target=target.key,
+            ended=len(reply.ended),
+            unlisted=len(unlisted),
+        )
+        return
+    _resolve_all_unlisted(lead, target, unlisted, reply, sent)
+
+
+def _resolve_all_unlisted(
+    lead: CellLeader,
+    target: TargetState,
+    unlisted: list[Run],
+    reply: RenewalReply,
+    sent: float,
+) -> None:
+    """Handle the runs that are in neither list of a complete reply."""
+    lost = sum(
+        _resolve_unlisted(lead, run, reply.clock, sent) for run in unlisted
+    )
+    if lost:
+        lead.log_event(
+            'runs unlisted',
+            target=target.key,
+            runs=lost,
+            active=len(reply.active),
+            ended=len(reply.ended),
+        )
 
 
 def _apply_ends(
@@ -164,18 +197,23 @@
 
 def _resolve_unlisted(
     lead: CellLeader, run: Run, clock: int, sent: float
-) -> None:
-    """End a run that its target does not list, once it can no longer run."""
+) -> bool:
+    """End a run that its target does not list, once it can no longer run.
+
+    Returns whether the run had started, so that it is lost.
+    """
     outstanding = lead.orders.get((run.step, run.index))
     if outstanding is None:
         finish(lead, run, RunEnd.REFUSED, why='never started')
     elif outstanding.answered < sent:
         finish(lead, run, RunEnd.LOST, why='no longer listed')
+        return True
     elif outstanding.stop_confirmed_at < sent:
         finish(lead, run, RunEnd.REFUSED, why='stopped before it started')
     elif 0 < outstanding.deadline < clock:
         defer_work(lead, run.instance)
         finish(lead, run, RunEnd.REFUSED, why='start deadline passed')
+    return False
 
 
 def on_renewal_failure(lead: CellLeader, target: TargetState) -> None:
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -78,13 +78,16 @@
 class RenewalReply:
     """A target's reply to a lease renewal: its clock (ms), runs and ends.
 
-    ``born`` is the start time (ms) of the instance that replied.
+    ``born`` is the start time (ms) of the instance that replied.  ``ended``
+    may be the first page of a longer list: with ``more_ended``, ends that it
+    lacks may follow once those that it has are acknowledged.
     """
 
     born: int
     clock: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    more_ended: bool = False
 
 
 def instance_key(instance: TargetInstance) -> str:
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -63,6 +63,9 @@
     RunEnd.ALONE,
 })
 
+# Ended runs that a worker lists in one reply, the oldest first.
+_ENDS_PAGE = 500
+
 # msgspec raises RecursionError for input that is nested too deeply.
 _DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 _decode_wire_job = msgspec.json.Decoder(WireJob).decode
@@ -292,7 +295,8 @@
         wire = _decode_wire_renewal(raw)
         active = tuple(map(_to_active_run, wire.active))
         ended = tuple(map(_to_listed_end, wire.finished))
-    return RenewalReply(wire.born, wire.clock_ms, active, ended)
+    more_ended = len(ended) >= _ENDS_PAGE
+    return RenewalReply(wire.born, wire.clock_ms, active, ended, more_ended)
 
 
 def _to_active_run(row: WireActiveRun) -> ActiveRun:
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -6,8 +6,11 @@
 
 from collections import deque
 from dataclasses import dataclass
+from itertools import islice
 
 MS_PER_S = 1000
+# Ended runs that one reply lists, the oldest first.
+ENDS_PAGE = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +43,8 @@
     ``fence`` is the newest fencing token.  ``lease`` is the end of the lease
     in seconds from ``born``, ``lapsed_at`` the time of the last lapse (s).
     ``acknowledged_ends`` holds task and run number of the ends that the leader
-    acknowledged under the lease under which the run ended.
+    acknowledged under the lease under which the run ended.  A reply lists at
+    most ``ends_page`` ended runs.
     """
 
     def __init__(
@@ -49,12 +53,14 @@
         born: float,
         capacity: tuple[int, int],
         max_lease_s: float = 10.0,
+        ends_page: int = ENDS_PAGE,
     ) -> None:
         """Create a worker started at ``born`` (s), with nothing running."""
         self.name = name
         self.born = born
         self.capacity = capacity
         self.max_lease_s = max_lease_s
+        self.ends_page = ends_page
         self.fence = 0
         self.lease = 0.0
         self.running: dict[tuple, tuple[RunSpan, TaskLoad]] = {}
@@ -188,9 +194,10 @@
 ) -> tuple[list[tuple], list[tuple]] | None:
     """Renew the lease; return running and ended tasks.
 
-    Ends up to the position ``acknowledged`` are dropped.  ``deadline`` (ms) is
-    the new end of the lease on the worker's clock; None does not extend it.
-    Returns None if the fencing token is older than the newest one.
+    The ended ones are a page of ``ends_page`` at most.  Ends up to the position
+    ``acknowledged`` are dropped.  ``deadline`` (ms) is the new end of the lease
+    on the worker's clock; None does not extend it.  Returns None if the fencing
+    token is older than the newest one.
     """
     advance_clock(worker, now)
     if fence < worker.fence:
@@ -200,4 +207,4 @@
     while worker.ends and worker.ends[0][0] <= acknowledged:
         _record_acknowledged_end(worker, worker.ends.popleft())
     active = [(task, span.number) for task, (span, _) in worker.running.items()]
-    return active, list(worker.ends)
+    return active, list(islice(worker.ends, worker.ends_page))
--- a/tests/cell_fault_runs.py
+++ b/tests/cell_fault_runs.py
@@ -1,6 +1,7 @@
 """Run a simulated cell with random jobs and faults."""
 
 from random import Random
+from typing import Any
 
 from daisygw.contracts import (
     JobSpec,
@@ -45,10 +46,13 @@
 
 
 def run_with_faults(
-    seed: int, seconds: float, quiet_s: float, longest_lease: float = 4
+    seed: int, seconds: float, quiet_s: float, **more: Any
 ) -> World:
-    """Run a cell with random faults, then without faults (s each)."""
-    world = World(seed, longest_lease=longest_lease)
+    """Run a cell with random faults, then without faults (s each).
+
+    ``more`` are arguments of the world.
+    """
+    world = World(seed, **more)
     random = world.random
     run_for(world, 1)
     until = world.now + seconds
--- a/tests/cell_history.py
+++ b/tests/cell_history.py
@@ -45,6 +45,7 @@
         if done:
             ended[task] = done[0].ended
     _check_workers(world)
+    _check_done(world, found)
     _check_order(world, found, ended)
     _check_budget(world, found)
     _check_cancelled(world, found)
@@ -63,6 +64,29 @@
         )
 
 
+def _acknowledged_ends(world: World) -> set[tuple[tuple, int]]:
+    """Return task and run number of the ends that a leader acknowledged."""
+    every_worker = (*world.ended_workers, *world.workers.values())
+    return set().union(*(one.acknowledged_ends for one in every_worker))
+
+
+def _check_done(world: World, found: Any) -> None:
+    """Expect no start of a task after an end ``done`` was acknowledged.
+
+    That holds also for a start before the acknowledgement.
+    """
+    noted = _acknowledged_ends(world)
+    for task, rows in found.items():
+        for earlier, later in itertools.pairwise(rows):
+            completed = earlier.how == 'done'
+            assert not completed or (task, earlier.number) not in noted, (
+                'start after its task was done',
+                task,
+                earlier,
+                later,
+            )
+
+
 def _check_order(world: World, found: Any, ended: Any) -> None:
     for (key, index), rows in found.items():
         job = world.jobs[key.job]
@@ -90,12 +114,7 @@
     A failure counts if the leader acknowledged it under the lease under which
     it happened; it can not know of others.
     """
-    noted = set().union(
-        *(
-            worker.acknowledged_ends
-            for worker in (*world.ended_workers, *world.workers.values())
-        )
-    )
+    noted = _acknowledged_ends(world)
     for (key, index), rows in found.items():
         if world.jobs[key.job].steps[key.step].gang:
             continue
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 from collections import defaultdict
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 from typing import Any
@@ -92,11 +93,23 @@
 _PROBE_DELAY_S = 0.005
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLimits:
+    """Longest lease (s) of a target, and ended runs in one of its replies."""
+
+    longest_lease: float
+    ends_page: int
+
+
 class World:
     """Workers, a cell, its leader, and the events scheduled for them."""
 
     def __init__(
-        self, seed: int, targets: int = 6, longest_lease: float = 4
+        self,
+        seed: int,
+        targets: int = 6,
+        longest_lease: float = 4,
+        ends_page: int = workers.ENDS_PAGE,
     ) -> None:
         """Begin at 100 s, configured, with every worker already reported."""
         self.random = Random(seed)
@@ -122,7 +135,7 @@
         # How long a call to the advisor waits behind others (s).
         self.advice_delay = 0.0
         self.cell = Cell()
-        self.longest_lease = longest_lease
+        self.limits = TargetLimits(longest_lease, ends_page)
         self.lead = CellLeader(self.cell, 1, self.now, self.now, longest_lease)
         self.responses: dict[int, CellResponse] = {}
         self.jobs: dict[str, JobSpec] = {}
@@ -170,7 +183,10 @@
 def add_worker(world: World, name: str) -> None:
     """Start a worker instance and send its first report."""
     worker = workers.WorkerModel(
-        name, world.now, (WORKER_CPUS, WORKER_MEMORY_MIB)
+        name,
+        world.now,
+        (WORKER_CPUS, WORKER_MEMORY_MIB),
+        ends_page=world.limits.ends_page,
     )
     world.workers[name] = worker
     report(world, name)
@@ -241,7 +257,7 @@
     world.cell = rebuilt
     term = world.lead.term + 1
     world.lead = CellLeader(
-        rebuilt, term, world.now, world.now, world.longest_lease
+        rebuilt, term, world.now, world.now, world.limits.longest_lease
     )
     world.next_renewals.clear()
     start_leading(world.lead)
@@ -439,7 +455,9 @@
         for position, task, number, how in lists[1]
     )
     clock = workers.clock_ms(worker, world.now)
-    return RenewalReply(int(worker.born * MS_PER_S), clock, active, ended)
+    more_ended = len(ended) >= worker.ends_page
+    born = int(worker.born * MS_PER_S)
+    return RenewalReply(born, clock, active, ended, more_ended)
 
 
 def _checkpoint_of(world: World, task: tuple, number: int) -> str:
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -30,6 +30,29 @@
       | 13   |
       | 14   |
 
+  Scenario Outline: Random faults violate no invariant with ends in pages, seed <seed>
+    When a cell whose targets list 2 ends a reply runs with random faults from seed <seed>
+    Then no task ran twice, out of order, over its attempts or over capacity
+    And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
+
+    Examples:
+      | seed |
+      | 21   |
+      | 22   |
+      | 23   |
+      | 24   |
+
+  Scenario: Ends beyond the first page of a target's reply are not taken for lost runs
+    Given a cell of one target that accepts leases of 10 s
+    When it is cut off while 600 small tasks end there
+    Then no task started again after it was done, and the job has ended
+
+  Scenario: The next leader waits for the last page of a target's ended runs
+    Given a cell of one target that accepts leases of 10 s
+    When it is cut off while 600 small tasks end there, and the leader changes
+    Then no task started again after it was done, and the job has ended
+
   Scenario: A start without an answer is repeated and runs once
     Given a cell that loses most orders or their answers
     When a job of 3 tasks is submitted and time passes
--- a/tests/features/renewals.feature
+++ b/tests/features/renewals.feature
@@ -11,3 +11,12 @@
     When a renewal crashes
     And a job of 1 tasks is submitted
     Then the job ends within 4 s, and none of its runs was stopped
+
+  Scenario Outline: A reply with a full page of ended runs may have a next page, <rows> rows
+    When a worker's reply with <rows> ended runs is read
+    Then more ended runs may follow: <more>
+
+    Examples:
+      | rows | more |
+      | 499  | no   |
+      | 500  | yes  |
--- a/tests/steps/cell_state_steps.py
+++ b/tests/steps/cell_state_steps.py
@@ -16,7 +16,7 @@
 )
 from daisygw.machines import EndedRun, RenewalReply
 from standins import worker_model
-from tests import cell_world
+from tests import cell_history, cell_world
 from tests.cell_jobs import placed_runs, small_job, wait_for_call
 from tests.cell_records import check_same_state
 from tests.cell_world import run_for, submit
@@ -138,3 +138,49 @@
     for seq in earlier:
         on_advice(world.lead, AdviceResponse(seq, answered=True))
     run_for(world, 5)
+
+
+def _end_while_cut_off(world, tasks):
+    """Cut a target off while all its tasks end; its lease lasts longer."""
+    step = {'size': Size(10, 10, 0, 0), 'estimate': 1}
+    submit(world, small_job(1, tasks, **step))
+    run_for(world, 0.4)
+    assert len(placed_runs(world)) == tasks
+    world.cut.add('w1')
+    run_for(world, 3.5)
+    waiting = len(world.workers['w1'].ends)
+    assert waiting > worker_model.ENDS_PAGE, waiting
+
+
+@when('it is cut off while {tasks:d} small tasks end there')
+def end_many(context, tasks):
+    """Let the target list its ends after the cut."""
+    _end_while_cut_off(context.world, tasks)
+    context.world.cut.clear()
+    run_for(context.world, 12)
+
+
+@when(
+    'it is cut off while {tasks:d} small tasks end there, and the leader '
+    'changes'
+)
+def end_many_and_fail_over(context, tasks):
+    """Let the next leader read the target's lists."""
+    _end_while_cut_off(context.world, tasks)
+    cell_world.fail_over(context.world)
+    context.world.cut.clear()
+    run_for(context.world, 12)
+
+
+@then('no task started again after it was done, and the job has ended')
+def check_no_start_after_done(context):
+    """Expect each task to have been done once."""
+    world = context.world
+    cell_history.check_history(world)
+    again = [
+        rows
+        for rows in cell_history.spans(world).values()
+        if [span.how for span in rows].count('done') > 1
+    ]
+    assert not again, (len(again), again[:1])
+    assert not cell_history.unfinished_jobs(world)
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -37,6 +37,17 @@
     )
 
 
+@when(
+    'a cell whose targets list {page:d} ends a reply runs with random faults '
+    'from seed {seed:d}'
+)
+def run_with_pages(context, page, seed):
+    """Let replies have so few ended runs that most lists take several."""
+    context.world = cell_fault_runs.run_with_faults(
+        seed, _FAULTS_S, _QUIET_S, longest_lease=10, ends_page=page
+    )
+
+
 @then('no task ran twice, out of order, over its attempts or over capacity')
 def check_invariants(context):
     """Check the workers' histories against the invariants."""
--- a/tests/steps/renewal_steps.py
+++ b/tests/steps/renewal_steps.py
@@ -18,7 +18,9 @@
 from daisygw.contracts import JobSpec, LinkError, ResultCode, Size, Step
 from daisygw.nodes import _clock, executing_effects
 from daisygw.nodes._meters import Meters
+from daisygw.platform._codec import decode_renewal_reply
 from daisygw.zones import Members, Role
+from standins import odd_messages
 from standins import worker_model as workers
 from tests import cell_world
 from tests.cell_world import World
@@ -176,3 +178,20 @@
     (job,) = context.leader.world.cell.jobs.values()
     assert context.leader.stops == 0, context.leader.stops
     assert job.over, job.steps[0, 0].runs
+
+
+@when("a worker's reply with {rows:d} ended runs is read")
+def read_page(context, rows):
+    """Decode a reply of the platform's form."""
+    finished = [
+        [number, f'{odd_messages.JOB_ID}.0.0.{number}', 1, 'done', '']
+        for number in range(1, rows + 1)
+    ]
+    document = odd_messages.renewal_reply(finished=finished)
+    context.reply = decode_renewal_reply(odd_messages.encode(document))
+
+
+@then('more ended runs may follow: {more}')
+def check_more_ended(context, more):
+    """Only a page that is not full is known to be the last one."""
+    assert context.reply.more_ended is (more == 'yes'), context.reply
