Do not let a report end a sound target instance

Cause: a report with a later start time ended each instance with the same name or address, and its runs; nobody asked at the address who was there.

Evidence: in the leader's log 'run over ... replaced' and 'target gone' of the sound instance follow the report at once; 13 ms later the address itself denies the reported instance ('another instance answered').

Change: a reported instance is listed and asked for its lists at once; those with its name or address get neither leases nor starts until one of them has answered, and only its answer ends the earlier ones. Reports of a service that is not configured (212) or that contradict a known instance (213) are refused. The stand-in workers compare the expected instance also for stops and renewals, the simulated cell answers by address, the soak contradicts sound workers.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -33,6 +33,8 @@
     'configuration': tuple(odd_messages.ODD_CONFIGS.items()),
     'job': tuple(odd_messages.ODD_JOBS.items()),
 })
+_CONTRADICTION = 'contradiction'
+_CONTRADICTIONS = tuple(odd_messages.contradictions('', '', 0))
 
 
 class SoakRun:
@@ -231,10 +233,18 @@
     Its random numbers are its own, so that the faults of a seed stay the same.
     """
     random = soak.odd_random
-    kind = random.choice(('heartbeat', 'configuration', 'job'))
+    kind = random.choice((
+        'heartbeat',
+        'configuration',
+        'job',
+        _CONTRADICTION,
+    ))
     host = random.choice(ENTRIES if kind == 'job' else SCHEDULERS)
     if not cells.is_serving(soak.cell, host):
         return
+    if kind == _CONTRADICTION:
+        _contradict_worker(soak, f'{host}:{soak.cell.ports.control}')
+        return
     what, document = random.choice(_ODD_MESSAGES[kind])
     raw = odd_messages.encode(document)
     control = f'{host}:{soak.cell.ports.control}'
@@ -250,6 +260,21 @@
         soak.accepted_odd.append(f'accepted: odd {kind} ({what})')
 
 
+def _contradict_worker(soak: SoakRun, control: str) -> None:
+    """Send a valid heartbeat that contradicts that of a sound worker.
+
+    Only one of an unknown service has to be refused; the others must have no
+    effect on what runs.
+    """
+    random = soak.odd_random
+    number = random.randint(1, WORKERS)
+    what = random.choice(_CONTRADICTIONS)
+    status = cells.contradict_worker(soak.cell, control, number, what)
+    soak.faults[_CONTRADICTION] += 1
+    if what == odd_messages.UNKNOWN_SERVICE and status == cells.HTTP_OK:
+        soak.accepted_odd.append(f'accepted: {what}')
+
+
 def inject_fault(soak: SoakRun) -> None:
     """Inject one random fault; at most two hosts are down at a time."""
     if soak.odd_random.random() < _ODD_MESSAGE_SHARE:
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -31,7 +31,7 @@
     StepKey,
     critical_path,
 )
-from daisygw.machines import LeaseState
+from daisygw.machines import LeaseState, keys_in_dispute
 from daisygw.zones import OutgoingMessage
 
 # Lease of a target that runs long-running tasks, and the shortest lease that
@@ -409,6 +409,9 @@
         lead.lease_states[target.key] = LeaseState(
             lead.now, inherited_leases_end(lead)
         )
+    instances = [target.instance for target in lead.cell.targets.values()]
+    for key in keys_in_dispute(instances):
+        lead.lease_states[key].disputed_at = lead.now
     for job in lead.cell.jobs.values():
         if job.over:
             lead.ended.append((lead.now, job.spec.id))
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -15,6 +15,7 @@
     defer_work,
     end_instance,
     finish,
+    settle_dispute,
 )
 from daisygw.contracts import (
     EndsAcknowledged,
@@ -25,6 +26,7 @@
     EndedRun,
     RenewalReply,
     grant_lease,
+    is_disputed,
     is_responsive,
     record_clock,
 )
@@ -55,6 +57,10 @@
 def next_renewal(lead: CellLeader, target: TargetState) -> LeaseRenewal:
     """Return a target's next renewal; extend the lease only if it responds."""
     lease_state = lead.lease_states[target.key]
+    if is_disputed(lease_state):
+        # Acknowledges nothing: the ends of another instance may be numbered
+        # from 1 again.
+        return LeaseRenewal(0, None, 0)
     if not is_responsive(lease_state):
         return LeaseRenewal(lease_state.noted, None, 0)
     deadline = grant_lease(lease_state, lead.now, lease_for(lead, target))
@@ -62,7 +68,7 @@
 
 
 def start_deadline(lead: CellLeader, run: Run) -> int | None:
-    """Return the deadline of a start (ms), or none if it is obsolete.
+    """Return the deadline of a start (ms), or none if it must not be sent.
 
     It is on the target's clock.  A repeated start carries the deadline of the
     first copy, so that no copy outlives it.
@@ -71,6 +77,8 @@
     lease_state = lead.lease_states.get(run.instance)
     if outstanding is None or outstanding.run != run or lease_state is None:
         return None
+    if is_disputed(lease_state):
+        return None
     if not outstanding.deadline:
         lease = lease_for(lead, lead.cell.targets[run.instance])
         lease = min(lease, START_VALIDITY_S)
@@ -97,6 +105,7 @@
     if reply.born != target.instance.born:
         end_instance(lead, target, 'another instance answered')
         return
+    settle_dispute(lead, target, sent)
     regained = lease_state.failures or not lease_state.has_answered
     lease_state.failures = 0
     lease_state.has_answered = True
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -5,7 +5,9 @@
 """
 
 from daisygw.cell._leader import (
+    LOCAL_PROCESS,
     CellLeader,
+    Probe,
     clean_up_job,
     enqueue_job,
     request_gang_stop,
@@ -14,6 +16,7 @@
 from daisygw.cell._statistics import record_result
 from daisygw.contracts import (
     CellResponse,
+    ContractError,
     InstanceClosed,
     InstanceEnded,
     ResultCode,
@@ -23,8 +26,11 @@
 from daisygw.machines import (
     InstanceListed,
     LeaseState,
+    TargetInstance,
     TargetReport,
+    agrees,
     instance_key,
+    is_disputed,
 )
 
 # A target that took no start, as it has no room, is unhealthy or leaves orders
@@ -52,27 +58,106 @@
 
 
 def _register_instance(lead: CellLeader, report: TargetReport) -> None:
+    """List a reported instance that is not known, and close a draining one.
+
+    Raises ``ContractError`` for a report that names no target to use.
+    """
     instance = report.instance
-    key = instance_key(instance)
-    same_target = [
-        target
-        for target in lead.cell.targets.values()
-        if target.instance.name == instance.name
-        or target.instance.address == instance.address
+    target = lead.cell.targets.get(instance_key(instance))
+    if target and not agrees(target.instance, instance):
+        _withdraw_unproven(lead, target, instance)
+        target = None
+    if target is None:
+        if _is_superseded(lead, instance):
+            return
+        target = _list_instance(lead, instance)
+    if report.draining and target.open:
+        lead.record(InstanceClosed(target.key))
+        lead.log_event(
+            'target drains', target=target.key, runs=len(target.runs)
+        )
+
+
+def _withdraw_unproven(
+    lead: CellLeader, target: TargetState, instance: TargetInstance
+) -> None:
+    """Remove an instance that is reported as ``instance`` now.
+
+    Raises ``ContractError`` where the first report has proved right, or where
+    runs depend on it.
+    """
+    if target.runs or lead.lease_states[target.key].has_answered:
+        reason = f'{target.key}: known with another service or address'
+        raise ContractError(ResultCode.OTHER_REPORT, reason)
+    _check_service(lead, instance)
+    end_instance(lead, target, 'reported differently')
+
+
+def _check_service(lead: CellLeader, instance: TargetInstance) -> None:
+    cfg = lead.cell.cfg
+    if cfg and instance.service not in cfg.services:
+        reason = f'{instance.name}: no service {instance.service!r}'
+        raise ContractError(ResultCode.UNKNOWN_SERVICE, reason)
+
+
+def _same_target(
+    lead: CellLeader, instance: TargetInstance
+) -> list[TargetState]:
+    """Return the other instances with the same name or address."""
+    return [
+        other
+        for other in lead.cell.targets.values()
+        if instance_key(instance) != other.key
+        and (
+            other.instance.name == instance.name
+            or other.instance.address == instance.address
+        )
     ]
-    if any(other.instance.born > instance.born for other in same_target):
-        return
-    for older in same_target:
-        if older.key != key:
-            end_instance(lead, older, 'replaced')
-    if key not in lead.cell.targets:
-        lead.record(InstanceListed(instance))
-        lead.lease_states[key] = LeaseState(lead.now, lead.now)
-        lead.log_event('target up', target=key, domain=instance.domain)
+
+
+def _is_superseded(lead: CellLeader, instance: TargetInstance) -> bool:
+    """Tell whether a later instance of the same target has answered."""
+    return any(
+        other.instance.born > instance.born
+        and lead.lease_states[other.key].has_answered
+        for other in _same_target(lead, instance)
+    )
+
+
+def _list_instance(lead: CellLeader, instance: TargetInstance) -> TargetState:
+    """List an instance, and ask at its address whether it is there.
+
+    A report alone ends no other instance: its writer may be wrong.  All with
+    the same name or address get no starts until one of them has answered.
+    """
+    _check_service(lead, instance)
+    key = instance_key(instance)
+    others = _same_target(lead, instance)
+    lead.record(InstanceListed(instance))
+    lead.lease_states[key] = LeaseState(lead.now, lead.now)
+    lead.log_event(
+        'target up', target=key, domain=instance.domain, disputes=len(others)
+    )
     target = lead.cell.targets[key]
-    if report.draining and target.open:
-        lead.record(InstanceClosed(key))
-        lead.log_event('target drains', target=key, runs=len(target.runs))
+    for one in (*others, target):
+        if others:
+            lead.lease_states[one.key].disputed_at = lead.now
+        lead.send_message(LOCAL_PROCESS, Probe(one.key))
+    return target
+
+
+def settle_dispute(lead: CellLeader, target: TargetState, sent: float) -> None:
+    """Use a disputed instance that answered a renewal sent at ``sent`` (s).
+
+    Earlier instances with its name or address are gone.
+    """
+    lease_state = lead.lease_states[target.key]
+    if not is_disputed(lease_state) or sent <= lease_state.disputed_at:
+        return
+    lease_state.disputed_at = float('-inf')
+    for other in _same_target(lead, target.instance):
+        if other.instance.born < target.instance.born:
+            end_instance(lead, other, 'replaced')
 
 
 def end_instance(lead: CellLeader, target: TargetState, why: str) -> None:
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -4,6 +4,8 @@
 it runs has ended once that clock has passed the end of its latest lease.
 """
 
+from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from daisygw.contracts import Size, StepKey
@@ -95,6 +97,22 @@
     return f'{instance.name}@{instance.born}'
 
 
+def agrees(one: TargetInstance, other: TargetInstance) -> bool:
+    """Tell whether two reports of an instance agree on what cannot change."""
+    return (one.service, one.address) == (other.service, other.address)
+
+
+def keys_in_dispute(instances: Sequence[TargetInstance]) -> list[str]:
+    """Return the keys of the instances that share a name or address."""
+    names = Counter(instance.name for instance in instances)
+    addresses = Counter(instance.address for instance in instances)
+    return [
+        instance_key(instance)
+        for instance in instances
+        if names[instance.name] > 1 or addresses[instance.address] > 1
+    ]
+
+
 class LeaseState:
     """What a leader knows about a target instance and its lease.
 
@@ -104,6 +122,8 @@
     in a row that were not answered.  Leases that an earlier leader granted
     have ended at ``inherited_until``, all leases at ``expires_at``.  A target
     is quarantined after failed jobs, and unavailable after a refused start.
+    Since ``disputed_at`` another instance has been known with its name or
+    address; a reply to a later renewal tells which of them is there.
     """
 
     def __init__(self, now: float, expires_at: float) -> None:
@@ -121,12 +141,19 @@
         self.suspected_at = float('-inf')
         self.quarantined_until = float('-inf')
         self.unavailable_until = float('-inf')
+        self.disputed_at = float('-inf')
 
 
 def is_responsive(lease_state: LeaseState) -> bool:
     """Tell whether a target has answered the latest renewals and orders."""
     reachable = lease_state.has_answered and lease_state.failures == 0
-    return reachable and lease_state.last_answer_at > lease_state.suspected_at
+    suspected = lease_state.last_answer_at <= lease_state.suspected_at
+    return reachable and not suspected and not is_disputed(lease_state)
+
+
+def is_disputed(lease_state: LeaseState) -> bool:
+    """Tell whether another instance may have replaced this one."""
+    return lease_state.disputed_at > float('-inf')
 
 
 def record_clock(lease_state: LeaseState, received: float, clock: int) -> None:
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -20,7 +20,7 @@
     is_bad_input,
 )
 from daisygw.links import log, log_error
-from daisygw.machines import TargetReport, instance_key
+from daisygw.machines import TargetReport, agrees, instance_key
 from daisygw.nodes import (
     EntryNode,
     Meters,
@@ -268,7 +268,9 @@
         raw = await _read_body(req, _MAX_CONTROL_BYTES)
         report = _codec.decode_report(raw, name)
         if _changes_state(self.node, report):
-            await _forward_report(self.node, resp, report)
+            answer = await _forward_report(self.node, resp, report)
+            if is_bad_input(answer.code):
+                _log_refused_report(self.node.meters, req, name, answer)
         else:
             resp.media = {}
 
@@ -288,14 +290,16 @@
     if node.state.lead is not None:
         return True
     target = node.state.cell.targets.get(instance_key(report.instance))
-    return target is None or target.open == report.draining
+    if target is None or not agrees(target.instance, report.instance):
+        return True
+    return target.open == report.draining
 
 
 async def _forward_report(
     node: SchedulerNode,
     resp: falcon.asgi.Response,
     report: TargetReport,
-) -> None:
+) -> CellResponse:
     answer = await call_leader(
         node.peers,
         lambda seq: TargetReport(
@@ -312,6 +316,23 @@
         resp.media = {}
     else:
         _write_result(resp, answer.code, answer.reason)
+    return answer
+
+
+def _log_refused_report(
+    meters: Meters,
+    req: falcon.asgi.Request,
+    name: str,
+    answer: CellResponse,
+) -> None:
+    fields = {
+        'target': name,
+        'client': req.remote_addr,
+        'code': answer.code,
+        'reason': answer.reason,
+    }
+    log('report refused', **fields)
+    count(meters, 'report refused', fields)
 
 
 class _Configurations:
--- a/standins/odd_messages.py
+++ b/standins/odd_messages.py
@@ -6,6 +6,8 @@
 JOB_ID = f'{7:016x}'
 # An integer that neither the log nor a link can hold.
 WIDE_INTEGER = 2**70
+# A valid heartbeat that a cell refuses because of its configuration.
+UNKNOWN_SERVICE = 'an unknown service at its address'
 # Levels of nesting far beyond what a decoder follows.
 _DEPTH = 100_000
 
@@ -42,6 +44,23 @@
     return {**fields, **more}
 
 
+def contradictions(
+    name: str, address: str, born: int
+) -> dict[str, tuple[str, dict[str, Any]]]:
+    """Return heartbeats that contradict a sound worker's, with their names.
+
+    ``born`` is a time after its start (ms since 1970).  Each is valid in
+    itself; the first one names a service that is not configured.
+    """
+    known = {'address': address, 'born': born}
+    return {
+        UNKNOWN_SERVICE: ('i-odd', heartbeat(**known, service='odd')),
+        'another name at its address': ('i-odd', heartbeat(**known)),
+        'a later start at its address': (name, heartbeat(**known)),
+        'a later start at another address': (name, heartbeat(born=born)),
+    }
+
+
 def config(version: int = 5, **route: Any) -> dict[str, Any]:
     """Return a configuration; ``route`` replaces fields of its only route."""
     fields = {
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -19,6 +19,7 @@
 from random import Random
 from typing import Any
 
+from standins import odd_messages
 from standins.cell import STARTUP_TIMEOUT_S, free_ports, is_listening
 from standins.platform_workers import (
     ADVISOR_HOST,
@@ -45,6 +46,8 @@
 # The setting ``bounds.graceS``.
 GRACE_S = 4
 HTTP_OK = 200
+# Workers of a cell unless the caller says otherwise.
+DEFAULT_WORKERS = 2
 _PORT_COUNT = 8
 
 
@@ -417,6 +420,21 @@
     return [HOST.format(number) for number in range(1, workers + 1)]
 
 
+def contradict_worker(
+    cell: PlatformCell, control: str, number: int, what: str
+) -> int:
+    """Send a heartbeat that contradicts a sound worker's; return the status.
+
+    ``number`` is that of the worker, ``what`` a key of ``contradictions``.
+    """
+    address = f'{HOST.format(number)}:{cell.ports.relays}'
+    born = int(time.time() * MS_PER_S)
+    wrong = odd_messages.contradictions(worker_name(number), address, born)
+    name, document = wrong[what]
+    raw = odd_messages.encode(document)
+    return call(control, 'PUT', f'/instances/{name}', raw)[0]
+
+
 def wait_until_started(cell: PlatformCell) -> None:
     """Wait until all processes have opened a port.
 
@@ -438,7 +456,7 @@
 
 @contextmanager
 def running_cell(
-    folder: Path, workers: int = 2, *, relayed: bool = False
+    folder: Path, workers: int = DEFAULT_WORKERS, *, relayed: bool = False
 ) -> Generator[PlatformCell, None, None]:
     """Run a cell with workers; kill all its processes at the end.
 
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -94,8 +94,12 @@
     return approved and _now() < float(expires_at)
 
 
+def _is_for_another(worker: Worker, req: web.Request) -> bool:
+    return req.headers.get('X-Expected-Instance') != worker.model.name
+
+
 async def _start(worker: Worker, req: web.Request) -> web.Response:
-    if req.headers.get('X-Expected-Instance') != worker.model.name:
+    if _is_for_another(worker, req):
         return web.json_response(_body(worker), status=421)
     order = await req.json()
     if not _is_valid_ticket(worker, order['task'], order.get('ticket', '')):
@@ -114,6 +118,8 @@
 
 
 async def _stop(worker: Worker, req: web.Request) -> web.Response:
+    if _is_for_another(worker, req):
+        return web.json_response(_body(worker), status=421)
     order = await req.json()
     status = model.stop(
         worker.model,
@@ -126,6 +132,8 @@
 
 
 async def _hold(worker: Worker, req: web.Request) -> web.Response:
+    if _is_for_another(worker, req):
+        return web.json_response(_body(worker), status=421)
     order = await req.json()
     until = _now() + order.get('waitMs', 0) / MS_PER_S
     while True:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -51,6 +51,7 @@
     CellConfig,
     CellResponse,
     ConfigRequest,
+    ContractError,
     JobRequest,
     JobSpec,
     JobVerb,
@@ -192,7 +193,8 @@
     report(world, name)
 
 
-def _instance_of(world: World, worker: workers.WorkerModel) -> TargetInstance:
+def instance_of(world: World, worker: workers.WorkerModel) -> TargetInstance:
+    """Return what a worker reports about itself."""
     return TargetInstance(
         worker.name,
         int(worker.born * MS_PER_S),
@@ -212,12 +214,20 @@
     heartbeat = TargetReport(
         0,
         name,
-        _instance_of(world, world.workers[name]),
+        instance_of(world, world.workers[name]),
         1,
         name in world.draining,
     )
+    handle_report(world, heartbeat)
+
+
+def handle_report(world: World, heartbeat: TargetReport) -> None:
+    """Let the leader handle a report; a refusal is its answer."""
     world.lead.now = world.now
-    on_target_report(world.lead, heartbeat, 'w')
+    try:
+        on_target_report(world.lead, heartbeat, 'w')
+    except ContractError as exc:
+        world.responses[heartbeat.seq] = CellResponse(heartbeat.seq, exc.code)
 
 
 def call_later(world: World, delay: float, callback: Any) -> None:
@@ -306,13 +316,10 @@
     worker_order = (task, order.run.number, deadline, lead.term)
 
     def deliver(answer_arrives: bool) -> None:
-        worker = world.workers.get(target.instance.name)
-        if worker is None or target.instance.name in world.cut:
+        worker = _reachable_worker(world, target)
+        if worker is None:
             return
-        if (
-            worker.born != target.instance.born / MS_PER_S
-            and not _is_same_instance(worker, target)
-        ):
+        if not _is_same_instance(worker, target):
             status, reason = 421, ''
         else:
             status, reason = _worker_start(world, worker, order, worker_order)
@@ -358,8 +365,15 @@
     return workers.start(worker, world.now, worker_order, load)
 
 
+def _reachable_worker(world: World, target: Any) -> Any:
+    """Return the worker at a target's address, or none without an answer."""
+    name = target.instance.address.partition(':')[0]
+    return None if name in world.cut else world.workers.get(name)
+
+
 def _is_same_instance(worker: workers.WorkerModel, target: Any) -> bool:
-    return int(worker.born * MS_PER_S) == target.instance.born
+    born = int(worker.born * MS_PER_S)
+    return (worker.name, born) == (target.instance.name, target.instance.born)
 
 
 def _transmit(world: World, deliver: Any) -> None:
@@ -384,10 +398,8 @@
     task = (order.run.step, order.run.index)
 
     def deliver(answer_arrives: bool) -> None:
-        worker = world.workers.get(target.instance.name)
-        if worker is None or target.instance.name in world.cut:
-            return
-        if not _is_same_instance(worker, target):
+        worker = _reachable_worker(world, target)
+        if worker is None or not _is_same_instance(worker, target):
             return
         status = workers.stop(
             worker, world.now, task, order.run.number, lead.term
@@ -411,8 +423,8 @@
     answered: list[bool] = []
 
     def deliver() -> None:
-        worker = world.workers.get(target.instance.name)
-        if worker is None or target.instance.name in world.cut:
+        worker = _reachable_worker(world, target)
+        if worker is None:
             return
         if not _is_same_instance(worker, target):
             reply = RenewalReply(-1, 0, (), ())
@@ -533,7 +545,7 @@
 
 def _send_reports_and_renewals(world: World) -> None:
     for name in list(world.workers):
-        key = instance_key(_instance_of(world, world.workers[name]))
+        key = instance_key(instance_of(world, world.workers[name]))
         if key not in world.cell.targets:
             report(world, name)
     for key, target in list(world.cell.targets.items()):
@@ -545,6 +557,5 @@
 
 
 def _lists_new_end(world: World, target: Any) -> bool:
-    worker = world.workers.get(target.instance.name)
-    reachable = worker and target.instance.name not in world.cut
-    return bool(reachable and worker.position > target.position)
+    worker = _reachable_worker(world, target)
+    return bool(worker and worker.position > target.position)
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -89,6 +89,49 @@
     When it restarts after a crash, and a report of the old instance arrives late
     Then only the new instance is known
 
+  Scenario Outline: A wrong report ends no run of the target that it contradicts, <what>
+    Given a cell of one target that accepts leases of 10 s
+    When a report <what> arrives while its task runs
+    Then the answer to the report has code <code>
+    And the task keeps running and ends once
+    And the target starts another task within 1 s
+
+    Examples:
+      | what                                                | code |
+      | of an unknown service at its address                | 212  |
+      | of another name at its address                      | 101  |
+      | of a later start at its address                     | 101  |
+      | of a later start at an address that does not answer | 101  |
+      | of the same start at another address                | 213  |
+      | of the same start with an unknown service           | 213  |
+
+  Scenario Outline: A wrong report does not keep the next leader from what runs, <what>
+    Given a cell of one target that accepts leases of 10 s
+    When a report <what> arrives while its task runs, and the leader changes
+    Then the task keeps running and ends once
+
+    Examples:
+      | what                                                |
+      | of another name at its address                      |
+      | of a later start at its address                     |
+      | of a later start at an address that does not answer |
+
+  Scenario: A target drains although a wrong report has its name
+    Given a cell of one target
+    When a report of a later start at an address that does not answer arrives while its task runs
+    And the target drains
+    Then it is closed to new work
+
+  Scenario: A target is used although the first report about it was wrong
+    Given a cell of one target
+    When a report with a wrong address arrives before the first one of another target
+    Then the other target is listed at its own address within 1 s
+
+  Scenario: Nothing is started on an instance while another one disputes it
+    Given a cell of one target
+    When it is cut off, and a report of a later start at its address arrives
+    Then no start is sent to either before one of them has answered
+
   Scenario: The members of a gang start in one turn or not at all
     Given a cell of one target
     When a gang that does not fit beside other work is submitted
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -43,6 +43,12 @@
     And no process has ended, lost its leader or logged an error
     And a job of 2 tasks is still completed
 
+  Scenario: Heartbeats that contradict sound workers end none of their runs
+    When a job of 6 tasks runs, and each worker's heartbeats are contradicted
+    Then those of an unknown service were answered 400, the others 200
+    And no process has ended, lost its leader or logged an error
+    And the job is completed, and each of its tasks ran once
+
   Scenario: A job of as many tasks as are allowed costs the cell no leader
     When a job of 10000 small tasks is submitted and cancelled
     Then no process has ended, lost its leader or logged an error
--- a/tests/steps/odd_platform_steps.py
+++ b/tests/steps/odd_platform_steps.py
@@ -14,6 +14,8 @@
 _STATE_TIMEOUT_S = 30
 # Time for the faults of a message to show.
 _AFTER_S = 2.0
+# Run time of tasks that are to run meanwhile (s).
+_LONG_WORK_S = 6.0
 # Events that tell of a fault of the program, or of a change of the leader.
 _FAULTS = FAULT_EVENTS | {'not leading'}
 
@@ -160,3 +162,65 @@
     status, body = call_entry(cell, ENTRIES[1], 'DELETE', name)
     assert status == 200, (status, body)
     time.sleep(_AFTER_S)
+
+
+def _running_tasks(cell, name):
+    return {
+        row[1]
+        for row in cells.run_history(cell)
+        if row[1].startswith(name) and row[3] == 'running'
+    }
+
+
+@when(
+    "a job of {count:d} tasks runs, and each worker's heartbeats are "
+    'contradicted'
+)
+def contradict_workers(context, count):
+    """Send each contradiction of each worker to every scheduler."""
+    cell = context.cell
+    _note_state(context)
+    context.name = _new_job_id()
+    _submit(cell, context.name, cells.job(count, work_s=_LONG_WORK_S))
+    cells.wait_until(
+        lambda: len(_running_tasks(cell, context.name)) == count,
+        'all tasks to start',
+        _STATE_TIMEOUT_S,
+    )
+    controls = [f'{host}:{cell.ports.control}' for host in SCHEDULERS]
+    workers = range(1, cells.DEFAULT_WORKERS + 1)
+    kinds = odd_messages.contradictions('', '', 0)
+    context.answers = [
+        (what, cells.contradict_worker(cell, control, number, what))
+        for what, control, number in itertools.product(kinds, controls, workers)
+    ]
+
+
+@then(
+    'those of an unknown service were answered {refused:d}, the others '
+    '{accepted:d}'
+)
+def check_contradictions(context, refused, accepted):
+    """Compare the statuses."""
+    found = {
+        (what == odd_messages.UNKNOWN_SERVICE, status)
+        for what, status in context.answers
+    }
+    assert found == {(True, refused), (False, accepted)}, context.answers
+
+
+@then('the job is completed, and each of its tasks ran once')
+def check_ran_once(context):
+    """Read the workers' history once the job is over."""
+    cell = context.cell
+    cells.wait_until(
+        lambda: _shown_state(cell, context.name) == 'completed',
+        f'{context.name} to be completed',
+        _STATE_TIMEOUT_S,
+    )
+    runs = [
+        (row[1], row[2], row[3])
+        for row in cells.run_history(cell)
+        if row[1].startswith(context.name)
+    ]
+    assert len(runs) == len({task for task, _, _ in runs}), runs
