Count the longest lease for an instance that has just been reached

Callers saw tasks run on two targets at once after a target had restarted under its name and was cut off. Cause: a renewal meant for the instance before, with a deadline on that one's clock, extends the lease of the next one to the longest that targets accept (10 s). The leader counted only its own grants (8.5 s, 4 s with lasting tasks), and a new leader 9.2 s from its election.

At the first answer of an instance to a leader, its lease is now taken to last for the longest lease from the clock of that answer; a new leader waits for the longest lease of targets that it does not reach.

The simulated workers accept no longer leases than the leader is told; they accepted 10 s where it was told 4 s, which no platform does.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -31,7 +31,7 @@
     StepKey,
     critical_path,
 )
-from daisygw.machines import LeaseState, keys_in_dispute
+from daisygw.machines import LeaseState, keys_in_dispute, lease_bound
 from daisygw.zones import OutgoingMessage
 
 # Lease of a target that runs long-running tasks, and the shortest lease that
@@ -43,9 +43,6 @@
 LONG_LEASE_S = 8.5
 # Share of the platform's longest lease that is requested, as clocks differ.
 _MAX_LEASE_SHARE = 0.85
-# Leases of an earlier leader have expired this long after its longest lease:
-# covers the drift of a target's clock (2 %) and the error of a clock reading.
-_INHERITED_LEASE_MARGIN_S = 0.7
 # An unsent start is emitted again after this time: it was lost before it was
 # sent, for example by a pause of the process.  A commit takes far less.
 START_SEND_TIMEOUT_S = 1.0
@@ -207,6 +204,7 @@
         """
         self.long_lease = min(LONG_LEASE_S, _MAX_LEASE_SHARE * longest_lease)
         self.long_lease = max(self.long_lease, SHORT_LEASE_S)
+        self.longest_lease = longest_lease
         self.cell = cell
         self.term = term
         self.now = now
@@ -275,8 +273,12 @@
 
 
 def inherited_leases_end(lead: CellLeader) -> float:
-    """Return when all leases of earlier leaders have expired (s)."""
-    return lead.now + lead.long_lease + _INHERITED_LEASE_MARGIN_S
+    """Return when all leases of earlier leaders have expired (s).
+
+    A restarted target may hold a longer one than they have granted: by a
+    deadline that was set on the clock of the instance before.
+    """
+    return lead.now + lease_bound(lead.longest_lease)
 
 
 def lease_for(lead: CellLeader, target: TargetState) -> float:
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -25,6 +25,7 @@
     ActiveRun,
     EndedRun,
     RenewalReply,
+    assume_longest_lease,
     grant_lease,
     is_disputed,
     is_responsive,
@@ -107,6 +108,8 @@
         return
     settle_dispute(lead, target, sent)
     regained = lease_state.failures or not lease_state.has_answered
+    if not lease_state.has_answered:
+        assume_longest_lease(lease_state, reply.clock, lead.longest_lease)
     lease_state.failures = 0
     lease_state.has_answered = True
     record_clock(lease_state, lead.now, reply.clock)
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -186,6 +186,23 @@
     )
 
 
+def assume_longest_lease(
+    lease_state: LeaseState, clock: int, longest_lease: float
+) -> None:
+    """Assume that a target holds the longest lease (s) at ``clock`` (ms).
+
+    Until a leader's call has reached an instance, it may have carried out a
+    renewal that was meant for the instance before, on whose clock the deadline
+    was set.
+    """
+    lease_state.granted_until = clock + int(longest_lease * MS_PER_S)
+
+
+def lease_bound(longest_lease: float) -> float:
+    """Return how long (s) a lease may last that is granted now."""
+    return longest_lease * (1 + 2 * MAX_CLOCK_DRIFT) + CLOCK_MARGIN_S
+
+
 def _update_expiry(lease_state: LeaseState) -> None:
     """Compute when the target's clock has certainly passed all its leases."""
     expiry = granted_expiry(lease_state)
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -207,6 +207,7 @@
         name,
         world.now,
         (WORKER_CPUS, WORKER_MEMORY_MIB),
+        max_lease_s=world.limits.longest_lease,
         ends_page=world.limits.ends_page,
     )
     world.workers[name] = worker
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -12,6 +12,8 @@
       | after the first answer                |
       | before the first answer, with a lasting task |
       | after the first answer, with a lasting task  |
+      | long after the first answer                  |
+      | long after the first answer, with a lasting task |
 
   Scenario Outline: A late renewal makes no task run twice over a change of the leader, <moment>
     Given a cell of 1 targets without an advisor, and leases of 10 s
@@ -21,8 +23,9 @@
 
     Examples:
       | moment                  |
-      | before the first answer |
-      | after the first answer  |
+      | before the first answer     |
+      | after the first answer      |
+      | long after the first answer |
 
   Scenario Outline: A start for the instance before runs nowhere else, <case>
     Given a cell of 1 targets without an advisor, and leases of 10 s
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -37,7 +37,7 @@
     """Deliver the held calls before or after the restarted target answers."""
     if moment.startswith('before'):
         deliver_held_calls(world)
-    run_for(world, 0.3)
+    run_for(world, 6 if moment.startswith('long after') else 0.3)
 
 
 def _cut_off_at_work(world, moment):
