Bind calls to the target instance that they were sent for

Callers saw tasks run twice, or again after they had ended, when a target had restarted under its name. Cause: a call names its target by the name alone, so the next instance carried out calls that came after the leader had reached it: a renewal stretched its lease past the leader's account, or dropped ends that the leader had not read; a start ran beside the next run of its task, or over the target's capacity. The token was the leader's term, the same for both instances.

The token holds the term and, within it, a generation: each instance that becomes known, and those that it may replace, get a higher one than all calls before. Once a call of it has arrived, the target refuses all earlier ones, those that the leader has on their way too. A start that is refused for its token is sent again with the new one. A target that does not respond is acknowledged no ends.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -1,6 +1,7 @@
 """A cell: its replicated state, and the scheduling decisions of its leader."""
 
 from daisygw.cell._advice import LONG_CALL_S, on_advice
+from daisygw.cell._fences import order_fence
 from daisygw.cell._jobs import on_config_request, on_job_request, purge_old_jobs
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
@@ -66,6 +67,7 @@
     'longest_wait',
     'next_renewal',
     'on_advice',
+    'order_fence',
     'on_config_request',
     'on_job_request',
     'on_renewal_failure',
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -227,6 +227,7 @@
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
         self.seq_numbers = itertools.count(term << _SEQ_BITS)
+        self.generations = itertools.count(1)
         self.repeating: set[str] = set()
         self.changed = True
         self.next_return_at = float('-inf')
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -56,14 +56,14 @@
 
 
 def next_renewal(lead: CellLeader, target: TargetState) -> LeaseRenewal:
-    """Return a target's next renewal; extend the lease only if it responds."""
+    """Return a target's next renewal.
+
+    It extends the lease and acknowledges ends only if the target responds:
+    another instance, which numbers its ends from 1 again, may have followed.
+    """
     lease_state = lead.lease_states[target.key]
-    if is_disputed(lease_state):
-        # Acknowledges nothing: the ends of another instance may be numbered
-        # from 1 again.
-        return LeaseRenewal(0, None, 0)
     if not is_responsive(lease_state):
-        return LeaseRenewal(lease_state.noted, None, 0)
+        return LeaseRenewal(0, None, 0)
     deadline = grant_lease(lease_state, lead.now, lease_for(lead, target))
     return LeaseRenewal(lease_state.noted, deadline, RENEWAL_WAIT_S)
 
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -35,8 +35,8 @@
     After ``UNSURE`` the order may have been carried out.  ``REFUSED`` means
     that the order is not valid (any more), ``UNAVAILABLE`` that the target
     takes no order of this kind now.  ``FENCED`` means that the target knows a
-    newer leader, ``OTHER_INSTANCE`` that its process has been replaced by
-    another one.
+    newer fencing token, ``OTHER_INSTANCE`` that its process has been replaced
+    by another one.
     """
 
     TAKEN = 'taken'
@@ -69,7 +69,7 @@
         lease_state.last_answer_at = lead.now
     if result.outcome is OrderOutcome.TAKEN:
         outstanding.answered = min(outstanding.answered, lead.now)
-    if result.outcome in {OrderOutcome.TAKEN, OrderOutcome.FENCED}:
+    if result.outcome is OrderOutcome.TAKEN:
         return
     lead.log_event(
         'start not taken',
@@ -89,8 +89,8 @@
     target = lead.cell.targets.get(run.instance)
     if result.outcome is OrderOutcome.OTHER_INSTANCE and target:
         end_instance(lead, target, 'another instance answered')
-    elif result.outcome is OrderOutcome.NO_ANSWER:
-        outstanding.unanswered += 1
+    elif result.outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.FENCED}:
+        outstanding.unanswered += result.outcome is OrderOutcome.NO_ANSWER
         _retry_start(lead, result, outstanding)
     elif result.outcome is OrderOutcome.REFUSED:
         _expire_ticket(lead, run)
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -4,6 +4,9 @@
 that it never starts, or when its target's lease has certainly expired.
 """
 
+from collections.abc import Iterable
+
+from daisygw.cell._fences import next_generation
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     CellLeader,
@@ -134,18 +137,34 @@
     key = instance_key(instance)
     others = _same_target(lead, instance)
     lead.record(InstanceListed(instance))
-    lead.lease_states[key] = LeaseState(lead.now, lead.now)
+    generation = next_generation(lead)
+    lead.lease_states[key] = LeaseState(lead.now, lead.now, generation)
     lead.log_event(
         'target up', target=key, domain=instance.domain, disputes=len(others)
     )
     target = lead.cell.targets[key]
-    for one in (*others, target):
-        if others:
-            lead.lease_states[one.key].disputed_at = lead.now
-        lead.send_message(LOCAL_PROCESS, Probe(one.key))
+    if others:
+        _dispute(lead, (*others, target), generation)
+    else:
+        lead.send_message(LOCAL_PROCESS, Probe(key))
     return target
 
 
+def _dispute(
+    lead: CellLeader, instances: Iterable[TargetState], generation: int
+) -> None:
+    """Ask instances whether they are there, with calls of a new generation.
+
+    Calls of a disputed instance do no harm to another one: they neither grant
+    a lease, nor start or acknowledge anything.
+    """
+    for one in instances:
+        lease_state = lead.lease_states[one.key]
+        lease_state.disputed_at = lead.now
+        lease_state.generation = generation
+        lead.send_message(LOCAL_PROCESS, Probe(one.key))
+
+
 def settle_dispute(lead: CellLeader, target: TargetState, sent: float) -> None:
     """Use a disputed instance that answered a renewal sent at ``sent`` (s).
 
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -124,10 +124,15 @@
     is quarantined after failed jobs, and unavailable after a refused start.
     Since ``disputed_at`` another instance has been known with its name or
     address; a reply to a later renewal tells which of them is there.
+    ``generation`` is part of the fencing token of its calls: it is higher than
+    in all calls that were sent before the instance became known.
     """
 
-    def __init__(self, now: float, expires_at: float) -> None:
+    def __init__(
+        self, now: float, expires_at: float, generation: int = 0
+    ) -> None:
         """Begin without answers; earlier leases end at ``expires_at`` (s)."""
+        self.generation = generation
         self.known_since = now
         self.inherited_until = expires_at
         self.clock_read_at = 0.0
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -21,6 +21,7 @@
     next_renewal,
     on_renewal_failure,
     on_renewal_reply,
+    order_fence,
 )
 from daisygw.contracts import AdviceRequest, AdviceResponse, LinkError
 from daisygw.links import log, log_error
@@ -40,7 +41,7 @@
 )
 from daisygw.nodes._meters import count
 from daisygw.nodes._orders import queue_start, queue_stop
-from daisygw.nodes._scheduler import SchedulerNode, fence_of
+from daisygw.nodes._scheduler import SchedulerNode
 
 # Delay after the first failed lease renewal; each further failure doubles it,
 # up to _MAX_RETRY_DELAY_S.
@@ -64,7 +65,7 @@
     sent = _clock.now()
     try:
         reply = await executor.node.calls.renew(
-            target.instance, fence_of(executor.node), renewal
+            target.instance, order_fence(lead, target.key), renewal
         )
     except LinkError as exc:
         if still_leads(executor, lead) and _is_known(lead, target):
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -10,6 +10,7 @@
     StopOrder,
     on_started,
     on_stopped,
+    order_fence,
     start_deadline,
 )
 from daisygw.contracts import LinkError
@@ -22,7 +23,6 @@
     start_background_task,
     still_leads,
 )
-from daisygw.nodes._scheduler import fence_of
 
 # Orders of a kind that are sent at the same time: one turn of the loop that
 # begins so many calls takes less than a heartbeat.
@@ -80,7 +80,7 @@
     sent = _clock.now()
     try:
         outcome, reason = await executor.node.calls.start(
-            target.instance, order, deadline, fence_of(executor.node)
+            target.instance, order, deadline, order_fence(lead, target.key)
         )
     except LinkError as exc:
         outcome, reason = OrderOutcome.NO_ANSWER, exc.reason
@@ -93,7 +93,7 @@
     target = lead.cell.targets.get(order.run.instance) if lead else None
     if target is None:
         return
-    fence = fence_of(executor.node)
+    fence = order_fence(lead, target.key)
     try:
         outcome = await executor.node.calls.stop(
             target.instance, order.run, fence
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -391,11 +391,6 @@
     await asyncio.sleep(_FLUSH_WAIT_S)
 
 
-def fence_of(node: SchedulerNode) -> int:
-    """Return the fencing token of orders sent now, which is the term."""
-    return node.group.replica.term
-
-
 def is_leading(node: SchedulerNode) -> bool:
     """Return whether this process leads the cell, as far as it knows."""
     return node.group.replica.role is Role.LEADER
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -38,6 +38,7 @@
     on_started,
     on_stopped,
     on_target_report,
+    order_fence,
     place_waiting,
     purge_old_jobs,
     snapshot,
@@ -334,7 +335,8 @@
     started = (order.run.step, order.run.number)
     world.start_checkpoints[started].add(order.checkpoint)
     task = (order.run.step, order.run.index)
-    worker_order = (task, order.run.number, deadline, lead.term)
+    fence = order_fence(lead, target.key)
+    worker_order = (task, order.run.number, deadline, fence)
 
     def deliver(answer_arrives: bool) -> None:
         worker = _reachable_worker(world, target)
@@ -427,14 +429,13 @@
     if target is None:
         return
     task = (order.run.step, order.run.index)
+    fence = order_fence(lead, target.key)
 
     def deliver(answer_arrives: bool) -> None:
         worker = _reachable_worker(world, target)
         if worker is None or worker.name != target.instance.name:
             return
-        status = workers.stop(
-            worker, world.now, task, order.run.number, lead.term
-        )
+        status = workers.stop(worker, world.now, task, order.run.number, fence)
         if answer_arrives and status == 200 and world.lead is lead:
             lead.now = world.now
             on_stopped(lead, order.run, OrderOutcome.TAKEN)
@@ -450,6 +451,7 @@
         return
     lead.now = world.now
     renewal = next_renewal(lead, target)
+    fence = order_fence(lead, key)
     sent = world.now
     answered: list[bool] = []
 
@@ -460,7 +462,7 @@
         if worker.name != target.instance.name:
             reply = RenewalReply(-1, 0, (), ())
         else:
-            reply = renewal_reply(world, worker, lead, renewal)
+            reply = renewal_reply(world, worker, fence, renewal)
         if reply is not None and answer_arrives:
             call_later(world, 0.002, lambda: answer(reply))
 
@@ -492,11 +494,11 @@
 
 
 def renewal_reply(
-    world: World, worker: Any, lead: CellLeader, renewal: Any
+    world: World, worker: Any, fence: int, renewal: Any
 ) -> RenewalReply | None:
-    """Return a worker's reply to a renewal, or none to an older leader's."""
+    """Return a worker's reply to a renewal, or none if it has been fenced."""
     lists = workers.hold(
-        worker, world.now, lead.term, renewal.noted, renewal.deadline
+        worker, world.now, fence, renewal.noted, renewal.deadline
     )
     if lists is None:
         return None
--- a/tests/steps/renewal_steps.py
+++ b/tests/steps/renewal_steps.py
@@ -97,7 +97,7 @@
         while self.world.now < until and not self.worker.ends:
             await asyncio.sleep(_TURN_S)
         reply = cell_world.renewal_reply(
-            self.world, self.worker, self.world.lead, renewal
+            self.world, self.worker, fence, renewal
         )
         if reply is None:
             raise LinkError(ResultCode.OUTCOME_UNKNOWN, 'fence')
