Keep runs that a restarted target has started late

Callers saw a task run on a restarted target while its next run began elsewhere. Cause: at the first sign of the next instance all runs of the one before were lost, though a start of theirs might still be carried out until a call of a new generation had arrived, or had been: the next instance listed it as a stray run, and went on if it was cut off before the stop.

A reply of another instance now ends nothing. It raises the generation of the calls and asks again; the reply to that is the proof that no earlier start can come. Runs that the next instance lists stay with it, with their capacity; those that it lists as ended end as it says; the others are lost. One odd start time in a reply no longer ends a sound instance either.

The simulated tickets belong to one instance now, as on the platform.

--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -10,13 +10,9 @@
     StopOrder,
     lease_for,
 )
+from daisygw.cell._restarts import on_other_instance, settle_dispute
 from daisygw.cell._state import Run, TargetState
-from daisygw.cell._targets import (
-    defer_work,
-    end_instance,
-    finish,
-    settle_dispute,
-)
+from daisygw.cell._targets import defer_work, finish
 from daisygw.contracts import (
     EndsAcknowledged,
     RunEnd,
@@ -104,9 +100,9 @@
     """Apply a target's reply to the renewal that was sent at ``sent`` (s)."""
     lease_state = lead.lease_states[target.key]
     if reply.born != target.instance.born:
-        end_instance(lead, target, 'another instance answered')
+        on_other_instance(lead, target, reply, sent)
         return
-    settle_dispute(lead, target, sent)
+    settle_dispute(lead, target, reply, sent)
     regained = lease_state.failures or not lease_state.has_answered
     if not lease_state.has_answered:
         assume_longest_lease(lease_state, reply.clock, lead.longest_lease)
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -233,6 +233,9 @@
     job.started = True
     for index, number, key in record.rows:
         run = Run(record.step, index, number, key)
+        earlier = state.runs.get(index)
+        if earlier:
+            _release_run(cell, state, earlier)
         state.numbers[index] = number
         state.runs[index] = run
         target = cell.targets.get(key)
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -33,7 +33,6 @@
     TargetReport,
     agrees,
     instance_key,
-    is_disputed,
 )
 
 # A target that took no start, as it has no room, is unhealthy or leaves orders
@@ -103,7 +102,7 @@
         raise ContractError(ResultCode.UNKNOWN_SERVICE, reason)
 
 
-def _same_target(
+def same_target(
     lead: CellLeader, instance: TargetInstance
 ) -> list[TargetState]:
     """Return the other instances with the same name or address."""
@@ -123,7 +122,7 @@
     return any(
         other.instance.born > instance.born
         and lead.lease_states[other.key].has_answered
-        for other in _same_target(lead, instance)
+        for other in same_target(lead, instance)
     )
 
 
@@ -135,7 +134,7 @@
     """
     _check_service(lead, instance)
     key = instance_key(instance)
-    others = _same_target(lead, instance)
+    others = same_target(lead, instance)
     lead.record(InstanceListed(instance))
     generation = next_generation(lead)
     lead.lease_states[key] = LeaseState(lead.now, lead.now, generation)
@@ -144,13 +143,13 @@
     )
     target = lead.cell.targets[key]
     if others:
-        _dispute(lead, (*others, target), generation)
+        dispute(lead, (*others, target), generation)
     else:
         lead.send_message(LOCAL_PROCESS, Probe(key))
     return target
 
 
-def _dispute(
+def dispute(
     lead: CellLeader, instances: Iterable[TargetState], generation: int
 ) -> None:
     """Ask instances whether they are there, with calls of a new generation.
@@ -165,20 +164,6 @@
         lead.send_message(LOCAL_PROCESS, Probe(one.key))
 
 
-def settle_dispute(lead: CellLeader, target: TargetState, sent: float) -> None:
-    """Use a disputed instance that answered a renewal sent at ``sent`` (s).
-
-    Earlier instances with its name or address are gone.
-    """
-    lease_state = lead.lease_states[target.key]
-    if not is_disputed(lease_state) or sent <= lease_state.disputed_at:
-        return
-    lease_state.disputed_at = float('-inf')
-    for other in _same_target(lead, target.instance):
-        if other.instance.born < target.instance.born:
-            end_instance(lead, other, 'replaced')
-
-
 def end_instance(lead: CellLeader, target: TargetState, why: str) -> None:
     """Remove a target instance and end its runs as lost."""
     lose_runs(lead, target, why)
--- a/daisygw/machines/__init__.py
+++ b/daisygw/machines/__init__.py
@@ -8,6 +8,7 @@
 )
 from daisygw.machines._leases import (
     MS_PER_S,
+    OTHER_TARGET,
     ActiveRun,
     EndedRun,
     InstanceListed,
@@ -67,6 +68,7 @@
     'LeaseState',
     'EndedRun',
     'MS_PER_S',
+    'OTHER_TARGET',
     'RenewalReply',
     'RunningAttempt',
     'SCORINGS',
--- a/daisygw/machines/_leases.py
+++ b/daisygw/machines/_leases.py
@@ -92,6 +92,10 @@
     more_ended: bool = False
 
 
+# The reply of a target with another name, which has no part in the call.
+OTHER_TARGET = RenewalReply(-1, 0, (), ())
+
+
 def instance_key(instance: TargetInstance) -> str:
     """Return the key that identifies a target instance."""
     return f'{instance.name}@{instance.born}'
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -26,6 +26,7 @@
 from daisygw.contracts import AdviceRequest, AdviceResponse, LinkError
 from daisygw.links import log, log_error
 from daisygw.links.processes import Link, post, running
+from daisygw.machines import is_disputed
 from daisygw.nodes import _clock
 from daisygw.nodes._advisor_calls import (
     assign_call,
@@ -75,6 +76,8 @@
     if still_leads(executor, lead) and _is_known(lead, target):
         on_renewal_reply(lead, target, reply, sent)
         await _wait_for_commit(executor, lead, target)
+        if _is_doubtful(lead, target):
+            await asyncio.sleep(_MIN_RETRY_DELAY_S)
 
 
 async def _renew_safely(
@@ -102,6 +105,12 @@
     return current is target and target.key in lead.lease_states
 
 
+def _is_doubtful(lead: CellLeader, target: TargetState) -> bool:
+    """Tell whether another instance may have replaced a known one."""
+    lease_state = lead.lease_states.get(target.key)
+    return lease_state is not None and is_disputed(lease_state)
+
+
 def _retry_delay(
     lead: CellLeader, target: TargetState, exc: LinkError
 ) -> float:
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -10,7 +10,7 @@
 
 from daisygw.cell import LeaseRenewal, OrderOutcome, Run, StartOrder
 from daisygw.contracts import LinkError, ResultCode, StepKey
-from daisygw.machines import RenewalReply, TargetInstance
+from daisygw.machines import OTHER_TARGET, RenewalReply, TargetInstance
 from daisygw.nodes import TargetCalls
 from daisygw.platform import _codec
 
@@ -150,8 +150,7 @@
     instance: TargetInstance, status: int, raw: bytes
 ) -> RenewalReply:
     if status == _HTTP_OTHER_INSTANCE:
-        # No instance was born at -1, so the leader ends the one it asked for.
-        return RenewalReply(-1, 0, (), ())
+        return OTHER_TARGET
     if status != _HTTP_OK:
         reason = f'{instance.address}: status {status}'
         raise LinkError(ResultCode.OUTCOME_UNKNOWN, reason)
--- a/tests/cell_fault_runs.py
+++ b/tests/cell_fault_runs.py
@@ -71,14 +71,17 @@
     return world
 
 
-def run_with_restarts(seed: int, seconds: float, quiet_s: float) -> World:
+def run_with_restarts(
+    seed: int, seconds: float, quiet_s: float, *, advised: bool
+) -> World:
     """Run a cell whose targets restart often and carry out calls late.
 
-    Its queues have no advisor, so no ticket keeps a start from another
-    instance of its target.
+    Without an advisor, no ticket keeps a start from another instance of its
+    target.
     """
     world = World(seed, longest_lease=10)
-    configure(world, 2, queues=unadvised_queues())
+    if not advised:
+        configure(world, 2, queues=unadvised_queues())
     random = world.random
     run_for(world, 1)
     world.late_probability = 0.1
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -62,6 +62,7 @@
     StepKey,
 )
 from daisygw.machines import (
+    OTHER_TARGET,
     ActiveRun,
     EndedRun,
     RenewalReply,
@@ -384,6 +385,8 @@
     if reason:
         world.refused_starts += 1
         return 409, reason
+    if order.ticket and order.ticket != _ticket_of(world, worker.name):
+        return 409, 'ticket'
     load = _load_of(world, order.run)
     return workers.start(worker, world.now, worker_order, load)
 
@@ -460,7 +463,7 @@
         if worker is None:
             return
         if worker.name != target.instance.name:
-            reply = RenewalReply(-1, 0, (), ())
+            reply = OTHER_TARGET
         else:
             reply = renewal_reply(world, worker, fence, renewal)
         if reply is not None and answer_arrives:
@@ -530,7 +533,7 @@
         if world.lead is lead:
             lead.now = world.now
             approved = tuple(
-                (name, 't')
+                (name, _ticket_of(world, name))
                 for name in request.targets
                 if _approves(request.step, name)
             )
@@ -540,6 +543,12 @@
     call_later(world, request.work + world.advice_delay, answer)
 
 
+def _ticket_of(world: World, name: str) -> str:
+    """Return a ticket, which is valid for one instance of a worker."""
+    worker = world.workers.get(name)
+    return instance_key(instance_of(world, worker)) if worker else name
+
+
 def _approves(step: StepKey, name: str) -> bool:
     """Approve two targets of three, so that every step can run somewhere."""
     return (int(name[1:]) + int(step.job, 16)) % 3 != 0
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -66,3 +66,16 @@
       | 34   |
       | 35   |
       | 36   |
+
+  Scenario Outline: Random restarts and late calls make no task run twice with tickets, seed <seed>
+    When a cell whose targets restart runs with random faults from seed <seed>
+    Then no task ran twice, out of order, over its attempts or over capacity
+    And every accepted job has ended after a time without faults
+    And a replica that applied the log has the leader's state
+
+    Examples:
+      | seed |
+      | 41   |
+      | 42   |
+      | 43   |
+      | 44   |
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -226,4 +226,14 @@
 )
 def run_with_restarts(context, seed):
     """Restart targets often, and carry out many calls late."""
-    context.world = cell_fault_runs.run_with_restarts(seed, _FAULTS_S, _QUIET_S)
+    context.world = cell_fault_runs.run_with_restarts(
+        seed, _FAULTS_S, _QUIET_S, advised=False
+    )
+
+
+@when('a cell whose targets restart runs with random faults from seed {seed:d}')
+def run_advised_with_restarts(context, seed):
+    """Let targets refuse starts whose ticket is for another instance."""
+    context.world = cell_fault_runs.run_with_restarts(
+        seed, _FAULTS_S, _QUIET_S, advised=True
+    )
