Place nothing on a target beside a run that it should not have

A target that lists a run which it should not have started got new work in the same turn, beside the stop; that run's capacity was counted nowhere, so the target went over its own. It gets nothing new for a second after such a list.

--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -216,6 +216,8 @@
                 target=target.key,
             )
             lead.send_message(LOCAL_PROCESS, StopOrder(stray))
+            # No run here holds the capacity that it uses until it has stopped.
+            defer_work(lead, target.key)
             continue
         listed.add(key)
         _record_progress(lead, run, row)
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -72,6 +72,7 @@
       | 34   |
       | 35   |
       | 36   |
+      | 3217 |
 
   Scenario Outline: Random restarts and late calls make no task run twice with tickets, seed <seed>
     When a cell whose targets restart runs with random faults from seed <seed>
