--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -150,6 +150,10 @@
         self.refusing_starts: dict[str, str] = {}
         self.refused_starts = 0
         self.renewal_wait = 0.0
+        # How long a run goes on after a stop has arrived (s).
+        self.stop_delay = 0.0
+        # Instances (keys) whose renewals get no answer.
+        self.unanswered_keys: set[str] = set()
         # How long a call to the advisor waits behind others (s).
         self.advice_delay = 0.0
         self.cell = Cell()
@@ -438,6 +442,15 @@
         worker = _reachable_worker(world, target)
         if worker is None or worker.name != target.instance.name:
             return
+        if world.stop_delay and task in worker.running:
+            call_later(
+                world,
+                world.stop_delay,
+                lambda: workers.stop(
+                    worker, world.now, task, order.run.number, fence
+                ),
+            )
+            return
         status = workers.stop(worker, world.now, task, order.run.number, fence)
         if answer_arrives and status == 200 and world.lead is lead:
             lead.now = world.now
@@ -486,6 +499,8 @@
 
 def _transmit_renewal(world: World, target: Any, deliver: Any) -> None:
     """Deliver a renewal, or lose it, or deliver it late and unanswered."""
+    if target.key in world.unanswered_keys:
+        return
     draw = world.random.random()
     if target.instance.name in world.held.targets:
         world.held.calls.append(partial(deliver, answer_arrives=False))
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -86,3 +86,33 @@
       | 42   |
       | 43   |
       | 44   |
+
+  Scenario Outline: A start carried out by an instance that is then out of reach runs nowhere else, <case>
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a target restarts under its name while a start is held, which it carries out before it is cut off <case>
+    Then no task ran twice, out of order, over its attempts or over capacity
+
+    Examples:
+      | case            |
+      | unreached       |
+      | after one reply |
+
+  Scenario: A late copy of a start does not run after the end of its run
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a target restarts under its name after the first copy of a start was held, whose run has ended
+    Then no task ran twice, out of order, over its attempts or over capacity
+
+  Scenario: A start that no instance has carried out does not run on a third one
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a target restarts twice under its name while a start is held, which arrives after the second time
+    Then no task ran twice, out of order, over its attempts or over capacity
+
+  Scenario: An end that a disputed instance lists is not lost
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a restarted target that has ended a held start is reported oddly while its first call is under way
+    Then no task ran twice, out of order, over its attempts or over capacity
+
+  Scenario: A target gets no new start while a run that is being stopped holds its room
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a restarted target whose held start was given up is reached again, while a task waits and stops take 0.4 s
+    Then no task ran twice, out of order, over its attempts or over capacity
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -1,7 +1,10 @@
 """Steps about targets that restart under their names and take late calls."""
 
+from dataclasses import replace
+
 from behave import when
 
+from daisygw.contracts import Size
 from daisygw.machines import TargetReport
 from tests import cell_fault_runs, cell_world
 from tests.cell_jobs import placed_runs, small_job
@@ -271,3 +274,129 @@
     context.world = cell_fault_runs.run_with_restarts(
         seed, _FAULTS_S, _QUIET_S, advised=True
     )
+
+
+def _start_beside_lasting_task(world):
+    """Hold a start on a target whose leases are short for a lasting task."""
+    lasting = small_job(9, estimate=10 * _LONG_WORK_S, lasting=True)
+    submit(world, lasting)
+    run_for(world, 20)
+    _submit_held(world, small_job(1, estimate=_LONG_WORK_S, payload='steady'))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+
+
+@when(
+    'a target restarts under its name while a start is held, which it carries '
+    'out before it is cut off unreached',
+)
+def cut_off_unreached(context):
+    """Cut the restarted target off before any call of the leader reaches it."""
+    world = context.world
+    _start_beside_lasting_task(world)
+    world.cut.add(_TARGET)
+    cell_world.add_worker(world, _OTHER)
+    run_for(world, 40)
+
+
+@when(
+    'a target restarts under its name while a start is held, which it carries '
+    'out before it is cut off after one reply',
+)
+def cut_off_after_one_reply(context):
+    """Cut it off between its reply and the next call of the leader."""
+    world = context.world
+    _start_beside_lasting_task(world)
+    for _ in range(100):
+        run_for(world, TICK_S)
+        if any(line.event == 'target restarted' for line in world.log):
+            break
+    assert world.log
+    world.cut.add(_TARGET)
+    cell_world.add_worker(world, _OTHER)
+    run_for(world, 40)
+
+
+@when(
+    'a target restarts under its name after the first copy of a start was '
+    'held, whose run has ended',
+)
+def deliver_copy_after_end(context):
+    """Let the second copy of the start be taken, and the run end."""
+    world = context.world
+    run_for(world, 5)
+    _submit_held(world, small_job(1, estimate=0.5, payload='steady'))
+    world.held.targets.clear()
+    run_for(world, 3)
+    _restart(world)
+    deliver_held_calls(world)
+    run_for(world, 20)
+
+
+@when(
+    'a target restarts twice under its name while a start is held, which '
+    'arrives after the second time',
+)
+def deliver_after_second_restart(context):
+    """Let the task run elsewhere once the first restart has been noticed."""
+    world = context.world
+    run_for(world, 5)
+    _submit_held(world, small_job(1, estimate=20, payload='steady'))
+    world.draining.add(_TARGET)
+    _restart(world)
+    cell_world.add_worker(world, _OTHER)
+    run_for(world, 1)
+    _restart(world)
+    deliver_held_calls(world)
+    run_for(world, 60)
+
+
+@when(
+    'a restarted target that has ended a held start is reported oddly while '
+    'its first call is under way',
+)
+def report_oddly(context):
+    """Dispute the restarted target twice; calls to the one before fail."""
+    world = context.world
+    run_for(world, 5)
+    _submit_held(world, small_job(1, estimate=0.2, payload='steady'))
+    former = next(iter(world.cell.targets.values()))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+    world.cut.add(_TARGET)
+    run_for(world, 1.5)
+    assert world.workers[_TARGET].ends
+    world.cut.clear()
+    world.held.reporters.clear()
+    world.unanswered_keys.add(former.key)
+    cell_world.report(world, _TARGET)
+    run_for(world, TICK_S)
+    instance = cell_world.instance_of(world, world.workers[_TARGET])
+    odd = replace(instance, born=instance.born + 50, address='w9:1')
+    cell_world.handle_report(world, TargetReport(0, _TARGET, odd, 1))
+    run_for(world, 20)
+
+
+@when(
+    'a restarted target whose held start was given up is reached again, while '
+    'a task waits and stops take {delay:f} s',
+)
+def reach_with_stray_run(context, delay):
+    """Let a run of most of the capacity be stopped as a task waits."""
+    world = context.world
+    world.stop_delay = delay
+    size = Size(6000, 500, 0, 0)
+    run_for(world, 20)
+    _submit_held(world, small_job(1, estimate=60, payload='steady', size=size))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+    world.cut.add(_TARGET)
+    run_for(world, 9.4)
+    assert world.workers[_TARGET].running
+    submit(world, small_job(7, estimate=5, payload='steady', size=size))
+    world.cut.clear()
+    world.held.reporters.clear()
+    run_for(world, 100)
