--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -116,3 +116,8 @@
     Given a cell of 1 targets without an advisor, and leases of 10 s
     When a restarted target whose held start was given up is reached again, while a task waits and stops take 0.4 s
     Then no task ran twice, out of order, over its attempts or over capacity
+
+  Scenario: An acknowledgement for the instance before drops no end before the next one is reached
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a restarted target that has ended a held start takes an acknowledgement for the one before, unreached
+    Then no task ran twice, out of order, over its attempts or over capacity
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -400,3 +400,31 @@
     world.cut.clear()
     world.held.reporters.clear()
     run_for(world, 100)
+
+
+@when(
+    'a restarted target that has ended a held start takes an acknowledgement '
+    'for the one before, unreached',
+)
+def acknowledge_before_reached(context):
+    """Deliver the held start at once, and a held renewal after its end."""
+    world = context.world
+    submit(world, small_job(1, 4, estimate=0.5, payload='steady'))
+    run_for(world, 10)
+    assert world.workers[_TARGET].position >= 4
+    world.held.targets.add(_TARGET)
+    run_for(world, 0.26)
+    renewals, world.held.calls = world.held.calls, []
+    assert renewals
+    _submit_held(world, small_job(2, estimate=0.5, payload='steady'))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+    world.cut.add(_TARGET)
+    run_for(world, 2)
+    assert world.workers[_TARGET].ends
+    world.cut.clear()
+    for deliver in renewals:
+        deliver()
+    world.held.reporters.clear()
+    run_for(world, 20)
