Give up an unlisted run only after the longest lease from its start

Cause: an answer to a start names no instance, but the run was given up by the lease of the instance that it had been sent to. A late start is not needed: a ticket that the advisor gave after the restart is filed for the instance before, and the next one takes the start.

A run that no list of its instance has shown now counts as held for the longest lease from its last start; the first reply of another instance counts as well, as one that may have the longest lease.

Costs: the runs of the last second before a target goes out of reach are started again up to 2 s later than the others (10.9 s after their start instead of 8.9 s after the last answer, with leases of 8.5 s).

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -103,9 +103,11 @@
 
     Times are on the leader's clock (s), except ``deadline``, which is on the
     target's clock (ms): the target refuses a copy that arrives later.
+    ``last_sent`` is when a start was sent last (-inf: not in this term).
     ``answered`` is when the target was first known to have the run (inf: not
-    yet), ``unanswered`` the number of start orders without an answer, and
-    ``checkpoint`` names the newest checkpoint that the target has listed.
+    yet), ``unanswered`` the number of start orders without an answer.  Since
+    the instance has ``listed`` the run, it is known which instance has it;
+    ``checkpoint`` names the newest checkpoint that it has listed.
     """
 
     def __init__(
@@ -118,8 +120,10 @@
         self.start_due = at + START_SEND_TIMEOUT_S if start else float('inf')
         self.report_due = at + LONG_WAIT_S if start else float('inf')
         self.deadline = 0
+        self.last_sent = float('-inf')
         self.answered = float('inf')
         self.unanswered = 0
+        self.listed = False
         self.checkpoint = ''
         self.stop_due = float('inf')
         self.stop_confirmed_at = float('inf')
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -81,6 +81,7 @@
         lease = min(lease, START_VALIDITY_S)
         outstanding.deadline = grant_lease(lease_state, lead.now, lease)
     outstanding.start_due = float('inf')
+    outstanding.last_sent = lead.now
     return outstanding.deadline
 
 
@@ -230,6 +231,7 @@
         outstanding = OutstandingOrder(run, lead.now)
         outstanding.answered = lead.now
         lead.orders[run.step, run.index] = outstanding
+    outstanding.listed = True
     outstanding.checkpoint = row.checkpoint or outstanding.checkpoint
 
 
--- a/daisygw/cell/_restarts.py
+++ b/daisygw/cell/_restarts.py
@@ -2,7 +2,8 @@
 
 A restarted target takes calls for the instance before until a call of a new
 generation reaches it.  So the runs of that instance are lost only once such a
-call has been answered by the next one, which may list some of them.
+call has been answered by the next one, which may list some of them.  From then
+on it starts no others; an instance that follows it may.
 """
 
 from daisygw.cell._fences import next_generation
@@ -66,6 +67,7 @@
             born=reply.born,
             runs=len(target.runs),
         )
+        _follow_lease(lead, target, reply)
         dispute(lead, (target,), next_generation(lead))
 
 
@@ -89,6 +91,13 @@
     if not target.runs:
         end_instance(lead, target, 'another instance answered')
         return
+    _follow_lease(lead, target, reply)
+
+
+def _follow_lease(
+    lead: CellLeader, target: TargetState, reply: RenewalReply
+) -> None:
+    """Count the lease of the instance that answered, which may run the runs."""
     lease_state = lead.lease_states[target.key]
     assume_longest_lease(lease_state, reply.clock, lead.longest_lease)
     record_clock(lease_state, lead.now, reply.clock)
--- a/daisygw/cell/_timeouts.py
+++ b/daisygw/cell/_timeouts.py
@@ -9,10 +9,11 @@
     inherited_leases_end,
 )
 from daisygw.cell._starts import STOP_RETRY_S
-from daisygw.cell._state import TargetState
-from daisygw.cell._targets import end_instance, lose_runs
+from daisygw.cell._state import Run, TargetState
+from daisygw.cell._targets import end_instance, finish
 from daisygw.cell._waits import report_long_waits
-from daisygw.machines import LeaseState, granted_expiry
+from daisygw.contracts import RunEnd
+from daisygw.machines import LeaseState, granted_expiry, lease_bound
 
 # Interval of placement passes without any change: tickets expire, targets
 # leave quarantine and occurrences become due.
@@ -20,6 +21,9 @@
 # A target instance whose lease has expired is removed this long after its last
 # answer, or after it became known if it never answered.
 REMOVAL_DELAY_S = 20.0
+# A start that is not answered within 0.2 s is given up by its sender; one that
+# is carried out seconds later is not covered.
+START_DELIVERY_S = 0.5
 
 
 def advance_clock(lead: CellLeader, now: float, wall: float) -> None:
@@ -50,24 +54,44 @@
     unreachable = lease_state.failures > 0 or not lease_state.has_answered
     if not unreachable or lead.now < lease_state.expires_at:
         return
-    if target.runs:
-        _log_expired_lease(lead, target, lease_state)
-    lose_runs(lead, target, 'lease expired')
-    if (
-        lead.now - max(lease_state.last_answer_at, lease_state.known_since)
-        > REMOVAL_DELAY_S
-    ):
+    expired = [
+        run
+        for run in target.runs.values()
+        if lead.now >= _unlisted_until(lead, run)
+    ]
+    if expired:
+        _log_expired_lease(lead, target, lease_state, len(expired))
+    for run in expired:
+        finish(lead, run, RunEnd.LOST, why='lease expired')
+    silent_since = max(lease_state.last_answer_at, lease_state.known_since)
+    if not target.runs and lead.now - silent_since > REMOVAL_DELAY_S:
         end_instance(lead, target, 'unreachable for too long')
 
 
+def _unlisted_until(lead: CellLeader, run: Run) -> float:
+    """Return until when (s) a run may be at work on an unknown instance.
+
+    An answer to a start names no instance.  The target may have restarted and
+    begun the run, under the longest lease, if no list has shown it.
+    """
+    outstanding = lead.orders.get((run.step, run.index))
+    if outstanding is None or outstanding.listed:
+        return float('-inf')
+    return (
+        outstanding.last_sent
+        + START_DELIVERY_S
+        + lease_bound(lead.longest_lease)
+    )
+
+
 def _log_expired_lease(
-    lead: CellLeader, target: TargetState, lease_state: LeaseState
+    lead: CellLeader, target: TargetState, lease_state: LeaseState, runs: int
 ) -> None:
     """Log which lease was the last to end, and how long ago (s)."""
     lead.log_event(
         'lease expired',
         target=target.key,
-        runs=len(target.runs),
+        runs=runs,
         silent_s=round(lead.now - lease_state.last_answer_at, 3)
         if lease_state.has_answered
         else None,
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -108,7 +108,9 @@
     """Messages between the leader and some workers that do not arrive yet.
 
     Calls to the workers ``targets`` stay unanswered until they are delivered
-    by ``deliver_held_calls``; reports of ``reporters`` are not sent.
+    by ``deliver_held_calls``; reports of ``reporters`` are not sent.  Renewals
+    of the instances ``renewals`` (keys) are lost, and stops take effect
+    ``stop_delay`` (s) after they have arrived.
     """
 
     def __init__(self) -> None:
@@ -116,6 +118,8 @@
         self.targets: set[str] = set()
         self.calls: list[Any] = []
         self.reporters: set[str] = set()
+        self.renewals: set[str] = set()
+        self.stop_delay = 0.0
 
 
 class World:
@@ -150,10 +154,6 @@
         self.refusing_starts: dict[str, str] = {}
         self.refused_starts = 0
         self.renewal_wait = 0.0
-        # How long a run goes on after a stop has arrived (s).
-        self.stop_delay = 0.0
-        # Instances (keys) whose renewals get no answer.
-        self.unanswered_keys: set[str] = set()
         # How long a call to the advisor waits behind others (s).
         self.advice_delay = 0.0
         self.cell = Cell()
@@ -442,10 +442,10 @@
         worker = _reachable_worker(world, target)
         if worker is None or worker.name != target.instance.name:
             return
-        if world.stop_delay and task in worker.running:
+        if world.held.stop_delay and task in worker.running:
             call_later(
                 world,
-                world.stop_delay,
+                world.held.stop_delay,
                 lambda: workers.stop(
                     worker, world.now, task, order.run.number, fence
                 ),
@@ -499,7 +499,7 @@
 
 def _transmit_renewal(world: World, target: Any, deliver: Any) -> None:
     """Deliver a renewal, or lose it, or deliver it late and unanswered."""
-    if target.key in world.unanswered_keys:
+    if target.key in world.held.renewals:
         return
     draw = world.random.random()
     if target.instance.name in world.held.targets:
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -97,6 +97,11 @@
       | unreached       |
       | after one reply |
 
+  Scenario: A start with a ticket for an instance that is then out of reach runs nowhere else
+    Given a cell of 1 targets with an advisor, and leases of 10 s
+    When a target restarts while the advisor answers, and is cut off with the start for the one before
+    Then no task ran twice, out of order, over its attempts or over capacity
+
   Scenario: A late copy of a start does not run after the end of its run
     Given a cell of 1 targets without an advisor, and leases of 10 s
     When a target restarts under its name after the first copy of a start was held, whose run has ended
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from behave import when
+from behave import given, when
 
 from daisygw.contracts import Size
 from daisygw.machines import TargetReport
@@ -11,6 +11,7 @@
 from tests.cell_world import (
     MS_PER_S,
     TICK_S,
+    World,
     deliver_held_calls,
     run_for,
     submit,
@@ -318,6 +319,40 @@
     run_for(world, 40)
 
 
+@given('a cell of {count:d} targets with an advisor, and leases of {lease:d} s')
+def advised_cell_with_leases(context, count, lease):
+    """Start a cell whose targets accept leases of up to a time (s)."""
+    context.world = World(1, targets=count, longest_lease=lease)
+    run_for(context.world, 1)
+
+
+@when(
+    'a target restarts while the advisor answers, and is cut off with the '
+    'start for the one before',
+)
+def start_with_next_ticket(context):
+    """Restart the target between the question and its answer."""
+    world = context.world
+    lasting = small_job(5, estimate=10 * _LONG_WORK_S, lasting=True)
+    submit(world, lasting)
+    run_for(world, 20)
+    assert placed_runs(world)
+    world.advice_delay = 0.05
+    submit(world, small_job(1, estimate=_LONG_WORK_S, payload='steady'))
+    run_for(world, TICK_S)
+    world.held.renewals.update(world.cell.targets)
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    for _ in range(20):
+        run_for(world, TICK_S)
+        if world.workers[_TARGET].running:
+            break
+    assert world.workers[_TARGET].running
+    world.cut.add(_TARGET)
+    cell_world.add_worker(world, _OTHER)
+    run_for(world, 40)
+
+
 @when(
     'a target restarts under its name after the first copy of a start was '
     'held, whose run has ended',
@@ -370,7 +405,7 @@
     assert world.workers[_TARGET].ends
     world.cut.clear()
     world.held.reporters.clear()
-    world.unanswered_keys.add(former.key)
+    world.held.renewals.add(former.key)
     cell_world.report(world, _TARGET)
     run_for(world, TICK_S)
     instance = cell_world.instance_of(world, world.workers[_TARGET])
@@ -386,7 +421,7 @@
 def reach_with_stray_run(context, delay):
     """Let a run of most of the capacity be stopped as a task waits."""
     world = context.world
-    world.stop_delay = delay
+    world.held.stop_delay = delay
     size = Size(6000, 500, 0, 0)
     run_for(world, 20)
     _submit_held(world, small_job(1, estimate=60, payload='steady', size=size))
