Apply no lists of an instance while it is disputed

A reply that came before a dispute was settled was applied all the same: a run of the instance before that it listed as ended was no run of its own yet, so the end was passed over and acknowledged; once adopted, the run was no longer listed, and its task started again after it was done. The scenario in restarts.feature failed before and passes now.

--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -104,6 +104,9 @@
         on_other_instance(lead, target, reply, sent)
         return
     settle_dispute(lead, target, reply, sent)
+    if is_disputed(lease_state):
+        # Its lists have runs of an instance before that are not adopted yet.
+        return
     regained = lease_state.failures or not lease_state.has_answered
     if not lease_state.has_answered:
         assume_longest_lease(lease_state, reply.clock, lead.longest_lease)
