Scenarios for parts of the fix that no test noticed

A reader took out parts of the fix one by one; five that no scenario noticed are noticed now: the new generation after a reply of another instance, ends that it lists (for the one before, and taken over), the orders of runs that are taken over, and acknowledgements to a silent target. Not noticed still: a fenced start that is not sent again (it is given up after 2 s), the longest lease after such a reply (the bound of unlisted runs covers it there), a stop that is kept.

--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -38,8 +38,25 @@
       | which arrives before the first answer                         |
       | which arrives after the first answer                          |
       | which arrives before a reply to a renewal of the one before   |
+      | which arrives after replies to renewals of the one before     |
+      | which it has carried out and ended before any report          |
       | which arrives before the first answer as the leader changes   |
 
+  Scenario Outline: A cancelled job stops a run that a restarted target has started late, <moment>
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a target restarts under its name and carries out a held start, and its job is cancelled <moment>
+    Then nothing runs on it after 2 s
+
+    Examples:
+      | moment           |
+      | before it answers |
+      | once it answers   |
+
+  Scenario: A renewal of a silent target drops no end of the next instance
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a silent target restarts and ends a held start before any report
+    Then no task started again after it was done, and the job has ended
+
   Scenario: A gang member that a restarted target started late does not run beside its next run
     Given a cell of 2 targets without an advisor, and leases of 10 s
     When a target restarts under its name while the start of a gang is held, which arrives before the first answer
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from behave import given, when
+from behave import given, then, when
 
 from daisygw.contracts import Size
 from daisygw.machines import TargetReport
@@ -161,6 +161,90 @@
     run_for(world, 40)
 
 
+@when(
+    'a target restarts under its name while a start is held, which arrives '
+    'after replies to renewals of the one before',
+)
+def start_after_replies(context):
+    """Let the task run elsewhere by then, with the target still unreported."""
+    world = context.world
+    run_for(world, 20)
+    _submit_held(world, small_job(1, estimate=8, payload='steady'))
+    world.ignoring_orders.add(_TARGET)
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    cell_world.add_worker(world, _OTHER)
+    run_for(world, 2)
+    assert world.workers[_OTHER].running
+    deliver_held_calls(world)
+    run_for(world, 1)
+    world.held.reporters.clear()
+    run_for(world, 40)
+
+
+@when(
+    'a target restarts under its name while a start is held, which it has '
+    'carried out and ended before any report',
+)
+def start_ended_unreported(context):
+    """Let the leader read the end from a reply for the one before."""
+    world = context.world
+    run_for(world, 20)
+    _submit_held(world, small_job(1, estimate=0.1, payload='steady'))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+    run_for(world, 3)
+    world.held.reporters.clear()
+    run_for(world, 20)
+
+
+@when(
+    'a target restarts under its name and carries out a held start, and its '
+    'job is cancelled {moment}',
+)
+def cancel_late_start(context, moment):
+    """Cancel the job before or after the run is taken over."""
+    world = context.world
+    run_for(world, 20)
+    job = small_job(1, estimate=_LONG_WORK_S, payload='steady')
+    _submit_held(world, job)
+    _restart(world)
+    deliver_held_calls(world)
+    assert world.workers[_TARGET].running
+    if moment == 'once it answers':
+        run_for(world, 1)
+        assert any(line.event == 'runs adopted' for line in world.log)
+    cell_world.cancel(world, job.id)
+
+
+@then('nothing runs on it after {seconds:g} s')
+def check_stopped(context, seconds):
+    """Expect no run on the restarted target."""
+    run_for(context.world, seconds)
+    assert not context.world.workers[_TARGET].running
+
+
+@when('a silent target restarts and ends a held start before any report')
+def renew_silent_target(context):
+    """Let the leader's own renewals reach the next instance first."""
+    world = context.world
+    submit(world, small_job(1, 4, estimate=0.5, payload='steady'))
+    run_for(world, 10)
+    assert world.workers[_TARGET].position >= 4
+    _submit_held(world, small_job(2, estimate=0.3, payload='steady'))
+    world.held.reporters.add(_TARGET)
+    _restart(world)
+    deliver_held_calls(world)
+    world.cut.add(_TARGET)
+    run_for(world, 2)
+    assert world.workers[_TARGET].ends
+    world.cut.clear()
+    run_for(world, 1)
+    world.held.reporters.clear()
+    run_for(world, 20)
+
+
 @when(
     'a target restarts under its name while a start is held, which arrives '
     'before the first answer as the leader changes',
