End no attempts on the announcement of another incarnation

Cause: the leader took an announcement with another incarnation for proof that the listed one had ended. It closed all its attempts as lost, listed the other one and ignored the sound one from then on. Only the incarnations that this leader had seen itself were told apart as past: their set was lost at a change of the leader, and was never pruned.

Evidence (target_lives.feature, simulated clock, before this change): with a late announcement after a change of the leader, a late one of an incarnation that no leader had seen, or the same name on another host, the task of a sound target is ordered as attempt 2 from another target, and its own announcements are not acknowledged any more. When the target is cut off and another host announces its name, attempt 2 is ordered at 14.5 s though the lease of the first run lasts until 19.5 s, with and without a change of the leader. 5 of 10 scenarios failed: An announcement of another incarnation ends no attempt ... @1.2, @1.3, @1.4 A target that is cut off runs on while another one has its name @1.1, @1.2

Fix: another incarnation is listed only once the listed one is silent and holds no attempts; until then its announcements are not acknowledged, and nothing new is placed under the name. Attempts end as docs/DESIGN.md says: by a confirmed end, by proof or by the end of the lease. A lease outlives a change of the leader (adopt_leases), so the rule holds across it and needs no set of past incarnations. A worker whose name is contested stays listed at the end of its lease, as a new listing would forget that an operator has drained it ("A drained target that restarts with work stays drained" fails without that).

Price: a target that restarts with work gets its next work, and that work its next attempt or its 402, after the lease (7 s) and no longer at its first announcement; one that restarts without work is listed after 2.5 s of silence.

Ruled out by tests that passed before: an order for the life before is refused for its incarnation, and an acknowledgement is matched by incarnation.

Run: target_lives, decisions, log, log_cases, guarantees, trouble: all passed.

--- a/daisygw/zones/_announcements.py
+++ b/daisygw/zones/_announcements.py
@@ -41,7 +41,7 @@
     """Handle a target's announcement; acknowledge it through ``entry``.
 
     Ignores announcements that are not newer than the last one, and those of
-    an earlier incarnation.
+    another incarnation than the listed one while that may be running tasks.
     """
     observation = _observe(lead, announcement)
     if observation is None or announcement.number <= observation.number:
@@ -72,27 +72,43 @@
 ) -> Observation | None:
     spec = announcement.spec
     observation = lead.observations.get(spec.name)
-    if observation and spec.incarnation in observation.past_incarnations:
-        return None
     worker = lead.replicated.workers.by_name.get(spec.name)
-    if worker and worker.spec.incarnation != spec.incarnation:
-        close_lost_attempts(lead, worker)
+    if (
+        observation
+        and worker
+        and worker.spec.incarnation != spec.incarnation
+        and not _is_idle(lead, worker, observation)
+    ):
+        observation.contested_at = lead.now
+        observation.avoided_until = lead.now + lead.policy.announce_every
+        lead.replicated.workers.touched.add(spec.name)
+        return None
     if observation is None or observation.incarnation != spec.incarnation:
-        created = Observation(spec.incarnation, lead.now)
-        if observation:
-            created.past_incarnations = {
-                *observation.past_incarnations,
-                observation.incarnation,
-            }
-        lead.observations[spec.name] = created
-        observation = created
+        observation = Observation(spec.incarnation, lead.now)
+        lead.observations[spec.name] = observation
     if worker is None or worker.spec != spec:
         record(lead, TargetListed(spec))
     return observation
 
 
+def _silence(lead: DomainLeader) -> float:
+    return lead.policy.announce_every * _MAX_SILENT_INTERVALS
+
+
+def _is_idle(
+    lead: DomainLeader, worker: Worker, observation: Observation
+) -> bool:
+    """Tell whether a worker is silent and can run no attempt any more.
+
+    An announcement of another incarnation is no proof of that: it may be late,
+    or come from another host while this one is cut off.
+    """
+    silent = lead.now - observation.last_seen > _silence(lead)
+    return silent and not worker.held
+
+
 def close_lost_attempts(lead: DomainLeader, worker: Worker) -> None:
-    """Close the attempts of a worker that restarted or whose lease ended."""
+    """Close the attempts of a worker whose lease ended."""
     for key in list(worker.held):
         task = lead.replicated.job_registry.jobs[key.job].tasks[key.index]
         close_attempt(lead, key, task.attempt, ResultCode.WORKER_LOST)
@@ -189,16 +205,22 @@
 
 
 def expire_leases(lead: DomainLeader) -> None:
-    """Drop targets whose lease has ended; avoid those that went silent."""
-    silence = lead.policy.announce_every * _MAX_SILENT_INTERVALS
+    """Drop targets whose lease has ended; avoid those that went silent.
+
+    One whose name another incarnation announces stays listed, so that what an
+    operator has set for it holds for the next incarnation.
+    """
+    silence = _silence(lead)
     for name, observation in list(lead.observations.items()):
         worker = lead.replicated.workers.by_name.get(name)
         if worker is None:
             continue
         if lead.now >= observation.lease_end:
             close_lost_attempts(lead, worker)
-            record(lead, TargetDropped(name, worker.spec.incarnation))
             observation.number = 0
+            if lead.now - observation.contested_at > silence:
+                record(lead, TargetDropped(name, worker.spec.incarnation))
+            lead.replicated.workers.touched.add(name)
         elif lead.now - observation.last_seen > silence:
             observation.avoided_until = lead.now + lead.policy.announce_every
             lead.replicated.workers.touched.add(name)
--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -50,6 +50,7 @@
     """What a leader knows of one target; times on the leader's clock (s).
 
     ``number`` is that of the newest announcement, 0 before the first.
+    Another incarnation announced itself under the name at ``contested_at``.
     ``failures`` names the tasks that failed there since the last success, and
     ``probe_due`` is when a quarantine ends.
     """
@@ -61,7 +62,7 @@
         self.last_seen = float('-inf')
         self.lease_end = lease_end
         self.avoided_until = float('-inf')
-        self.past_incarnations: set[str] = set()
+        self.contested_at = float('-inf')
         self.failures: set[str] = set()
         self.probe_due = float('inf')
 
