Take no "not sent" from an entry that may have restarted

Cause: an entry's report that it did not send an order closes the attempt as not started if no other entry was given the order. Entries are told apart by name. One that has restarted, or whose report was lost with its link, reports "not sent" of an order that it sent before: it finds the target out of reach or restarted, or does not know the job. The task is then queued again, also one that is not repeatable and has run.

Evidence (target_lives.feature, before this change): a task that is not repeatable runs and is listed by its target; the entry reconnects, and its repeat of the order is reported as not sent. In both cases attempt 2 is ordered; an entry that rejects the order, as it does not know the job, has the task queued again. "A restarted entry does not know what it sent before" @1.1, @1.2 and @1.3 failed.

Fix: a connection of an entry marks all orders that were given to it under this name. Such an attempt is closed as not started only by proof of its target (docs/DESIGN.md, "Orders may be repeated"), or ends with the lease. The mark is set when the entry connects, as an entry may connect anew before the loss of its link is noticed. It is the one that attempts of an earlier leader have; its name was "inherited".

--- a/daisygw/zones/_announcements.py
+++ b/daisygw/zones/_announcements.py
@@ -241,5 +241,5 @@
     for task in job.tasks:
         if task.state is TaskState.LEASED:
             outstanding = OutstandingOrder(task.attempt, lead.now)
-            outstanding.inherited = True
+            outstanding.sender_unknown = True
             lead.orders[TaskKey(job.contract.id, task.index)] = outstanding
--- a/daisygw/zones/_attempts.py
+++ b/daisygw/zones/_attempts.py
@@ -141,7 +141,7 @@
     """Handle an entry's report on an attempt.
 
     A report that the order was not sent closes the attempt only if no other
-    entry was ever given the order.
+    entry was ever given the order, nor this one before it reconnected.
     """
     if code_class(report.code) is not CodeClass.NOT_RUN:
         close_attempt(lead, report.key, report.attempt, report.code, report.run)
@@ -151,5 +151,5 @@
         return
     if lead.serving_entries.get(report.key.job):
         _avoid_target(lead, report)
-    if outstanding.entries == {entry} and not outstanding.inherited:
+    if outstanding.entries == {entry} and not outstanding.sender_unknown:
         close_attempt(lead, report.key, report.attempt, report.code)
--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -70,9 +70,11 @@
 class OutstandingOrder:
     """An order sent for an attempt that is not closed yet.
 
-    ``entries`` are those that were given the order.  ``inherited`` marks an
-    attempt that an earlier leader placed, ``running`` one that its target has
-    listed.  ``stopping`` is the code with which it is being stopped, or 0.
+    ``entries`` are those that were given the order.  ``sender_unknown`` marks
+    an order that may have been sent by an entry that does not know of it, as an
+    earlier leader placed the attempt or one of ``entries`` may have restarted.
+    ``running`` marks an attempt that its target has listed.  ``stopping`` is
+    the code with which it is being stopped, or 0.
     ``absent_since`` is the number of the first announcement that lacked the
     attempt after the order had expired, 0 while there is none.
     """
@@ -82,7 +84,7 @@
         self.attempt = attempt
         self.at = at
         self.entries: set[str] = set()
-        self.inherited = False
+        self.sender_unknown = False
         self.running = False
         self.stopping = 0
         self.absent_since = 0
--- a/daisygw/zones/_leader_events.py
+++ b/daisygw/zones/_leader_events.py
@@ -164,8 +164,14 @@
 
 
 def entry_connected(lead: DomainLeader, entry: str) -> None:
-    """Record that an entry has connected to this leader."""
+    """Record that an entry has connected to this leader.
+
+    It may have restarted: then it does not know which orders it has sent.
+    """
     lead.entries[entry] = None
+    for outstanding in lead.orders.values():
+        if entry in outstanding.entries:
+            outstanding.sender_unknown = True
 
 
 def entry_disconnected(lead: DomainLeader, entry: str) -> None:
--- a/tests/features/target_lives.feature
+++ b/tests/features/target_lives.feature
@@ -43,3 +43,14 @@
   Scenario: A lease is renewed by acknowledgements of its own incarnation only
     When an acknowledgement for the incarnation before reaches the entry
     Then the announcement of the next incarnation stays unanswered
+
+  Scenario Outline: A restarted entry does not know what it sent before, <case>
+    Given a not repeatable task that runs on a restarted target, and another target
+    When the entry reconnects <case>, and reports the order as not sent
+    Then the task has 0 further order
+
+    Examples:
+      | case                                    |
+      | after its link was lost                 |
+      | before its lost link was noticed        |
+      | after its link was lost, without the job |
--- a/tests/steps/target_life_steps.py
+++ b/tests/steps/target_life_steps.py
@@ -10,9 +10,11 @@
 from bench.core import ENTRY, Core, Scale, random_contract, submit
 from daisygw.contracts import (
     Drain,
+    OrderRejected,
     Policy,
     ResultCode,
     Submit,
+    TaskReport,
     TaskStartOrder,
     TaskState,
     TaskStopOrder,
@@ -28,10 +30,13 @@
     advance_clock,
     collect_output,
     entry_connected,
+    entry_disconnected,
     finish_turn,
     on_announcement,
     on_drain,
+    on_order_rejected,
     on_submit,
+    on_task_report,
     start_leading,
 )
 from standins._runs import (
@@ -278,3 +283,21 @@
     """Expect an answer by its own acknowledgement only."""
     assert not context.answered_by_late
     assert context.answered_by_own
+
+
+@when('the entry reconnects {case}, and reports the order as not sent')
+def reconnect_entry(context, case):
+    """Restart the entry while the target can not be reached any more."""
+    lead = context.core.lead
+    order = context.order
+    if 'before' not in case:
+        entry_disconnected(lead, ENTRY)
+    entry_connected(lead, ENTRY)
+    if 'without the job' in case:
+        rejected = OrderRejected(order.key, order.attempt)
+        on_order_rejected(lead, rejected, ENTRY)
+    else:
+        on_submit(lead, Submit(0, context.contract), ENTRY)
+        report = TaskReport(order.key, order.attempt, ResultCode.NOT_STARTED)
+        on_task_report(lead, report, ENTRY)
+    _pass_time(context, _LONG_S, context.other)
