Do not take the end of an entry's earlier link for that of its new one

Cause: a scheduler tells the links of entries apart by name only when it passes their state on to the domains. An entry that connects anew before its earlier link ends (2.5 s of silence) counts as disconnected from then on: its jobs are parked, and orders and stops are not sent through it.

Evidence: "The end of an entry's earlier link is not that of its new one" (target_lives.feature) failed: the entry is not in the domain's state after the end of the earlier link.

Fix: the end of a link counts only while it is the entry's newest one, as it did for the scheduler's own list already.

Run: target_lives, decisions, log_cases, trouble: all passed.

--- a/daisygw/schedulers/_process.py
+++ b/daisygw/schedulers/_process.py
@@ -126,11 +126,13 @@
 def _on_inbound_link(scheduler: Scheduler, link: Link) -> None:
     if not link.peer.startswith(_ENTRY_PREFIX):
         return
+    if not link.up and scheduler.sessions.get(link.peer) is not link:
+        # The entry has connected anew before the end of this link.
+        return
     for state in scheduler.domains.values():
         handle_entry_connection(state, link.peer, up=link.up)
     if not link.up:
-        if scheduler.sessions.get(link.peer) is link:
-            scheduler.sessions.pop(link.peer)
+        scheduler.sessions.pop(link.peer)
         return
     scheduler.sessions[link.peer] = link
     for group, term in scheduler.leading.items():
--- a/tests/features/target_lives.feature
+++ b/tests/features/target_lives.feature
@@ -54,3 +54,7 @@
       | after its link was lost                 |
       | before its lost link was noticed        |
       | after its link was lost, without the job |
+
+  Scenario: The end of an entry's earlier link is not that of its new one
+    When an entry connects anew to a scheduler before its earlier link ends
+    Then it is connected until its new link ends
--- a/tests/steps/target_life_steps.py
+++ b/tests/steps/target_life_steps.py
@@ -9,6 +9,7 @@
 
 from bench.core import ENTRY, Core, Scale, random_contract, submit
 from daisygw.contracts import (
+    Configuration,
     Drain,
     OrderRejected,
     Policy,
@@ -20,11 +21,14 @@
     TaskStopOrder,
 )
 from daisygw.entries import _process
+from daisygw.links.processes import Link
 from daisygw.machines import (
     Announcement,
     AnnouncementAccepted,
     RunningAttempt,
 )
+from daisygw.schedulers._domain_machine import DomainState
+from daisygw.schedulers._process import _on_inbound_link
 from daisygw.zones import (
     DomainLeader,
     advance_clock,
@@ -301,3 +305,32 @@
         report = TaskReport(order.key, order.attempt, ResultCode.NOT_STARTED)
         on_task_report(lead, report, ENTRY)
     _pass_time(context, _LONG_S, context.other)
+
+
+@when('an entry connects anew to a scheduler before its earlier link ends')
+def connect_twice(context):
+    """Open a second link under an entry's name, then end the first one."""
+    state = DomainState('bench', 1, Configuration(1, {}, Policy()))
+    context.domain_state = state
+    context.scheduler = SimpleNamespace(
+        domains={'bench': state},
+        sessions={},
+        leading={},
+        config_known=False,
+    )
+    earlier, context.link = Link(ENTRY), Link(ENTRY)
+    for link, up in ((earlier, True), (context.link, True), (earlier, False)):
+        link.up = up
+        _on_inbound_link(context.scheduler, link)
+
+
+@then('it is connected until its new link ends')
+def check_connected(context):
+    """Expect the entry in the domain's state, and not after the end."""
+    entries = context.domain_state.entries
+    assert ENTRY in entries
+    assert context.scheduler.sessions == {ENTRY: context.link}
+    context.link.up = False
+    _on_inbound_link(context.scheduler, context.link)
+    assert ENTRY not in entries
+    assert not context.scheduler.sessions
