--- a/daisygw/zones/_leader.py
+++ b/daisygw/zones/_leader.py
@@ -50,6 +50,7 @@
     """What a leader knows of one target; times on the leader's clock (s).
 
     ``number`` is that of the newest announcement, 0 before the first.
+    Another incarnation announced itself under the name at ``contested_at``.
     ``failures`` names the tasks that failed there since the last success, and
     ``probe_due`` is when a quarantine ends.
     """
@@ -61,7 +62,7 @@
         self.last_seen = float('-inf')
         self.lease_end = lease_end
         self.avoided_until = float('-inf')
-        self.past_incarnations: set[str] = set()
+        self.contested_at = float('-inf')
         self.failures: set[str] = set()
         self.probe_due = float('inf')
 
@@ -69,9 +70,11 @@
 class OutstandingOrder:
     """An order sent for an attempt that is not closed yet.
 
-    ``entries`` are those that were given the order.  ``inherited`` marks an
-    attempt that an earlier leader placed, ``running`` one that its target has
-    listed.  ``stopping`` is the code with which it is being stopped, or 0.
+    ``entries`` are those that were given the order.  ``sender_unknown`` marks
+    an order that may have been sent by an entry that does not know of it, as an
+    earlier leader placed the attempt or one of ``entries`` may have restarted.
+    ``running`` marks an attempt that its target has listed.  ``stopping`` is
+    the code with which it is being stopped, or 0.
     ``absent_since`` is the number of the first announcement that lacked the
     attempt after the order had expired, 0 while there is none.
     """
@@ -81,7 +84,7 @@
         self.attempt = attempt
         self.at = at
         self.entries: set[str] = set()
-        self.inherited = False
+        self.sender_unknown = False
         self.running = False
         self.stopping = 0
         self.absent_since = 0
