--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -35,8 +35,8 @@
     After ``UNSURE`` the order may have been carried out.  ``REFUSED`` means
     that the order is not valid (any more), ``UNAVAILABLE`` that the target
     takes no order of this kind now.  ``FENCED`` means that the target knows a
-    newer fencing token, ``OTHER_INSTANCE`` that its process has been replaced
-    by another one.
+    newer fencing token, ``OTHER_INSTANCE`` that another target, of another
+    name, has its address.
     """
 
     TAKEN = 'taken'
@@ -88,7 +88,7 @@
     run = result.order.run
     target = lead.cell.targets.get(run.instance)
     if result.outcome is OrderOutcome.OTHER_INSTANCE and target:
-        end_instance(lead, target, 'another instance answered')
+        end_instance(lead, target, 'another target answered')
     elif result.outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.FENCED}:
         outstanding.unanswered += result.outcome is OrderOutcome.NO_ANSWER
         _retry_start(lead, result, outstanding)
