Stand-in workers that restart under their names

The stand-in workers of a platform cell can crash and be back under their names, with a new start time, clock, token and numbers of ends, and without what ran. Tickets belong to one life. Calls that the former life left without an answer can be carried out by the next one, without an answer. Workers can be cut off, from calls and with their heartbeats, and join again. The advisor's address takes the orders for it.

A renewal extends the lease once, as it arrives; it did so again at each look for ended runs, which a deadline of another clock makes a difference to. The longest lease is that of the setting bounds.holdMaxMs now: the cell named none, so hosts counted 4 s and workers accepted 10 s.

--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -46,8 +46,10 @@
 # The setting ``bounds.graceS``.
 GRACE_S = 4
 HTTP_OK = 200
-# Workers of a cell unless the caller says otherwise.
+# Workers of a cell, and the longest lease that they accept (s: the setting
+# ``bounds.holdMaxMs``), unless the caller says otherwise.
 DEFAULT_WORKERS = 2
+DEFAULT_MAX_LEASE_S = 4.0
 _PORT_COUNT = 8
 
 
@@ -75,6 +77,7 @@
 
     ports: Ports
     folder: Path
+    max_lease_s: float = DEFAULT_MAX_LEASE_S
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     link_ports: dict[str, int] = field(default_factory=dict)
 
@@ -120,6 +123,7 @@
         f'seedNodes={seeds}',
         f'bootstrap={"true" if first else "false"}',
         f'bounds.graceS={GRACE_S}',
+        f'bounds.holdMaxMs={int(cell.max_lease_s * MS_PER_S)}',
         f'placementAdvisor={ADVISOR_HOST}:{ports.workers}',
         # Unknown fields must be ignored.
         'a.field.of.later=7',
@@ -307,8 +311,33 @@
     whether the leader acknowledged the end under the same lease.  The end of
     a run that has not ended is None.
     """
-    address = f'{ADVISOR_HOST}:{cell.ports.workers}'
-    return call(address, 'GET', '/history')[1]
+    return call(_workers_address(cell), 'GET', '/history')[1]
+
+
+def _workers_address(cell: PlatformCell) -> str:
+    return f'{ADVISOR_HOST}:{cell.ports.workers}'
+
+
+def crash_workers(
+    cell: PlatformCell, names: list[str], back_s: float, late_s: float
+) -> None:
+    """Crash workers, which are back under their names after ``back_s``.
+
+    The calls that they leave without an answer are carried out by the next
+    instances ``late_s`` after the crash.
+    """
+    order = {'workers': names, 'backS': back_s, 'lateS': late_s}
+    call(_workers_address(cell), 'POST', '/crash', order)
+
+
+def cut_off_workers(cell: PlatformCell, names: list[str]) -> None:
+    """Cut these workers off, and connect all others again."""
+    call(_workers_address(cell), 'POST', '/cut', names)
+
+
+def late_calls(cell: PlatformCell) -> list[list[Any]]:
+    """Return worker, path and status of the calls carried out late."""
+    return call(_workers_address(cell), 'GET', '/late')[1]
 
 
 def wait_until(check: Any, what: str, seconds: float = WAIT_TIMEOUT_S) -> Any:
@@ -364,7 +393,7 @@
 def _start_workers(cell: PlatformCell, controls: str, workers: int) -> None:
     """Start the workers, a relay in front of each, and the link relays."""
     ports = cell.ports
-    args = [ports.workers, controls, workers, ports.relays]
+    args = [ports.workers, controls, workers, ports.relays, cell.max_lease_s]
     relays = [
         f'{host}:{ports.relays}={host}:{ports.workers}=w{number}'
         for number, host in enumerate(worker_hosts(workers), 1)
@@ -402,10 +431,9 @@
 
 def stand_in_stalls(cell: PlatformCell) -> list[tuple[float, float]]:
     """Return begin and end (s) of the times when relays or workers stalled."""
-    workers = f'{ADVISOR_HOST}:{cell.ports.workers}'
     return [
         stall
-        for address in (relay_control_address(cell), workers)
+        for address in (relay_control_address(cell), _workers_address(cell))
         for stall in call(address, 'GET', '/stalls')[1]
     ]
 
@@ -444,11 +472,10 @@
 
 
 def _is_started(cell: PlatformCell) -> bool:
-    ports = cell.ports
     return all(
         is_listening(address)
         for address in (
-            f'{ADVISOR_HOST}:{ports.workers}',
+            _workers_address(cell),
             relay_control_address(cell),
         )
     ) and all(is_serving(cell, host) for host in (*SCHEDULERS, *ENTRIES))
@@ -456,13 +483,19 @@
 
 @contextmanager
 def running_cell(
-    folder: Path, workers: int = DEFAULT_WORKERS, *, relayed: bool = False
+    folder: Path,
+    workers: int = DEFAULT_WORKERS,
+    *,
+    relayed: bool = False,
+    max_lease_s: float = DEFAULT_MAX_LEASE_S,
 ) -> Generator[PlatformCell, None, None]:
     """Run a cell with workers; kill all its processes at the end.
 
     ``relayed`` puts a relay into every link between its own processes.
+    Workers accept no lease longer than ``max_lease_s``.
     """
-    cell = PlatformCell(Ports(*free_ports(_PORT_COUNT, SCHEDULERS[0])), folder)
+    ports = Ports(*free_ports(_PORT_COUNT, SCHEDULERS[0]))
+    cell = PlatformCell(ports, folder, max_lease_s)
     if relayed:
         hosts = (*SCHEDULERS, *ENTRIES)
         ports = free_ports(len(hosts), SCHEDULERS[0])
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -1,12 +1,20 @@
 """Simulated workers and placement advisor with the platform's protocol.
 
-``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT [SEEN]``
-runs ``COUNT`` workers and the advisor on loopback addresses, until it is
-killed.  ``CONTROL`` is the control address of a scheduler.  ``SEEN`` is the
-port that workers announce as their own, such as that of a relay.
+``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT SEEN
+MAX_LEASE_S`` runs ``COUNT`` workers and the advisor on loopback addresses,
+until it is killed.  ``CONTROL`` is the control address of a scheduler.
+``SEEN`` is the port that workers announce as their own, such as that of a
+relay.  ``MAX_LEASE_S`` is the longest lease that they accept.
 ``GET /history`` at the advisor's address returns what ran, with times (s).
 ``GET /stalls`` there returns begin and end (s, monotonic) of the times when
 this process itself stood still, and with it all workers.
+``POST /crash`` there with ``{"workers": names, "backS": s, "lateS": s}`` ends
+workers, which are back after ``backS`` under their names, as new lives.  Calls
+that the former life leaves without an answer are carried out by the life that
+is there ``lateS`` after the crash (null: never).  ``POST /cut`` with a list of
+names cuts these workers off and lets all others join again: their calls and
+replies are held, and they send no heartbeats.  ``GET /late`` returns worker,
+path and status of each call that was carried out late.
 
 The advisor approves all workers at once for most jobs.  For jobs whose id
 begins with ``SLOW_JOB_PREFIX`` it takes long and approves only some workers.
@@ -56,15 +64,69 @@
 
 
 class Worker:
-    """A worker model with the fields that only its messages need."""
+    """The lives of a worker, with the fields that only its messages need.
 
-    def __init__(self, number: int, announced_port: int) -> None:
+    ``model`` is the present life, or None from a crash until the worker is
+    back; ``lives`` holds all of them.  ``up`` is set while there is a life,
+    ``connected`` while the worker is not cut off.  Calls that the last crash
+    left without an answer are carried out at ``late_at`` (s; None: never).
+    """
+
+    def __init__(
+        self, number: int, announced_port: int, max_lease_s: float
+    ) -> None:
         """Start a worker now; it announces ``announced_port`` as its port."""
         self.number = number
+        self.name = worker_name(number)
         self.address = f'{HOST.format(number)}:{announced_port}'
-        self.model = model.WorkerModel(worker_name(number), _now(), CAPACITY)
-        self.born_ms = int(time.time() * MS_PER_S)
+        self.max_lease_s = max_lease_s
+        self.model: model.WorkerModel | None = None
+        self.lives: list[model.WorkerModel] = []
+        self.born_ms = 0
         self.sequence = count(1)
+        self.up = asyncio.Event()
+        self.connected = asyncio.Event()
+        self.connected.set()
+        self.late_at: float | None = None
+        self.late_calls: list[tuple[str, str, int]] = []
+        _begin_life(self)
+
+
+def _begin_life(worker: Worker) -> None:
+    worker.model = model.WorkerModel(
+        worker.name, _now(), CAPACITY, worker.max_lease_s
+    )
+    worker.lives.append(worker.model)
+    worker.born_ms = int(time.time() * MS_PER_S)
+    worker.sequence = count(1)
+    worker.up.set()
+
+
+async def _crash(workers: list[Worker], req: web.Request) -> web.Response:
+    """End workers; start them again under their names after a time."""
+    order = await req.json()
+    crashed = [
+        one for one in workers if one.name in order['workers'] and one.model
+    ]
+    late_s = order['lateS']
+    for worker in crashed:
+        model.crash(worker.model, _now())
+        worker.model = None
+        worker.up.clear()
+        worker.late_at = None if late_s is None else _now() + late_s
+        loop = asyncio.get_running_loop()
+        loop.call_later(order['backS'], _begin_life, worker)
+    return web.json_response([worker.name for worker in crashed])
+
+
+async def _cut(workers: list[Worker], req: web.Request) -> web.Response:
+    names = await req.json()
+    for worker in workers:
+        if worker.name in names:
+            worker.connected.clear()
+        else:
+            worker.connected.set()
+    return web.Response()
 
 
 def _body(worker: Worker, **more) -> dict:
@@ -82,26 +144,63 @@
     return ranked
 
 
-def _make_ticket(worker: str, step: str) -> str:
-    return f'{worker} {step} {_now() + TICKET_VALIDITY_S}'
+def _make_ticket(worker: Worker, step: str) -> str:
+    """Return a ticket for a step, which is valid for the worker's life."""
+    expires_at = _now() + TICKET_VALIDITY_S
+    return f'{worker.name} {worker.born_ms} {step} {expires_at}'
 
 
 def _is_valid_ticket(worker: Worker, task: str, ticket: str) -> bool:
     step = task.rpartition('.')[0]
-    name, _, rest = ticket.partition(' ')
-    approved_step, _, expires_at = rest.partition(' ')
-    approved = (name, approved_step) == (worker.model.name, step)
-    return approved and _now() < float(expires_at)
+    approved, _, expires_at = ticket.rpartition(' ')
+    expected = f'{worker.name} {worker.born_ms} {step}'
+    return approved == expected and _now() < float(expires_at)
 
 
 def _is_for_another(worker: Worker, req: web.Request) -> bool:
-    return req.headers.get('X-Expected-Instance') != worker.model.name
+    return req.headers.get('X-Expected-Instance') != worker.name
 
 
-async def _start(worker: Worker, req: web.Request) -> web.Response:
-    if _is_for_another(worker, req):
-        return web.json_response(_body(worker), status=421)
-    order = await req.json()
+def _answer_calls(handle, worker: Worker):
+    """Return an HTTP handler that lets the present life carry calls out."""
+
+    async def answer(req: web.Request) -> web.Response:
+        order = await req.json()
+        await worker.connected.wait()
+        life = worker.model
+        if life:
+            if _is_for_another(worker, req):
+                return web.json_response(_body(worker), status=421)
+            resp = await handle(worker, order)
+            await worker.connected.wait()
+            if worker.model is life:
+                return resp
+        await _carry_out_late(handle, worker, req, order)
+        return web.Response()
+
+    return answer
+
+
+async def _carry_out_late(
+    handle, worker: Worker, req: web.Request, order: dict
+) -> None:
+    """Let a later life carry out a call that its former one left unanswered.
+
+    The connection is dropped when the worker is back.
+    """
+    late_at = worker.late_at
+    await worker.up.wait()
+    if req.transport:
+        req.transport.abort()
+    if late_at is None:
+        return
+    await asyncio.sleep(max(late_at - _now(), 0))
+    if worker.model:
+        resp = await handle(worker, {**order, 'waitMs': 0})
+        worker.late_calls.append((worker.name, req.path, resp.status))
+
+
+async def _start(worker: Worker, order: dict) -> web.Response:
     if not _is_valid_ticket(worker, order['task'], order.get('ticket', '')):
         return web.json_response(_body(worker, reason='ticket'), status=409)
     spec = json.loads(order['spec']) if order['spec'] else {}
@@ -117,10 +216,7 @@
     return web.json_response(_body(worker, reason=reason), status=status)
 
 
-async def _stop(worker: Worker, req: web.Request) -> web.Response:
-    if _is_for_another(worker, req):
-        return web.json_response(_body(worker), status=421)
-    order = await req.json()
+async def _stop(worker: Worker, order: dict) -> web.Response:
     status = model.stop(
         worker.model,
         _now(),
@@ -131,24 +227,23 @@
     return web.json_response(_body(worker), status=status)
 
 
-async def _hold(worker: Worker, req: web.Request) -> web.Response:
-    if _is_for_another(worker, req):
-        return web.json_response(_body(worker), status=421)
-    order = await req.json()
+async def _hold(worker: Worker, order: dict) -> web.Response:
+    life = worker.model
     until = _now() + order.get('waitMs', 0) / MS_PER_S
+    deadline = order.get('deadlineMs')
     while True:
         lists = model.hold(
-            worker.model,
-            _now(),
-            order['fencingToken'],
-            order['ackCursor'],
-            order.get('deadlineMs'),
+            life, _now(), order['fencingToken'], order['ackCursor'], deadline
         )
         if lists is None:
             return web.json_response(_body(worker, reason='fence'), status=409)
         if lists[1] or _now() >= until:
             break
+        # The lease is extended once, at the time when the call arrives.
+        deadline = None
         await asyncio.sleep(_HOLD_POLL_INTERVAL_S)
+        if worker.model is not life:
+            return web.Response()
     active = [[task[0], number, '', 0, 0] for task, number in lists[0]]
     ended = [
         [position, task[0], number, how, '']
@@ -165,31 +260,42 @@
         await asyncio.sleep(
             SLOW_ADVICE_S + len(asked) * SLOW_ADVICE_PER_WORKER_S
         )
-    names = approved_workers(step, [worker.model.name for worker in workers])
+    names = approved_workers(step, [worker.name for worker in workers])
+    by_name = {worker.name: worker for worker in workers}
     approved = [
-        [name, _make_ticket(name, step)] for name in asked if name in names
+        [name, _make_ticket(by_name[name], step)]
+        for name in asked
+        if name in names
     ]
     return web.json_response({'approved': approved})
 
 
 async def _history(workers: list[Worker], req: web.Request) -> web.Response:
     rows = []
-    for worker in workers:
-        model.advance_clock(worker.model, _now())
+    for life in (life for worker in workers for life in worker.lives):
+        model.advance_clock(life, _now())
         rows += [
-            [worker.model.name, one.task[0], one.number, one.how]
+            [life.name, one.task[0], one.number, one.how]
             + [one.started_at, one.ended]
-            + [(one.task, one.number) in worker.model.acknowledged_ends]
-            for one in worker.model.history
+            + [(one.task, one.number) in life.acknowledged_ends]
+            for one in life.history
         ]
         rows += [
-            [worker.model.name, span.task[0], span.number, 'running']
+            [life.name, span.task[0], span.number, 'running']
             + [span.started_at, None, False]
-            for span, _ in worker.model.running.values()
+            for span, _ in life.running.values()
         ]
     return web.json_response(rows)
 
 
+async def _show_late_calls(
+    workers: list[Worker], req: web.Request
+) -> web.Response:
+    return web.json_response([
+        call for worker in workers for call in worker.late_calls
+    ])
+
+
 def _report(worker: Worker) -> dict:
     return _body(
         worker,
@@ -211,8 +317,10 @@
     async with aiohttp.ClientSession(timeout=timeout) as session:
         control_index = worker.number
         while True:
+            await worker.connected.wait()
+            await worker.up.wait()
             url = f'http://{controls[control_index % len(controls)]}'
-            path = f'/instances/{worker.model.name}'
+            path = f'/instances/{worker.name}'
             try:
                 async with session.put(url + path, json=_report(worker)) as r:
                     control_index += r.status != 200
@@ -244,17 +352,14 @@
 
 
 async def run(
-    port: int, controls: list[str], workers: int, announced_port: int
+    port: int, controls: list[str], started_workers: list[Worker]
 ) -> None:
     """Serve workers and advisor until cancelled."""
-    started_workers = [
-        Worker(number, announced_port) for number in range(1, workers + 1)
-    ]
     for worker in started_workers:
         routes = {
-            ('POST', '/run-start'): _bind_handler(_start, worker),
-            ('POST', '/run-stop'): _bind_handler(_stop, worker),
-            ('POST', '/hold'): _bind_handler(_hold, worker),
+            ('POST', '/run-start'): _answer_calls(_start, worker),
+            ('POST', '/run-stop'): _answer_calls(_stop, worker),
+            ('POST', '/hold'): _answer_calls(_hold, worker),
         }
         await _serve(routes, HOST.format(worker.number), port)
     stalls: list[tuple[float, float]] = []
@@ -262,6 +367,9 @@
         ('GET', '/stalls'): _bind_handler(_show_stalls, stalls),
         ('POST', '/advise'): _bind_handler(_advise, started_workers),
         ('GET', '/history'): _bind_handler(_history, started_workers),
+        ('GET', '/late'): _bind_handler(_show_late_calls, started_workers),
+        ('POST', '/crash'): _bind_handler(_crash, started_workers),
+        ('POST', '/cut'): _bind_handler(_cut, started_workers),
     }
     await _serve(advisor, ADVISOR_HOST, port)
     await asyncio.gather(
@@ -271,9 +379,12 @@
 
 
 def _main(args: list[str]) -> None:
-    port = int(args[0])
-    announced_port = int(args[3]) if len(args) > 3 else port
-    asyncio.run(run(port, args[1].split(','), int(args[2]), announced_port))
+    port, controls, workers, announced_port, max_lease_s = args
+    started_workers = [
+        Worker(number, int(announced_port), float(max_lease_s))
+        for number in range(1, int(workers) + 1)
+    ]
+    asyncio.run(run(int(port), controls.split(','), started_workers))
 
 
 if __name__ == '__main__':
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -101,6 +101,13 @@
             _end_run(worker, task, lapsed_at, 'lapsed')
 
 
+def crash(worker: WorkerModel, now: float) -> None:
+    """End all runs at ``now`` (s), as the worker's process has ended."""
+    advance_clock(worker, now)
+    for task in list(worker.running):
+        _end_run(worker, task, now, 'crashed')
+
+
 def _renew(worker: WorkerModel, now: float, deadline: int | None) -> None:
     if worker.born + worker.lease < now:
         worker.lapsed_at = worker.born + worker.lease
