A scenario for restarted workers that take late renewals

Real processes, 12 workers: four with long tasks crash, are back 0.6 s later, carry out 2.2 s after the crash the renewals that were left without an answer, and are cut off at once. The histories of all lives must show no two runs of a task at once, and no start after an acknowledged end.

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -36,6 +36,20 @@
         yield cell
 
 
+@fixture
+def restarting_workers(context: Any) -> Iterator[Any]:
+    """Run a cell as the platform does, of 12 workers, for a scenario.
+
+    Its workers accept leases that are longer than those that are granted.
+    """
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_cell(Path(folder), 12, max_lease_s=10) as cell,
+    ):
+        context.cell = cell
+        yield cell
+
+
 def before_all(context: Any) -> None:
     """Reset the counts and read the list of known failures."""
     context.counts = Counter()
@@ -49,6 +63,8 @@
         use_fixture(one_cell, context)
     elif tag == 'fixture.platform_cell':
         use_fixture(platform_cell, context)
+    elif tag == 'fixture.restarting_workers':
+        use_fixture(restarting_workers, context)
 
 
 def before_scenario(context: Any, scenario: Scenario) -> None:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -109,3 +109,10 @@
   Scenario: A request in progress when an entry ends is answered 504
     When an entry receives a job 2 seconds after SIGTERM, while all schedulers are paused
     Then the job is answered 504
+
+  @fixture.restarting_workers
+  Scenario: A restarted worker that takes a late renewal runs no task twice
+    Given 12 workers run tasks of 15 to 30 seconds, and short ones that leave half of them free
+    When a third of the workers crash, are back 0.6 seconds later and take a late renewal
+    And they are cut off for longer than a lease while tasks run there
+    Then no task ran twice at the same time, or again after its end was acknowledged
