Repeat the order to cut stand-in workers off until it is taken

An order without an answer, as from a stand-in that stands still, would leave workers cut off for good.

--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -332,7 +332,11 @@
 
 def cut_off_workers(cell: PlatformCell, names: list[str]) -> None:
     """Cut these workers off, and connect all others again."""
-    call(_workers_address(cell), 'POST', '/cut', names)
+    address = _workers_address(cell)
+    wait_until(
+        lambda: call(address, 'POST', '/cut', names)[0] == HTTP_OK,
+        'workers to be cut off or connected',
+    )
 
 
 def late_calls(cell: PlatformCell) -> list[list[Any]]:
