Restart workers under their names in the soak, with late calls

Beside one fault of seven, up to 8 workers crash, are back after 0.2 to 1 s, take the unanswered calls of their former lives 0.1 to 3 s later, and are cut off for 5 to 7 s then. The check of histories (overlaps, starts after acknowledged ends) holds for all lives as it was.

Not verified by a run in which nothing broke, on a machine at load 25 to 28.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,13 +6,14 @@
 folder or find a torn record at the end of its log.  Settings files are read
 again, and the configuration changes meanwhile.  Relays cut links between
 processes and to workers (in both directions or one), delay them and reset
-them.  Planned work follows, without other faults but on slow links: entries
-are told to stop, settings and configuration change.  Callers submit jobs of
-one or two steps all the time over connections that they keep open, also for a
-while after the last fault was undone.  The placement advisor of some jobs, all
-gangs, is slow.  In some runs all schedulers are killed at once in the end,
-right after they acknowledged something, and lose what they did not sync, or
-one of them its data folder.
+them.  Workers restart under their names, carry out calls of their former lives
+late, and are cut off for longer than a lease.  Planned work follows, without
+other faults but on slow links: entries are told to stop, settings and
+configuration change.  Callers submit jobs of one or two steps all the time
+over connections that they keep open, also for a while after the last fault was
+undone.  The placement advisor of some jobs, all gangs, is slow.  In some runs
+all schedulers are killed at once in the end, right after they acknowledged
+something, and lose what they did not sync, or one of them its data folder.
 
 No request may be cut off without a response while its entry is not disturbed.
 Every accepted job must be completed, and shown in between.  While there are no
@@ -115,7 +116,8 @@
         inject(soak)
         time.sleep(FAULT_INTERVAL_S)
         run_due_repairs(soak, time.monotonic())
-    run_due_repairs(soak, float('inf'))
+    while soak.pending_repairs:
+        run_due_repairs(soak, float('inf'))
     cells.wait_until_started(soak.cell)
 
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -22,6 +22,17 @@
 # Delay of entries' links during planned work, s.
 _PLANNED_WORK_DELAY_S = 0.15
 _MAX_CUT_OFF_WORKERS = 10
+# Share of the faults beside which workers restart.
+_RESTART_SHARE = 0.15
+_MAX_RESTARTED_WORKERS = 8
+# Bounds of the time until crashed workers are back, and from then until they
+# carry out late calls (s).
+_DOWN_S = (0.2, 1.0)
+_LATE_S = (0.1, 3.0)
+# Time from the late calls to the cut, and bounds of the length of the cut (s):
+# longer than a lease.
+_UNTIL_CUT_S = 0.1
+_ISOLATION_S = (5.0, 7.0)
 # Longest time from the end of a stopped process to its restart, s.
 _MAX_RESTART_DELAY_S = 1.0
 # Maximum delay of a slow link, s: a good part of an election timeout.
@@ -44,9 +55,10 @@
     ``undone`` the faults that they have undone.  ``jobs`` are the jobs
     that the soak submitted itself.
     ``odd_random`` draws the odd messages, ``accepted_odd`` names those that
-    were accepted.  ``links`` holds the states of impaired links,
-    ``faults_changed_at`` when a fault of a host or link last began or ended
-    (s).
+    were accepted.  ``restart_random`` draws the restarts of workers,
+    ``isolated_workers`` holds those that are cut off afterwards.  ``links``
+    holds the states of impaired links, ``faults_changed_at`` when a fault of a
+    host or link last began or ended (s).
     """
 
     def __init__(self, cell: PlatformCell, seed: int) -> None:
@@ -63,6 +75,8 @@
         self.faults_changed_at = time.monotonic()
         self.odd_random = Random(f'odd {seed}')
         self.accepted_odd: list[str] = []
+        self.restart_random = Random(f'restarts {seed}')
+        self.isolated_workers: list[str] = []
         self.version = 3
         self.acknowledged_version = 0
 
@@ -275,10 +289,43 @@
         soak.accepted_odd.append(f'accepted: {what}')
 
 
+def _restart_workers(soak: SoakRun) -> None:
+    """Crash workers that take late calls as they are back; cut them off then.
+
+    The random numbers are its own, so that the other faults of a seed stay the
+    same.
+    """
+    random = soak.restart_random
+    count = random.randint(1, _MAX_RESTARTED_WORKERS)
+    names = random.sample(cells.worker_names(WORKERS), count)
+    back_s = random.uniform(*_DOWN_S)
+    late_s = back_s + random.uniform(*_LATE_S)
+    cut_s = random.uniform(*_ISOLATION_S)
+    cells.crash_workers(soak.cell, names, back_s, late_s)
+    soak.faults['restart'] += 1
+    cut_at = time.monotonic() + late_s + _UNTIL_CUT_S
+    soak.pending_repairs.append((cut_at, lambda: _isolate(soak, names, cut_s)))
+
+
+def _isolate(soak: SoakRun, names: list[str], cut_s: float) -> None:
+    """Cut workers off, also from the hosts that they report to."""
+    soak.isolated_workers += names
+    cells.cut_off_workers(soak.cell, soak.isolated_workers)
+
+    def rejoin() -> None:
+        for name in names:
+            soak.isolated_workers.remove(name)
+        cells.cut_off_workers(soak.cell, soak.isolated_workers)
+
+    soak.pending_repairs.append((time.monotonic() + cut_s, rejoin))
+
+
 def inject_fault(soak: SoakRun) -> None:
     """Inject one random fault; at most two hosts are down at a time."""
     if soak.odd_random.random() < _ODD_MESSAGE_SHARE:
         _write_odd_message(soak)
+    if soak.restart_random.random() < _RESTART_SHARE:
+        _restart_workers(soak)
     kind = soak.random.choice((*_HOST_FAULTS, *_OTHER_FAULTS))
     soak.faults[kind] += 1
     inject = _OTHER_FAULTS.get(kind)
