Bound the exponent of the delay before a silent target is asked again

More than 1,024 failures in a row overflowed the delay: 64 background tasks ended with an error in one scheduler while a job of 10,000 tasks was stopped, as each order that a target does not take asks it again. The new scenario failed with OverflowError before.

--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -50,6 +50,8 @@
 # Longest delay before an unresponsive target is tried again: a quarter of the
 # shortest lease (4 s); the usual lease lasts about 8 s.
 _MAX_RETRY_DELAY_S = 1.0
+# Bounds the exponent, whatever the number of failures.
+_MAX_DOUBLINGS = 10
 # How often the set of targets, and the validity of the leader's own lease, are
 # checked.
 _POLL_INTERVAL_S = 0.1
@@ -118,7 +120,8 @@
     failures = lead.lease_states[target.key].failures
     if failures == 1:
         log('renewal failed', target=target.key, reason=exc.reason)
-    return min(_MIN_RETRY_DELAY_S * 2 ** (failures - 1), _MAX_RETRY_DELAY_S)
+    doublings = min(failures - 1, _MAX_DOUBLINGS)
+    return min(_MIN_RETRY_DELAY_S * 2**doublings, _MAX_RETRY_DELAY_S)
 
 
 async def _wait_for_commit(
--- a/tests/steps/renewal_steps.py
+++ b/tests/steps/renewal_steps.py
@@ -16,7 +16,7 @@
 )
 from daisygw.cell._targets import end_instance
 from daisygw.contracts import JobSpec, LinkError, ResultCode, Size, Step
-from daisygw.nodes import _clock, executing_effects
+from daisygw.nodes import _clock, _effects, executing_effects
 from daisygw.nodes._meters import Meters
 from daisygw.platform._codec import decode_renewal_reply
 from daisygw.zones import Members, Role
@@ -195,3 +195,20 @@
 def check_more_ended(context, more):
     """Only a page that is not full is known to be the last one."""
     assert context.reply.more_ended is (more == 'yes'), context.reply
+
+
+@when('the target has left {count:d} calls without an answer')
+def fail_calls(context, count):
+    """Count the failures in the leader's state."""
+    (context.target,) = context.leader.world.cell.targets.values()
+    lead = context.leader.world.lead
+    lead.lease_states[context.target.key].failures = count
+
+
+@then('it is asked again after {seconds:g} s')
+def check_retry_delay(context, seconds):
+    """Compute the delay before the next call (s)."""
+    exc = LinkError(ResultCode.OUTCOME_UNKNOWN, 'silent')
+    lead = context.leader.world.lead
+    delay = _effects._retry_delay(lead, context.target, exc)
+    assert delay == seconds, delay
