Repeat an unanswered start only while it is valid

With the bound of unlisted runs, the repeats of a start to a silent target, one each 0.2 s, moved the bound on for as long as the target stayed silent: its tasks were not started elsewhere before it was back.

A start is valid for 2 s on its target's clock; a copy that is sent later could only be carried out by another instance. None is sent any more.

Evidence: the new scenario of restarts.feature (elsewhere within 14 s) failed before and passes now.

--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -103,7 +103,8 @@
 
     Times are on the leader's clock (s), except ``deadline``, which is on the
     target's clock (ms): the target refuses a copy that arrives later.
-    ``last_sent`` is when a start was sent last (-inf: not in this term).
+    No copy is sent after ``valid_until``; ``last_sent`` is when the last one
+    was (-inf: not in this term).
     ``answered`` is when the target was first known to have the run (inf: not
     yet), ``unanswered`` the number of start orders without an answer.  Since
     the instance has ``listed`` the run, it is known which instance has it;
@@ -120,6 +121,7 @@
         self.start_due = at + START_SEND_TIMEOUT_S if start else float('inf')
         self.report_due = at + LONG_WAIT_S if start else float('inf')
         self.deadline = 0
+        self.valid_until = float('-inf')
         self.last_sent = float('-inf')
         self.answered = float('inf')
         self.unanswered = 0
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -76,11 +76,15 @@
         return None
     if is_disputed(lease_state):
         return None
+    outstanding.start_due = float('inf')
     if not outstanding.deadline:
         lease = lease_for(lead, lead.cell.targets[run.instance])
         lease = min(lease, START_VALIDITY_S)
         outstanding.deadline = grant_lease(lease_state, lead.now, lease)
-    outstanding.start_due = float('inf')
+        outstanding.valid_until = lead.now + lease
+    if lead.now > outstanding.valid_until:
+        # Only another instance would still start the run.
+        return None
     outstanding.last_sent = lead.now
     return outstanding.deadline
 
--- a/tests/features/restarts.feature
+++ b/tests/features/restarts.feature
@@ -119,6 +119,11 @@
     When a target restarts while the advisor answers, and is cut off with the start for the one before
     Then no task ran twice, out of order, over its attempts or over capacity
 
+  Scenario: A start that a silent target leaves unanswered is given up
+    Given a cell of 1 targets without an advisor, and leases of 10 s
+    When a target is cut off for good as a start is sent to it
+    Then the task runs elsewhere within 14 s
+
   Scenario: A late copy of a start does not run after the end of its run
     Given a cell of 1 targets without an advisor, and leases of 10 s
     When a target restarts under its name after the first copy of a start was held, whose run has ended
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -547,3 +547,22 @@
         deliver()
     world.held.reporters.clear()
     run_for(world, 20)
+
+
+@when('a target is cut off for good as a start is sent to it')
+def cut_off_before_start(context):
+    """Cut the only target off before the start arrives."""
+    world = context.world
+    run_for(world, 20)
+    submit(world, small_job(1, estimate=_LONG_WORK_S, payload='steady'))
+    world.cut.add(_TARGET)
+    run_for(world, 0.1)
+    assert placed_runs(world)
+    cell_world.add_worker(world, _OTHER)
+
+
+@then('the task runs elsewhere within {seconds:g} s')
+def check_runs_elsewhere(context, seconds):
+    """Expect the task on the other target."""
+    run_for(context.world, seconds)
+    assert context.world.workers[_OTHER].running
