--- a/daisygw/cell/_restarts.py
+++ b/daisygw/cell/_restarts.py
@@ -18,6 +18,8 @@
 from daisygw.contracts import RunEnd, RunsPlaced, StepKey
 from daisygw.machines import (
     OTHER_TARGET,
+    ActiveRun,
+    EndedRun,
     RenewalReply,
     assume_longest_lease,
     is_disputed,
@@ -103,7 +105,7 @@
     record_clock(lease_state, lead.now, reply.clock)
 
 
-def _row_key(row) -> tuple[StepKey, int, int]:
+def _row_key(row: ActiveRun | EndedRun) -> tuple[StepKey, int, int]:
     return (row.step, row.index, row.number)
 
 
