--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -65,6 +65,7 @@
 from daisygw.contracts._jobs import (
     Advisor,
     CellConfig,
+    Customer,
     JobSpec,
     JobState,
     JobVerb,
@@ -160,6 +161,7 @@
     'Configuration',
     'Contract',
     'ContractError',
+    'Customer',
     'DaisygwError',
     'Drain',
     'EndsAcknowledged',
--- a/daisygw/contracts/_cell_messages.py
+++ b/daisygw/contracts/_cell_messages.py
@@ -11,13 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRequest:
-    """Forwards a caller's request about a job or a queue to the leader."""
+    """Forwards a caller's request about a job or a queue to the leader.
+
+    ``key`` is the SHA-256 digest of the caller's key, empty without one.
+    """
 
     seq: int
     verb: JobVerb
     host: str
     path: str
     job: JobSpec | None = None
+    key: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -30,12 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEnqueued:
-    """The queue at ``host`` and ``prefix`` accepted a job at time ``at``."""
+    """The queue at ``host`` and ``prefix`` accepted a job at time ``at``.
+
+    It belongs to ``customer`` ('': to nobody).  A ``surplus`` job exceeded its
+    customer's rate.
+    """
 
     job: JobSpec
     host: str
     prefix: str
     at: float
+    customer: str = ''
+    surplus: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/contracts/_jobs.py
+++ b/daisygw/contracts/_jobs.py
@@ -72,7 +72,7 @@
     A job's latency objective is ``slack`` times the length of its critical
     path plus ``latency`` (s).  ``priority`` 0 is the highest.  Its tasks run
     on targets of ``service``; a job fails after ``attempts`` failures of one
-    task.
+    task.  Callers of a ``public`` queue need no key.
     """
 
     name: str
@@ -85,13 +85,32 @@
     attempts: int
     slack: float
     advisor: Advisor | None = None
+    public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer whose callers submit jobs.
+
+    ``keys`` are the SHA-256 digests of the keys with which they identify
+    themselves.  ``weight`` is its share of a full cell, and the number of
+    jobs per second that are within its rate.  ``limit`` bounds what it may
+    have running; a resource of 0 has no limit.
+    """
+
+    name: str
+    keys: tuple[bytes, ...]
+    weight: float
+    limit: Size
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CellConfig:
     """A configuration of the cell and its source ``document``.
 
-    ``max_body`` is the longest request body (bytes).
+    ``max_body`` is the longest request body (bytes).  Without ``customers``
+    (None) no caller needs a key, and no job belongs to a customer.
     """
 
     version: int
@@ -99,6 +118,7 @@
     services: tuple[str, ...]
     max_body: int
     document: bytes
+    customers: tuple[Customer, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/cell_figures.py
+++ b/standins/cell_figures.py
@@ -13,7 +13,7 @@
     StepKey,
     critical_path,
 )
-from standins.cell_load import TARGET_CPUS, World, work_of
+from standins.cell_load import World, work_of
 from standins.load_types import JobKind, Load
 
 # Limits of a job's worth relative to its kind's worth.  Within them it grows
@@ -98,7 +98,7 @@
 
 def _wave_count(load: Load, step: Step) -> int:
     """Return in how many waves a step runs on a quarter of the cell's CPUs."""
-    usable_cpus = load.targets * TARGET_CPUS / 4
+    usable_cpus = load.targets * load.target_cpus / 4
     return max(ceil(step.count * step.size.cpus / usable_cpus), 1)
 
 
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -63,7 +63,7 @@
     TargetReport,
     instance_key,
 )
-from standins.load_types import JobKind, Load
+from standins.load_types import JobKind, Load, Surge
 
 # Duration (s) of a turn of the leader: a disk sync and a majority round trip.
 LEADER_TURN_S = 0.015
@@ -79,8 +79,6 @@
 _CHECKPOINTING_SHARE = 0.5
 _STRAGGLER_SHARE = 0.03
 _STRAGGLER_SLOWDOWN = 7
-TARGET_CPUS = 64_000
-_TARGET_MEMORY_MIB = 262_144
 
 
 class _SimulatedTarget:
@@ -120,6 +118,7 @@
         self.lead = CellLeader(self.cell, 1, self.now, self.now)
         self.targets: dict[str, _SimulatedTarget] = {}
         self.jobs: dict[str, tuple[JobKind, JobSpec, float]] = {}
+        self.customers: dict[str, str] = {}
         self.work_by_step: dict[str, list[float]] = {}
         self.codes: dict[str, int] = {}
         self.job_by_request: dict[int, str] = {}
@@ -166,7 +165,7 @@
         _SERVICE,
         f'{name}:1',
         'domain',
-        Size(TARGET_CPUS, _TARGET_MEMORY_MIB, 0, 0),
+        Size(world.load.target_cpus, world.load.target_memory, 0, 0),
         'a',
         f'r{number // world.load.rack}',
     )
@@ -212,6 +211,38 @@
                 world.load, kind, at
             ):
                 _schedule(world, at, _make_submission(world, kind))
+    if world.load.surge:
+        _schedule_surge(world, world.load.surge)
+
+
+def _schedule_surge(world: World, surge: Surge) -> None:
+    """Schedule what a customer sends beyond its usual jobs."""
+    load = world.load
+    random = Random(f'surge {surge}')
+    share = load.weights[surge.customer] / sum(load.weights)
+    for kind in filter(_has_arrivals, load.kinds):
+        at = surge.at
+        while at < surge.at + surge.seconds:
+            rate = _arrival_rate(load, kind, at) * share * (surge.factor - 1)
+            at += random.expovariate(rate)
+            submit = _make_submission(
+                world, kind, customer_name(surge.customer)
+            )
+            _schedule(world, at, submit)
+
+
+def customer_name(number: int) -> str:
+    """Return the name of the customer with an index in ``Load.weights``."""
+    return f'customer-{number}'
+
+
+def _draw_customer(world: World, job: str) -> str:
+    """Draw a job's customer by weight, apart from the load's other draws."""
+    weights = world.load.weights
+    if not weights:
+        return ''
+    drawn = Random(f'customer of {job}').choices(range(len(weights)), weights)
+    return customer_name(drawn[0])
 
 
 def _arrival_rate(load: Load, kind: JobKind, at: float) -> float:
@@ -224,8 +255,11 @@
     return rate
 
 
-def _make_submission(world: World, kind: JobKind) -> Callable[[], None]:
+def _make_submission(
+    world: World, kind: JobKind, customer: str = ''
+) -> Callable[[], None]:
     job = _draw_job(world, kind)
+    world.customers[job.id] = customer or _draw_customer(world, job.id)
 
     def submit() -> None:
         world.jobs[job.id] = (kind, job, world.now)
--- a/standins/cell_loads.py
+++ b/standins/cell_loads.py
@@ -4,7 +4,7 @@
 """
 
 from daisygw.contracts import Advisor
-from standins.load_types import Burst, JobKind, Load
+from standins.load_types import Burst, JobKind, Load, Surge
 
 # How long the tickets of a placement advisor are valid.
 _VALIDITY_S = 2.0
@@ -121,7 +121,58 @@
     bursts=(Burst('slow', 2, 3, 5),),
 )  # fmt: skip
 
+_WEIGHTS = (33, 14, 9, 7, 5, 4, 4, 3, 3, 3, 2, 2, 2, 2, 2, 2, 2, 1, 1, 1)
+
+# Bursts that exceed the capacity while the largest customer sends 4.4 times
+# its usual.
+LAKESHORE = Load(
+    (
+        JobKind(
+            'audit', 2.03, 1.2, 20, 4, 9_000, 9_000, 1, 2.2, 1, 1,
+            7.12, 1.42, Advisor(0.544, 0.0049, _VALIDITY_S), 0.3, 3, 0.2,
+        ),
+        JobKind(
+            'recheck', 5.8, 1.5, 25, 2.7, 3_500, 3_600, 0, 4, 3, 2,
+            2.69, 0.538, Advisor(0.16, 0.0014, _VALIDITY_S), 0.45, 3, 0.5,
+        ),
+        JobKind(
+            'spot', 30.1, 1, 3.2, 1, 5_000, 7_100, 0.3, 1.5, 0.25, 0,
+            0.421, 0.0842, Advisor(0.0176, 0.00016, _VALIDITY_S), 0.7, 4, 0.5,
+        ),
+    ),
+    targets=176, rack=12, callers=35,
+    bursts=(
+        Burst('recheck', 3, 6, 2.5), Burst('spot', 7, 4, 2),
+        Burst('audit', 18, 4, 1.6),
+    ),
+    rate_swing=0.27, swing_period=11, target_cpus=32_000, target_memory=65_536,
+    weights=_WEIGHTS, surge=Surge(0, 7.6, 5.4, 4.4),
+)  # fmt: skip
+
+# Waves that reach the capacity, and bursts on them.
+KTIMEK = Load(
+    (
+        JobKind(
+            'reval', 2.6, 1.2, 20, 3.4, 4_500, 9_000, 1, 2.2, 1, 1,
+            7.36, 1.47, Advisor(0.5, 0.0045, _VALIDITY_S), 0.3, 3, 0.2,
+        ),
+        JobKind(
+            'appeal', 5.42, 1.5, 25, 1.9, 1_700, 3_600, 0, 4, 3, 2,
+            2.21, 0.442, Advisor(0.12, 0.001, _VALIDITY_S), 0.45, 3, 0.5,
+        ),
+        JobKind(
+            'check', 38.8, 1, 3.2, 0.85, 2_500, 7_100, 0.3, 1.5, 0.3, 0,
+            0.431, 0.0862, Advisor(0.015, 0.00014, _VALIDITY_S), 0.7, 4, 0.5,
+        ),
+    ),
+    targets=176, rack=12, callers=38,
+    bursts=(Burst('check', 4, 4, 1.9), Burst('reval', 18, 4, 1.6)),
+    target_cpus=16_000, target_memory=65_536,
+)  # fmt: skip
+
 LOADS = {
+    'lakeshore': LAKESHORE,
+    'ktimek': KTIMEK,
     'cuna-grown': CUNA_GROWN,
     'slow-advice': SLOW_ADVICE,
     'latas': LATAS,
--- a/standins/load_types.py
+++ b/standins/load_types.py
@@ -51,13 +51,29 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class Surge:
+    """A customer sends ``factor`` times its usual jobs.
+
+    ``customer`` is its index in ``Load.weights``; the surge begins at ``at``
+    (s) and lasts ``seconds``.
+    """
+
+    customer: int
+    at: float
+    seconds: float
+    factor: float
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """A load profile: kinds of jobs, targets, and callers of advice.
 
     ``rack`` is the number of targets per rack.  Jobs arrive for ``seconds``;
     arrival rates vary as a sine with the relative amplitude ``rate_swing``
-    and the period ``swing_period`` (s).
+    and the period ``swing_period`` (s).  Targets have ``target_cpus``
+    (thousandths) and ``target_memory`` (MiB).  Customers send jobs in
+    proportion to their ``weights``; there are none without weights.
     """
 
     kinds: tuple[JobKind, ...]
@@ -68,3 +84,7 @@
     seconds: float = 34.0
     rate_swing: float = 0.55
     swing_period: float = 15.0
+    target_cpus: int = 64_000
+    target_memory: int = 262_144
+    weights: tuple[int, ...] = ()
+    surge: Surge | None = None
