Accept a customer's weight of 0

The users' rules do not call it invalid, and a valid configuration must not be refused; such a customer has the smallest share.

--- a/daisygw/contracts/_ranges.py
+++ b/daisygw/contracts/_ranges.py
@@ -32,8 +32,6 @@
 MAX_CUSTOMERS = 10_000
 # Keys of all customers together.
 MAX_KEYS = 100_000
-# Weights divide a customer's use of the cell, so that none may be 0.
-MIN_WEIGHT = 1e-6
 # Characters of a name: a host, a path prefix, a label.
 MAX_NAME_CHARS = 256
 # Durations: 366 days.
@@ -161,7 +159,7 @@
         raise ContractError(invalid, reason)
     limit = customer.limit
     for name, number, lowest, highest in (
-        ('weight', customer.weight, MIN_WEIGHT, MAX_FACTOR),
+        ('weight', customer.weight, 0, MAX_FACTOR),
         ('priority', customer.priority, -MAX_FACTOR, MAX_FACTOR),
         ('limit of cpus', limit.cpus, 0, MAX_INTEGER),
         ('limit of memory', limit.memory, 0, MAX_INTEGER),
