Elect a leader sooner after all hosts have restarted

A restarted replica counted the time in which it grants no vote from the end of its loading, though its process cannot have answered a leader before it began; and all hosts drew their first timeouts from the same range.

Now that time counts from the start of the process, and each voter draws its first timeout from a part of the range of its own.

--- a/daisygw/nodes/_replica_store.py
+++ b/daisygw/nodes/_replica_store.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from daisygw import PROCESS_STARTED_AT
 from daisygw.contracts import JournalError
 from daisygw.links import log
 from daisygw.links.processes import (
@@ -54,7 +55,7 @@
     replica.accepts_new_hosts = True
     replica.contacts.update(cfg.seeds)
     if stored:
-        restore_replica(replica, stored, _clock.now())
+        restore_replica(replica, stored, PROCESS_STARTED_AT)
     is_founder = cfg.first_start and cfg.host in cfg.seeds
     if is_founder and not replica.members.voters:
         replica.voter_hosts = tuple(sorted(cfg.seeds))
--- a/daisygw/zones/_replica.py
+++ b/daisygw/zones/_replica.py
@@ -225,6 +225,22 @@
     replica.election_due = now + wait
 
 
+def _start_election_timer(replica: Replica, started: float) -> None:
+    """Set the first election timeout after a restart.
+
+    All hosts may have restarted at the same time, after a loss of power.  Each
+    voter then has a part of the range of timeouts to itself, so that the first
+    one is early and two candidates rarely share the votes.
+    """
+    voters = replica.members.voters
+    rank = voters.index(replica.name) if is_voter(replica) else len(voters)
+    part = (rank + replica.random.random()) / max(len(voters), 1)
+    wait = replica.timing.election * (1 + part)
+    if replica.is_tie_breaker:
+        wait += replica.timing.election
+    replica.election_due = started + wait
+
+
 def update_members(replica: Replica) -> None:
     """Use the newest members in the log, even if not committed."""
     for entry in reversed(replica.log):
@@ -361,11 +377,12 @@
     return [persist, *effects]
 
 
-def restore_replica(replica: Replica, saved: Persist, now: float) -> None:
+def restore_replica(replica: Replica, saved: Persist, started: float) -> None:
     """Restore what this replica made durable before a restart.
 
-    It grants no vote for an election time: just before the restart it may
-    have replied to a leader, whose lease counts on that reply.
+    It grants no vote for an election time after its process has ``started``
+    (s): just before that it may have replied to a leader, whose lease counts
+    on that reply.
     """
     replica.term = saved.term
     replica.vote = saved.vote
@@ -381,5 +398,5 @@
     durable.vote = saved.vote
     durable.members = replica.base.members
     durable.index = last_index(replica)
-    replica.heard = now
-    reset_election_timer(replica, now)
+    replica.heard = started
+    _start_election_timer(replica, started)
--- a/tests/features/power.feature
+++ b/tests/features/power.feature
@@ -10,3 +10,8 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario: A leader is elected soon after all hosts have lost power
+    Given 20 groups of five hosts whose processes load for 0.3 seconds
+    When all hosts of each lose power, and are back 2 seconds later
+    Then at least 19 have a leader within 0.5 seconds, and all within 2
--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -90,7 +90,8 @@
     """The hosts, the messages between them, and what was acknowledged.
 
     ``syncs_left`` is the number of syncs until the host that acts now loses
-    power (none: it does not).
+    power (none: it does not).  A process loads for ``load_time`` (s) before it
+    restores its replica.
     """
 
     def __init__(self, seed: int, root: Path) -> None:
@@ -105,6 +106,7 @@
         self.acknowledged: list[int] = []
         self.fault_after = float('inf')
         self.syncs_left: int | None = None
+        self.load_time = 0.0
         for name in HOSTS:
             start(self, self.hosts[name], founding=name in SEEDS)
 
@@ -187,7 +189,7 @@
     replica.accepts_new_hosts = True
     replica.contacts.update(SEEDS)
     if saved:
-        restore_replica(replica, saved, world.now)
+        restore_replica(replica, saved, world.now - world.load_time)
     host.state = AppliedRecords()
     host.group = Group(replica, journal, _state_machine(host.state))
 
--- a/tests/steps/power_steps.py
+++ b/tests/steps/power_steps.py
@@ -4,12 +4,13 @@
 from pathlib import Path
 from types import MappingProxyType
 
-from behave import fixture, then, use_fixture, when
+from behave import fixture, given, then, use_fixture, when
 
 from daisygw.zones import host_of
 from tests.power_world import (
     HOSTS,
     MAX_LOST,
+    TICK_S,
     PowerLossError,
     World,
     check_nothing_lost,
@@ -161,3 +162,43 @@
         assert sorted(map(host_of, voters)) == list(HOSTS), voters
         for host in world.hosts.values():
             assert host.state.positions == leader.state.positions, host.name
+
+
+@given(
+    '{count:d} groups of five hosts whose processes load for {load:g} seconds'
+)
+def start_groups(context, count, load):
+    """Run each group until it has a leader."""
+    root = use_fixture(_temporary_folder, context)
+    context.worlds = []
+    for number in range(count):
+        world = World(number, root / str(number))
+        world.load_time = load
+        with simulated_syncs(world):
+            pass_time(world, _RECOVERY_S, _RATE)
+        context.worlds.append(world)
+
+
+@when('all hosts of each lose power, and are back {delay:d} seconds later')
+def lose_all_power(context, delay):
+    """Measure the time from the return of the hosts to the next leader."""
+    context.election_times = []
+    for world in context.worlds:
+        with simulated_syncs(world):
+            lose_power(world, delay)
+            pass_time(world, delay)
+            back_at = world.now
+            while not any(host.state.leading for host in world.hosts.values()):
+                pass_time(world, TICK_S)
+        context.election_times.append(world.now - back_at)
+
+
+@then(
+    'at least {count:d} have a leader within {usual:g} seconds, and all within '
+    '{longest:g}'
+)
+def check_election_times(context, count, usual, longest):
+    """An election time, two of the five parts of its range, four messages."""
+    times = sorted(context.election_times)
+    assert times[count - 1] <= usual, times
+    assert times[-1] <= longest, times
