Limits and weighted shares in one module for zones and cells

Cells are to have customers with limits and weights. What zones/ computes for quotas and fair shares moves into contracts/_shares.py, so that there is no second copy.

--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -121,6 +121,13 @@
     TaskRequeued,
 )
 from daisygw.contracts._request import Contract, Kind, Priority
+from daisygw.contracts._shares import (
+    count_within,
+    fit_count,
+    is_within,
+    limit_without_zeros,
+    weighted_share,
+)
 from daisygw.contracts._size import (
     ZERO_SIZE,
     Size,
@@ -253,6 +260,11 @@
     'queue_for',
     'apply_task_requeued',
     'count_fitting',
+    'count_within',
+    'fit_count',
+    'is_within',
+    'limit_without_zeros',
+    'weighted_share',
     'dominant_share',
     'taken',
     'times',
--- a/daisygw/zones/_admission.py
+++ b/daisygw/zones/_admission.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 
 from daisygw.contracts import (
+    ZERO_SIZE,
     Contract,
     Job,
     JobAccepted,
@@ -22,6 +23,7 @@
     count_fitting,
     expected_run_time,
     fits,
+    is_within,
     times,
 )
 from daisygw.zones._leader import DomainLeader, record, send_to_entry
@@ -156,7 +158,7 @@
 def _over_quota(lead: DomainLeader, contract: Contract) -> Refusal | None:
     all_at_once = contract.kind is not Kind.BATCH
     need = times(contract.size, contract.count if all_at_once else 1)
-    if fits(need, quota_of(lead, contract.team)):
+    if is_within(ZERO_SIZE, need, quota_of(lead, contract.team)):
         return None
     reason = 'the request exceeds the quota of its team'
     return ResultCode.QUOTA_EXCEEDED, reason, 0
--- a/daisygw/zones/_placement.py
+++ b/daisygw/zones/_placement.py
@@ -12,12 +12,12 @@
     Size,
     TaskKey,
     TaskPlaced,
-    dominant_share,
     fits,
+    is_within,
     minus,
-    plus,
     taken,
     times,
+    weighted_share,
 )
 from daisygw.machines import Worker, candidates, refresh
 from daisygw.zones._admission import quota_of
@@ -67,7 +67,7 @@
 def _weighted_share(lead: DomainLeader, team: str) -> float:
     held = lead.replicated.job_registry.held[team]
     weight = lead.cfg.teams[team].weight if team in lead.cfg.teams else 1
-    return dominant_share(held, lead.replicated.capacity) / weight
+    return weighted_share(held, lead.replicated.capacity, weight)
 
 
 def _place_lane(lead: DomainLeader, name: str) -> None:
@@ -163,7 +163,7 @@
     held = lead.replicated.job_registry.held[contract.team]
     if contract.team not in lead.cfg.teams:
         return False
-    if not fits(plus(held, need), quota_of(lead, contract.team)):
+    if not is_within(held, need, quota_of(lead, contract.team)):
         return False
     if name != _LONG_LANE:
         return True
