--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -16,7 +16,7 @@
     lease_for,
     start_leading,
 )
-from daisygw.cell._placement import place_waiting
+from daisygw.cell._placement import order_key, place_waiting
 from daisygw.cell._renewals import (
     LeaseRenewal,
     acknowledge_ends,
@@ -76,6 +76,7 @@
     'on_started',
     'on_stopped',
     'advance_clock',
+    'order_key',
     'place_waiting',
     'snapshot',
     'start_deadline',
--- a/daisygw/cell/_advice.py
+++ b/daisygw/cell/_advice.py
@@ -130,7 +130,9 @@
     )
     own_call = _call_time(advisor, _USUAL_TARGETS)
     first_calls = sum(
-        is_long_call(waiting.queue.advisor) and _is_unanswered(lead, waiting)
+        is_long_call(waiting.queue.advisor)
+        and not waiting.held
+        and _is_unanswered(lead, waiting)
         for waiting in lead.waiting.values()
     )
     first_calls += _LATER_STEP_WEIGHT * _later_steps(lead)
--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -3,8 +3,16 @@
 from collections import Counter
 
 from daisygw.cell._leader import DEFAULT_SPEED, CellLeader, WaitingStep
-from daisygw.cell._state import TargetState, task_size
-from daisygw.contracts import Queue, Size, Step, dominant_share, minus
+from daisygw.cell._state import TargetState
+from daisygw.cell._usage import task_size
+from daisygw.contracts import (
+    Queue,
+    Size,
+    Step,
+    dominant_share,
+    fit_count,
+    minus,
+)
 from daisygw.machines import is_responsive
 
 # A target that has not answered for this long gets no new work: the longest
@@ -18,7 +26,11 @@
 
 
 class FreeCapacity:
-    """The usable targets, their free capacity and those reserved for gangs."""
+    """The usable targets, their free capacity and those reserved for gangs.
+
+    ``claims`` holds by customer what its steps that were considered and still
+    wait keep of its limit from its later ones.
+    """
 
     def __init__(self, lead: CellLeader) -> None:
         """Read the free capacity of every usable target."""
@@ -35,6 +47,7 @@
         }
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
+        self.claims: dict[str, Size] = {}
 
 
 def is_available(lead: CellLeader, target: TargetState) -> bool:
@@ -77,21 +90,6 @@
     return keys
 
 
-def fit_count(need: Size, free: Size, limit: int) -> int:
-    """Return how many times ``need`` fits into ``free``, up to ``limit``.
-
-    Slots do not count.
-    """
-    for needed, available in (
-        (need.cpus, free.cpus),
-        (need.memory, free.memory),
-        (need.accelerators, free.accelerators),
-    ):
-        if needed:
-            limit = min(limit, available // needed)
-    return max(limit, 0)
-
-
 def max_tasks_on(target: TargetState, step: Step, queue: Queue) -> int:
     """Return how many tasks of a step fit on the target while it is empty."""
     instance = target.instance
--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -7,6 +7,7 @@
     enqueue_job,
     update_queues,
 )
+from daisygw.cell._limits import customer_with_key, limit_refusal
 from daisygw.cell._state import CellJob
 from daisygw.contracts import (
     CellResponse,
@@ -87,16 +88,23 @@
 ) -> None:
     existing = lead.cell.jobs.get(request.job.id)
     if existing is None:
-        refusal = refusal_for(lead, request.job, queue)
+        customer = customer_with_key(lead, request.key)
+        refusal = limit_refusal(lead, request.job, customer) or refusal_for(
+            lead, request.job, queue
+        )
         if refusal:
             _refuse(lead, request, entry, *refusal)
             return
-        _accept(lead, request, queue)
+        _accept(lead, request, queue, customer)
     lead.answer(entry, CellResponse(request.seq, ResultCode.ACCEPTED))
 
 
-def _accept(lead: CellLeader, request: JobRequest, queue: Queue) -> None:
-    lead.record(JobEnqueued(request.job, queue.host, queue.prefix, lead.wall))
+def _accept(
+    lead: CellLeader, request: JobRequest, queue: Queue, customer: str
+) -> None:
+    lead.record(
+        JobEnqueued(request.job, queue.host, queue.prefix, lead.wall, customer)
+    )
     lead.log_event(
         'accepted',
         id=request.job.id,
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -152,7 +152,9 @@
     ``avoid`` maps the index of a task to the targets on which it failed.
     ``since`` is when it began to wait, or when some of its tasks were placed
     last; its wait is logged once it is ``next_report`` long (s).  ``last_turn``
-    is when it was last considered behind more urgent steps (s).
+    is when it was last considered behind more urgent steps (s).  While it is
+    ``held``, its customer's limit allows no start; it has been held before if
+    it ``claims_limit``, and is logged again from ``held_report_due`` (s) on.
     """
 
     def __init__(
@@ -174,6 +176,9 @@
         self.since = since
         self.next_report = LONG_WAIT_S
         self.last_turn = float('-inf')
+        self.held = False
+        self.claims_limit = False
+        self.held_report_due = float('-inf')
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
--- /dev/null
+++ b/daisygw/cell/_limits.py
@@ -0,0 +1,155 @@
+"""Customers' limits on what they have running at a time.
+
+What a customer has running is counted in the replicated state, from the record
+of a placement to that of the run's end.  A step that the limit holds does not
+delay other customers' steps.  It keeps what the limit leaves free from the
+less urgent steps of its own customer: small tasks would otherwise use it up
+before there is enough for a gang.
+"""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from daisygw.cell._admission import Refusal
+from daisygw.cell._capacity import FreeCapacity
+from daisygw.cell._leader import (
+    LONG_WAIT_S,
+    CellLeader,
+    WaitingStep,
+    pending_indexes,
+)
+from daisygw.contracts import (
+    ZERO_SIZE,
+    JobSpec,
+    ResultCode,
+    Size,
+    Step,
+    count_within,
+    is_within,
+    limit_without_zeros,
+    plus,
+    times,
+)
+
+_NO_CLAIMS: Mapping[str, Size] = MappingProxyType({})
+
+
+def _limit_of(lead: CellLeader, name: str) -> Size | None:
+    """Return a customer's limit, or none for a job of no current customer."""
+    customer = lead.cell.customers.get(name)
+    return limit_without_zeros(customer.limit) if customer else None
+
+
+def customer_with_key(lead: CellLeader, key: bytes) -> str:
+    """Return the name of the customer that has a key (digest), or ''."""
+    customers = lead.cell.customers.values()
+    return next((one.name for one in customers if key in one.keys), '')
+
+
+def _least_start(step: Step) -> Size:
+    """Return the size of the least part of a step that starts at a time."""
+    return times(step.size, step.count) if step.gang else step.size
+
+
+def limit_refusal(
+    lead: CellLeader, job: JobSpec, customer: str
+) -> Refusal | None:
+    """Refuse a job of which a gang or a task exceeds the limit by itself."""
+    limit = _limit_of(lead, customer)
+    if limit is None:
+        return None
+    for number, step in enumerate(job.steps):
+        if not is_within(ZERO_SIZE, _least_start(step), limit):
+            what = 'gang' if step.gang else 'task'
+            reason = f"step {number}: a {what} exceeds the customer's limit"
+            return (ResultCode.QUOTA_EXCEEDED, 0, reason)
+    return None
+
+
+def headroom(
+    lead: CellLeader,
+    waiting: WaitingStep,
+    claims: Mapping[str, Size] = _NO_CLAIMS,
+) -> int:
+    """Return how many tasks of a step its customer's limit allows to start.
+
+    ``claims`` holds by customer what other steps keep of its limit.
+    """
+    step = waiting.state.step
+    name = waiting.job.enqueued.customer
+    limit = _limit_of(lead, name)
+    if limit is None:
+        return step.count
+    running = lead.cell.customer_usage.get(name, ZERO_SIZE)
+    held = plus(running, claims.get(name, ZERO_SIZE))
+    return count_within(held, step.size, limit, step.count)
+
+
+def may_start(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> bool:
+    """Tell whether the limit allows a step to start a task, a gang whole."""
+    step = waiting.state.step
+    least = step.count if step.gang else 1
+    waiting.held = headroom(lead, waiting, free_capacity.claims) < least
+    if waiting.held:
+        waiting.claims_limit = True
+        if lead.now >= waiting.held_report_due:
+            waiting.held_report_due = lead.now + LONG_WAIT_S
+            _report_held(lead, free_capacity, waiting)
+    return not waiting.held
+
+
+def allowed_indexes(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> list[int]:
+    """Return the pending tasks of a step that its limit allows to start."""
+    pending = pending_indexes(waiting.state)
+    if waiting.state.step.gang:
+        return pending
+    return pending[: headroom(lead, waiting, free_capacity.claims)]
+
+
+def claim_limit(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> None:
+    """Keep a part of the limit for a step that it holds, or has held before.
+
+    The part stays free until the step has started, also while it waits for
+    advice or capacity.  Nothing is kept for a step that does not fit beside
+    the customer's long-running tasks: it may wait forever.
+    """
+    name = waiting.job.enqueued.customer
+    limit = _limit_of(lead, name)
+    still_waits = waiting.state.key in lead.waiting
+    if limit is None or not still_waits or not waiting.claims_limit:
+        return
+    need = _least_start(waiting.state.step)
+    lasting = lead.cell.lasting_usage.get(name, ZERO_SIZE)
+    if is_within(lasting, need, limit):
+        claims = free_capacity.claims
+        claims[name] = plus(claims.get(name, ZERO_SIZE), need)
+
+
+def _report_held(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> None:
+    key = waiting.state.key
+    name = waiting.job.enqueued.customer
+    lead.log_event(
+        'held',
+        id=key.job,
+        step=key.step,
+        customer=name,
+        tasks=len(pending_indexes(waiting.state)),
+        waited_s=round(lead.now - waiting.since, 3),
+        need=_amounts(_least_start(waiting.state.step)),
+        running=_amounts(lead.cell.customer_usage.get(name, ZERO_SIZE)),
+        kept=_amounts(free_capacity.claims.get(name, ZERO_SIZE)),
+        limit=_amounts(lead.cell.customers[name].limit),
+    )
+
+
+def _amounts(size: Size) -> tuple[int, int, int]:
+    """Return cores (thousandths), memory (MiB) and accelerators."""
+    return (size.cpus, size.memory, size.accelerators)
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
-from heapq import nsmallest
+from heapq import heapify, heappop
 from operator import attrgetter
 from typing import Any
 
@@ -36,8 +36,9 @@
     approval_of,
     pending_indexes,
 )
+from daisygw.cell._limits import allowed_indexes, claim_limit, may_start
 from daisygw.cell._state import TargetState
-from daisygw.contracts import RunsPlaced, dominant_share
+from daisygw.contracts import RunsPlaced, StepKey, dominant_share
 
 # Share of all targets that waiting gangs may reserve.
 MAX_RESERVED_SHARE = 0.6
@@ -68,13 +69,47 @@
         return
     lead.changed = False
     free_capacity = FreeCapacity(lead)
-    by_urgency = partial(order_key, now=lead.now)
-    urgent = nsmallest(
-        MAX_STEPS_PER_PASS, lead.waiting.values(), key=by_urgency
+    open_calls = _count_open_calls(lead)
+    considered = _place_steps(
+        lead, free_capacity, _in_order(lead), MAX_STEPS_PER_PASS
     )
-    others = _take_turns(lead, urgent)
-    for waiting in (*urgent, *others):
-        _place_step(lead, free_capacity, waiting)
+    others = _in_turn(lead, considered, open_calls)
+    for key in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
+        waiting = lead.waiting.get(key)
+        if waiting:
+            waiting.last_turn = lead.now
+
+
+def _in_order(lead: CellLeader) -> Iterator[WaitingStep]:
+    """Yield the waiting steps in placement order."""
+    heap = [
+        (order_key(waiting, lead.now), number, waiting)
+        for number, waiting in enumerate(lead.waiting.values())
+    ]
+    heapify(heap)
+    while heap:
+        yield heappop(heap)[-1]
+
+
+def _place_steps(
+    lead: CellLeader,
+    free_capacity: FreeCapacity,
+    steps: Iterator[WaitingStep],
+    most: int,
+) -> set[StepKey]:
+    """Place steps, ``most`` at most; return the keys of those considered.
+
+    Those that their customer's limit holds are left out.
+    """
+    considered: set[StepKey] = set()
+    for waiting in steps:
+        if may_start(lead, free_capacity, waiting):
+            _place_step(lead, free_capacity, waiting)
+            considered.add(waiting.state.key)
+        claim_limit(lead, free_capacity, waiting)
+        if len(considered) == most:
+            break
+    return considered
 
 
 def _place_step(
@@ -91,39 +126,37 @@
         )
 
 
-def _take_turns(
-    lead: CellLeader, urgent: list[WaitingStep]
-) -> list[WaitingStep]:
-    """Return the steps behind the urgent ones that have their turn now.
-
-    They must not delay the advisor's answers about the urgent steps, so those
-    of a queue with many open calls are left out.
-    """
-    if len(urgent) == len(lead.waiting):
-        return []
-    first = {waiting.state.key for waiting in urgent}
-    open_calls = Counter(
+def _count_open_calls(lead: CellLeader) -> Counter[str]:
+    """Return the number of open calls to the advisor by queue."""
+    return Counter(
         lead.waiting[pending.step].queue.name
         for pending in lead.pending_advice.values()
         if pending.step in lead.waiting
     )
+
+
+def _in_turn(
+    lead: CellLeader, considered: set[StepKey], open_calls: Counter[str]
+) -> Iterator[WaitingStep]:
+    """Yield the steps behind the most urgent ones, by their last turn.
+
+    They must not delay the advisor's answers about the urgent steps, so those
+    of a queue with many open calls are left out.
+    """
     others = [
         waiting
         for key, waiting in lead.waiting.items()
-        if key not in first
+        if key not in considered
         and open_calls[waiting.queue.name] < MAX_STEPS_PER_PASS
     ]
-    turns = nsmallest(TURNS_PER_PASS, others, key=attrgetter('last_turn'))
-    for waiting in turns:
-        waiting.last_turn = lead.now
-    return turns
+    yield from sorted(others, key=attrgetter('last_turn'))
 
 
 def _place_tasks(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
     """Start the tasks of a step that fit; request approvals for the others."""
-    pending = pending_indexes(waiting.state)
+    pending = allowed_indexes(lead, free_capacity, waiting)
     targets = _allowed_targets(lead, free_capacity, waiting)
     rows = _choose_rows(lead, free_capacity, waiting, targets)
     if rows:
@@ -210,7 +243,7 @@
     targets: list[TargetState],
 ) -> list[tuple[int, str]]:
     """Return (task index, target key) for the pending tasks that fit."""
-    pending = pending_indexes(waiting.state)
+    pending = allowed_indexes(lead, free_capacity, waiting)
     if not waiting.state.step.gang:
         pending = pending[:MAX_STARTS_PER_STEP]
     fitting = _fitting_tasks(free_capacity, waiting, targets)
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -9,10 +9,12 @@
 from types import MappingProxyType
 from typing import Any
 
+from daisygw.cell._usage import add_usage, remove_usage, task_size
 from daisygw.contracts import (
     ZERO_SIZE,
     CellConfig,
     ConfigStored,
+    Customer,
     EndsAcknowledged,
     InstanceClosed,
     InstanceEnded,
@@ -138,6 +140,10 @@
 
     ``queues`` holds the configured queues by host and prefix, and those that
     were removed from the configuration while they had unfinished jobs.
+    ``customers`` holds the configured customers by name.  ``customer_usage``
+    is by customer the size of all tasks from the record that places them to
+    that of their end ('': of jobs that belong to none), and ``lasting_usage``
+    that of long-running tasks among them.
     """
 
     def __init__(self) -> None:
@@ -146,6 +152,9 @@
         self.queues: dict[tuple[str, str], Queue] = {}
         self.jobs: dict[str, CellJob] = {}
         self.targets: dict[str, TargetState] = {}
+        self.customers: dict[str, Customer] = {}
+        self.customer_usage: dict[str, Size] = {}
+        self.lasting_usage: dict[str, Size] = {}
 
 
 def step_of(cell: Cell, key: StepKey) -> StepState | None:
@@ -176,6 +185,7 @@
         key: queue for key, queue in cell.queues.items() if key in needed
     }
     cell.queues.update((_key_of(queue), queue) for queue in record.cfg.queues)
+    cell.customers = {row.name: row for row in record.cfg.customers or ()}
 
 
 def _keep_queue(cell: Cell, record: QueueRetained) -> None:
@@ -217,6 +227,7 @@
         state = step_of(cell, run.step)
         if state and state.runs.get(run.index) == run:
             state.runs.pop(run.index)
+            _count_run(cell, state, remove_usage)
 
 
 def _advance_position(cell: Cell, record: EndsAcknowledged) -> None:
@@ -238,24 +249,31 @@
             _release_run(cell, state, earlier)
         state.numbers[index] = number
         state.runs[index] = run
+        _count_run(cell, state, add_usage)
         target = cell.targets.get(key)
         if target:
             target.runs[record.step, index] = run
             target.used = plus(target.used, task_size(state.step))
 
 
-def task_size(step: Step) -> Size:
-    """Return the capacity that a task of the step holds on a target.
+def _count_run(
+    cell: Cell,
+    state: StepState,
+    change: Callable[[dict[str, Size], str, Size], None],
+) -> None:
+    """Change what a job's customer has running by one task of a step.
 
-    Tasks of a step that ``fills`` hold memory and accelerators only.
+    A task counts with its full size, also where it ``fills`` a target.
     """
-    if step.fills:
-        return Size(0, step.size.memory, step.size.accelerators, 0)
-    return step.size
+    customer = cell.jobs[state.key.job].enqueued.customer
+    change(cell.customer_usage, customer, state.step.size)
+    if state.step.lasting:
+        change(cell.lasting_usage, customer, state.step.size)
 
 
 def _release_run(cell: Cell, state: StepState, run: Run) -> None:
     state.runs.pop(run.index)
+    _count_run(cell, state, remove_usage)
     target = cell.targets.get(run.instance)
     if target and target.runs.pop((run.step, run.index), None):
         target.used = minus(target.used, task_size(state.step))
--- a/tests/cell_history.py
+++ b/tests/cell_history.py
@@ -140,7 +140,7 @@
 
 def _check_cancelled(world: World, found: Any) -> None:
     for (key, _), rows in found.items():
-        at = world.cancelled.get(key.job)
+        at = world.callers.cancelled.get(key.job)
         if at is not None:
             # A delayed order arrives up to 12 s after it was sent.
             assert rows[-1].started_at <= at + 12.1, (
--- a/tests/cell_records.py
+++ b/tests/cell_records.py
@@ -7,6 +7,7 @@
 from daisygw.contracts import (
     CellConfig,
     ConfigStored,
+    Customer,
     EndsAcknowledged,
     InstanceClosed,
     InstanceEnded,
@@ -25,6 +26,7 @@
 from daisygw.machines import InstanceListed, TargetInstance, instance_key
 
 REQUEST_HOST = 'host'
+_OWNERS = ('', 'one', 'two')
 _STEP_SIZE = Size(100, 50, 1, 0)
 _JOBS = (
     ((Step(2, _STEP_SIZE, 1), Step(1, _STEP_SIZE, 1, after=(0,))), 0),
@@ -42,7 +44,11 @@
 
 def config(version: int, queues: tuple[Queue, ...]) -> CellConfig:
     """Return a configuration with these queues."""
-    return CellConfig(version, queues, ('svc',), 99, b'{}')
+    customers = tuple(
+        Customer(name, (name.encode(),), version, Size(version, 0, 0))
+        for name in _OWNERS[1 : 1 + version]
+    )
+    return CellConfig(version, queues, ('svc',), 99, b'{}', customers)
 
 
 def target_instance(name: str, born: int = 1) -> TargetInstance:
@@ -135,7 +141,9 @@
     steps, repeats = _JOBS[number % len(_JOBS)]
     prefix = queues[number % len(queues)].prefix
     spec = JobSpec(name, 'work', steps, repeats, 1, 2)
-    return JobEnqueued(spec, REQUEST_HOST, prefix, number)
+    owner = _OWNERS[number % len(_OWNERS)]
+    surplus = number % 2 > 0
+    return JobEnqueued(spec, REQUEST_HOST, prefix, number, owner, surplus)
 
 
 def _cancel(cell: Cell, number: int) -> JobCancelled | None:
@@ -213,6 +221,16 @@
     return RunsPlaced(state.key, rows) if rows else None
 
 
+def _move(cell: Cell, number: int) -> RunsPlaced | None:
+    """Let another target adopt a run."""
+    runs = [run for state in _steps(cell) for run in state.runs.values()]
+    if not runs or not cell.targets:
+        return None
+    run = runs[number % len(runs)]
+    key = list(cell.targets)[number // 7 % len(cell.targets)]
+    return RunsPlaced(run.step, ((run.index, run.number, key),))
+
+
 def _end(cell: Cell, number: int) -> RunFinished | None:
     runs = [run for state in _steps(cell) for run in state.runs.values()]
     if not runs:
@@ -233,5 +251,6 @@
     'gone': _gone,
     'position': _position,
     'place': _place,
+    'move': _move,
     'end': _end,
 }
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -46,6 +47,7 @@
     start_leading,
 )
 from daisygw.contracts import (
+    ZERO_SIZE,
     AdviceRequest,
     AdviceResponse,
     Advisor,
@@ -53,6 +55,7 @@
     CellResponse,
     ConfigRequest,
     ContractError,
+    Customer,
     JobRequest,
     JobSpec,
     JobVerb,
@@ -122,6 +125,23 @@
         self.stop_delay = 0.0
 
 
+def _ignore_record(record: Any) -> None:
+    """Look at no record."""
+
+
+class CallerRequests:
+    """The customer of each job, and when it was cancelled first (s), by id.
+
+    ``watch_record`` sees each record before the follower applies it.
+    """
+
+    def __init__(self) -> None:
+        """Begin without jobs, watching nothing."""
+        self.cancelled: dict[str, float] = {}
+        self.owners: dict[str, str] = {}
+        self.watch_record: Callable[[Any], None] = _ignore_record
+
+
 class World:
     """Workers, a cell, its leader, and the events scheduled for them."""
 
@@ -161,12 +181,12 @@
         self.lead = CellLeader(self.cell, 1, self.now, self.now, longest_lease)
         self.responses: dict[int, CellResponse] = {}
         self.jobs: dict[str, JobSpec] = {}
-        self.cancelled: dict[str, float] = {}
         self.failing: dict[tuple, int] = defaultdict(int)
         self.next_renewals: dict[str, float] = {}
         self.follower = Cell()
         self.start_checkpoints: dict[tuple, set[str]] = defaultdict(set)
         self.log: list[LogEvent] = []
+        self.callers = CallerRequests()
         start_leading(self.lead)
         configure(self, 1)
         for number in range(targets):
@@ -201,7 +221,9 @@
     queues = (queue('/a/', 0), queue('/b/', 1))
     queues = more.get('queues', queues)
     services = tuple(sorted({row.service for row in queues}))
-    cfg = CellConfig(version, queues, services, 9999, b'{}')
+    cfg = CellConfig(
+        version, queues, services, 9999, b'{}', more.get('customers')
+    )
     on_config_request(
         world.lead, ConfigRequest(next(world.sequence), cfg), 'op'
     )
@@ -263,22 +285,39 @@
     heapq.heappush(world.events, (world.now + delay, number, callback))
 
 
-def submit(world: World, job: JobSpec, prefix: str = '/a/') -> None:
-    """Submit a job."""
+def customer(name: str, limit: Size = ZERO_SIZE, weight: float = 1) -> Customer:
+    """Return a customer; the digest of its only key is its name."""
+    return Customer(name, (name.encode(),), weight, limit)
+
+
+def submit(
+    world: World, job: JobSpec, prefix: str = '/a/', owner: str = ''
+) -> int:
+    """Submit a job, for a customer if there are any; return the sequence."""
     world.jobs[job.id] = job
+    world.callers.owners[job.id] = owner
     seq = next(world.sequence)
     request = JobRequest(
-        seq, JobVerb.SUBMIT, REQUEST_HOST, f'{prefix}{job.id}', job
+        seq,
+        JobVerb.SUBMIT,
+        REQUEST_HOST,
+        f'{prefix}{job.id}',
+        job,
+        owner.encode(),
     )
     on_job_request(world.lead, request, 'e')
+    return seq
 
 
 def cancel(world: World, name: str) -> None:
     """Cancel a job and record the time of its first cancellation."""
     seq = next(world.sequence)
-    request = JobRequest(seq, JobVerb.CANCEL, REQUEST_HOST, f'/a/{name}')
+    key = world.callers.owners.get(name, '').encode()
+    request = JobRequest(
+        seq, JobVerb.CANCEL, REQUEST_HOST, f'/a/{name}', key=key
+    )
     on_job_request(world.lead, request, 'e')
-    world.cancelled.setdefault(name, world.now)
+    world.callers.cancelled.setdefault(name, world.now)
 
 
 def fail_over(world: World) -> None:
@@ -573,6 +612,7 @@
     place_waiting(world.lead)
     records, outbox = collect_output(world.lead)
     for record in records:
+        world.callers.watch_record(record)
         apply(world.follower, record)
     for outgoing in outbox:
         message = outgoing.message
--- a/tests/steps/snapshot_steps.py
+++ b/tests/steps/snapshot_steps.py
@@ -41,7 +41,7 @@
 # Kinds of records; the frequent ones stand several times.
 _KINDS = (
     *('job', 'target', 'place', 'place', 'end', 'end', 'end') * 2,
-    *('config', 'cancel', 'purge', 'close', 'gone', 'position'),
+    *('config', 'cancel', 'purge', 'close', 'gone', 'position', 'move'),
 )
 _EVENTS = st.tuples(st.sampled_from(_KINDS), st.integers(0, 1000))
 _FIRST_EVENTS = (('config', 3), ('target', 0), ('target', 1), ('job', 1))
