--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -13,6 +13,7 @@
     enqueue_job,
     update_queues,
 )
+from daisygw.cell._limits import limit_refusal
 from daisygw.cell._state import CellJob
 from daisygw.contracts import (
     CellResponse,
@@ -107,11 +108,14 @@
         _refuse(lead, request, entry, ResultCode.ID_REUSED)
         return
     if existing is None:
-        refusal = refusal_for(lead, request.job, queue)
+        owner = owner_of_new_job(queue, customer)
+        refusal = limit_refusal(lead, request.job, owner) or refusal_for(
+            lead, request.job, queue
+        )
         if refusal:
             _refuse(lead, request, entry, *refusal)
             return
-        _accept(lead, request, queue, owner_of_new_job(queue, customer))
+        _accept(lead, request, queue, owner)
     lead.answer(entry, CellResponse(request.seq, ResultCode.ACCEPTED))
 
 
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -64,6 +64,7 @@
     ResultCode.OVERLOADED: 429,
     ResultCode.NEVER_IN_TIME: 429,
     ResultCode.NEVER_FITS: 429,
+    ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.NO_WORKERS: 503,
     ResultCode.NO_LEADER: 503,
     ResultCode.NOT_CONFIGURED: 503,
