Keys at the entries of real processes: tests, and stand-ins that send keys

The stand-in cell remembers the keys of the acknowledged configurations, and call_entry, the platform's callers and the soak's callers send the first one. The cell of planned_work.feature has customers now, and none of its callers may be answered 401. The replayed loads with weights have a customer for each.

--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -10,6 +10,7 @@
 import itertools
 from collections.abc import Callable
 from functools import partial
+from hashlib import sha256
 from math import exp, log, pi, sin
 from random import Random
 from typing import Any
@@ -40,11 +41,13 @@
     start_leading,
 )
 from daisygw.contracts import (
+    ZERO_SIZE,
     AdviceRequest,
     AdviceResponse,
     CellConfig,
     CellResponse,
     ConfigRequest,
+    Customer,
     JobEnqueued,
     JobRequest,
     JobSpec,
@@ -153,7 +156,16 @@
         )
         for kind in world.load.kinds
     )
-    cfg = CellConfig(1, queues, (_SERVICE,), 1 << 18, b'{}')
+    customers = tuple(
+        Customer(
+            customer_name(number),
+            (_key_of(customer_name(number)),),
+            weight,
+            ZERO_SIZE,
+        )
+        for number, weight in enumerate(world.load.weights)
+    )
+    cfg = CellConfig(1, queues, (_SERVICE,), 1 << 18, b'{}', customers or None)
     on_config_request(world.lead, ConfigRequest(1, cfg), 'operator')
 
 
@@ -236,6 +248,10 @@
     return f'customer-{number}'
 
 
+def _key_of(customer: str) -> bytes:
+    return sha256(customer.encode()).digest() if customer else b''
+
+
 def _draw_customer(world: World, job: str) -> str:
     """Draw a job's customer by weight, apart from the load's other draws."""
     weights = world.load.weights
@@ -266,7 +282,12 @@
         seq = next(world.sequence_numbers)
         world.job_by_request[seq] = job.id
         request = JobRequest(
-            seq, JobVerb.SUBMIT, _HOST, f'/{kind.name}/{job.id}', job
+            seq,
+            JobVerb.SUBMIT,
+            _HOST,
+            f'/{kind.name}/{job.id}',
+            job,
+            _key_of(world.customers[job.id]),
         )
         on_job_request(world.lead, request, 'entry')
 
--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -8,7 +8,13 @@
 from dataclasses import dataclass
 from random import Random
 
-from standins.platform_cell import PREFIX, QUEUE_HOST, PlatformCell, job
+from standins.platform_cell import (
+    PREFIX,
+    QUEUE_HOST,
+    PlatformCell,
+    job,
+    key_headers,
+)
 
 # A caller waits this long for an answer (s): longer than an entry may take.
 _ANSWER_TIMEOUT_S = 10
@@ -56,16 +62,17 @@
         self.unanswered: list[Unanswered] = []
 
 
-def _encode_request(random: Random) -> bytes:
+def _encode_request(cell: PlatformCell, random: Random) -> bytes:
     kind = random.choice(_KINDS)
-    name = f'{random.getrandbits(64):016x}'
+    job_id = f'{random.getrandbits(64):016x}'
     body = json.dumps(job(1, work_s=0)).encode() if kind == 'POST' else b''
     head = (
         f'{"GET" if kind == "LIST" else kind} '
-        f'{PREFIX}{"" if kind == "LIST" else name} HTTP/1.1',
+        f'{PREFIX}{"" if kind == "LIST" else job_id} HTTP/1.1',
         f'Host: {QUEUE_HOST}',
         f'Content-Length: {len(body)}',
         'X-Deadline-Ms: 3000',
+        *(f'{name}: {text}' for name, text in key_headers(cell).items()),
     )
     return '\r\n'.join(head).encode() + _END_OF_HEAD + body
 
@@ -79,6 +86,7 @@
 
 
 async def _call_once(
+    cell: PlatformCell,
     caller: Caller,
     entry: str,
     streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
@@ -90,7 +98,7 @@
     Returns whether the connection can be used again.
     """
     reader, writer = streams
-    requests = [_encode_request(random) for _ in range(caller.at_once)]
+    requests = [_encode_request(cell, random) for _ in range(caller.at_once)]
     writer.write(b''.join(requests))
     sent_at = time.monotonic()
     calls.sent[caller.name] += caller.at_once
@@ -128,7 +136,9 @@
             continue
         usable = True
         while usable and not is_over():
-            usable = await _call_once(caller, entry, streams, random, calls)
+            usable = await _call_once(
+                cell, caller, entry, streams, random, calls
+            )
             usable = usable and caller.keeps_open
             await asyncio.sleep(random.uniform(*_PAUSE_S))
         streams[1].transport.abort()
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -72,7 +72,8 @@
     """A running cell: its ports, folder and processes by host.
 
     ``link_ports`` holds the own link port of each host whose links are
-    relayed; it is empty if links are direct.
+    relayed; it is empty if links are direct.  ``keys`` holds the keys of all
+    customers, by version of the acknowledged configurations that have some.
     """
 
     ports: Ports
@@ -80,6 +81,7 @@
     max_lease_s: float = DEFAULT_MAX_LEASE_S
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     link_ports: dict[str, int] = field(default_factory=dict)
+    keys: dict[int, tuple[str, ...]] = field(default_factory=dict)
 
 
 def link_name(host: str, other: str) -> str:
@@ -250,11 +252,25 @@
     name: str,
     body: Any = None,
     host: str = QUEUE_HOST,
+    key: str | None = None,
 ) -> tuple[int, Any]:
-    """Send a caller's request for a job to an entry host."""
+    """Send a caller's request for a job to an entry host.
+
+    Without ``key`` the first one of the newest configuration is sent, if it
+    has any; an empty one is not sent.
+    """
     address = f'{entry}:{cell.ports.callers}'
     prefix = SLOW_PREFIX if name.startswith(SLOW_JOB_PREFIX) else PREFIX
-    return call(address, method, prefix + name, body, {'Host': host})
+    headers = {'Host': host, **key_headers(cell, key)}
+    return call(address, method, prefix + name, body, headers)
+
+
+def key_headers(cell: PlatformCell, key: str | None = None) -> dict[str, str]:
+    """Return the header with a caller's key, see ``call_entry``."""
+    if key is None:
+        keys = cell.keys[max(cell.keys)] if cell.keys else ()
+        key = keys[0] if keys else ''
+    return {'Authorization': f'Token {key}'} if key else {}
 
 
 def configuration(version: int, **more: Any) -> dict[str, Any]:
@@ -380,6 +396,10 @@
     """
     for host in SCHEDULERS:
         status, _ = call(f'{host}:{cell.ports.control}', 'PUT', '/config', cfg)
+        if status == HTTP_OK and 'tenants' in cfg:
+            cell.keys[cfg['version']] = tuple(
+                key for tenant in cfg['tenants'] for key in tenant['apiKeys']
+            )
         if status not in {0, 503, 504}:
             return status
     return 0
@@ -416,9 +436,10 @@
 def start_callers(cell: PlatformCell, seed: int) -> None:
     """Start callers of all entries, which record their calls in a file."""
     entries = ','.join(f'{host}:{cell.ports.callers}' for host in ENTRIES)
+    authorization = key_headers(cell).get('Authorization', '')
     cell.running['callers'] = subprocess.Popen(  # noqa: S603
         [sys.executable, '-m', 'standins.soak_callers']
-        + [str(calls_path(cell)), str(seed), entries],
+        + [str(calls_path(cell)), str(seed), entries, authorization],
         cwd=ROOT,
     )
 
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -1,7 +1,8 @@
 """Callers that submit jobs and ask for them over connections kept open.
 
-``python -m standins.soak_callers FILE SEED ENTRY[,ENTRY...]`` uses several
-connections to each entry (host:port) at random until it receives SIGTERM.  A
+``python -m standins.soak_callers FILE SEED ENTRY[,ENTRY...] AUTHORIZATION``
+uses several connections to each entry (host:port) at random until it receives
+SIGTERM, and sends the header AUTHORIZATION unless it is empty.  A
 submission without a clear answer is repeated.  Each request that was sent in
 full adds a JSON line to FILE, see ``Call``.
 """
@@ -80,8 +81,9 @@
 class _Callers:
     """State of all callers: jobs accepted so far, submissions to repeat."""
 
-    def __init__(self, out: Any, seed: int) -> None:
+    def __init__(self, out: Any, seed: int, authorization: str) -> None:
         self.out = out
+        self.authorization = authorization
         self.seed = seed
         self.random = Random(seed)
         self.numbers = count(1)
@@ -144,13 +146,15 @@
     return _Request('GET', callers.random.choice([PREFIX, *callers.accepted]))
 
 
-async def _send(conn: _Connection, req: _Request) -> None:
+async def _send(conn: _Connection, req: _Request, authorization: str) -> None:
     headers = [
         ('Host', QUEUE_HOST),
         ('Content-Type', 'application/json'),
         ('Content-Length', str(len(req.body))),
         ('X-Deadline-Ms', str(_DEADLINE_MS)),
     ]
+    if authorization:
+        headers.append(('Authorization', authorization))
     events = (
         h11.Request(method=req.method, target=req.path, headers=headers),
         h11.Data(data=req.body),
@@ -188,7 +192,7 @@
     sent_at = None
     try:
         async with asyncio.timeout(_CALL_TIMEOUT_S):
-            await _send(conn, req)
+            await _send(conn, req, callers.authorization)
             sent_at = time.monotonic()
             status, body = await _receive(conn)
     except TimeoutError:
@@ -251,9 +255,11 @@
     return [Call(**json.loads(line)) for line in path.read_text().splitlines()]
 
 
-async def _run(file_name: str, seed: str, entries: str) -> None:
+async def _run(
+    file_name: str, seed: str, entries: str, authorization: str
+) -> None:
     with Path(file_name).open('w') as out:
-        callers = _Callers(out, int(seed))
+        callers = _Callers(out, int(seed), authorization)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, callers.stopped.set)
         await asyncio.gather(
--- a/tests/steps/planned_work_steps.py
+++ b/tests/steps/planned_work_steps.py
@@ -10,6 +10,7 @@
 
 from behave import then, when
 
+from standins import odd_messages
 from standins import platform_cell as cells
 from standins.cell import is_listening
 from standins.platform_callers import Caller, CallLog, call_repeatedly
@@ -44,10 +45,22 @@
     return cells.call_entry(cell, entry, 'GET', '')[0] == cells.HTTP_OK
 
 
+def _configuration(version, **more):
+    """Return a configuration in which one customer has the same key always.
+
+    Callers send that key, which is the first one; the other one changes.
+    """
+    tenants = [
+        odd_messages.tenant('acme'),
+        odd_messages.tenant('beta', apiKeys=[f'key {version}']),
+    ]
+    return cells.configuration(version, tenants=tenants, **more)
+
+
 def _change_configuration(cell, version):
     routes = cells.configuration(version)['routes']
     routes.append({**routes[0], 'name': 'r-2', 'pathPrefix': f'/{version}/'})
-    return cells.put_config(cell, cells.configuration(version, routes=routes))
+    return cells.put_config(cell, _configuration(version, routes=routes))
 
 
 def _listens(cell, entry):
@@ -114,7 +127,7 @@
         tempfile.TemporaryDirectory() as folder,
         cells.running_cell(Path(folder), relayed=True) as cell,
     ):
-        cfg = cells.configuration(_FIRST_VERSION)
+        cfg = _configuration(_FIRST_VERSION)
         cells.wait_until(
             lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
@@ -151,6 +164,8 @@
     """Check the statuses and exits, and that there was work of each kind."""
     work = context.work
     assert not context.calls.statuses[500], context.calls.statuses
+    # The key of the callers is in every configuration.
+    assert not context.calls.statuses[401], context.calls.statuses
     assert not work['failed stops'], work
     assert min(work[one] for one in ('stops', 'reloads', 'changes')), work
 
