Simulator: refused callers return; figures of the largest jobs

A refused caller submits its job again, under the same id, after the time that it was told, at most four times. bench.crest also prints the share of jobs of a kind that earned a worth, of the largest tenth by work, and of the fifth below it.

--- a/bench/crest.py
+++ b/bench/crest.py
@@ -1,8 +1,9 @@
 """Replays a user's peak load through the placement decisions of a cell.
 
 ``python -m bench.crest [LOAD] [SEEDS]`` prints a JSON line per seed: for each
-kind of job the shares that were refused, in time and late, and the share of
-their worth that was earned.  The target for the mean of that share is 0.71
+kind of job the shares that were refused, in time and late, the share of their
+worth that was earned, and the shares that earned a worth of all, of the largest
+tenth and of the fifth below it.  The target for the mean of that share is 0.71
 (Latas Vivas) and 0.53 (Obrapase) with faults; this load injects none.
 """
 
@@ -26,6 +27,7 @@
         'seed': seed,
         'starts': world.starts,
         'advice_s': round(world.advice, 1),
+        'returns': sum(world.returns.values()),
         'earned': round(rows.pop('')['earned'], 3),
         'kinds': rows,
     }
--- a/standins/cell_figures.py
+++ b/standins/cell_figures.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from math import ceil
+from operator import attrgetter
 
 from daisygw.cell import Run
 from daisygw.contracts import (
@@ -23,6 +24,9 @@
 # A job that ends after its objective earns its late worth up to this multiple
 # of the objective, and nothing after it.
 MAX_AGE_FACTOR = 3
+# The shares of a kind's jobs, largest first, whose service is shown apart.
+_LARGEST_SHARE = 0.1
+_NEXT_SHARE = 0.2
 # Targets per step in the advice call that an objective allows for.
 _ADVISED_TARGETS_PER_STEP = 30
 
@@ -33,6 +37,7 @@
 
     ``age`` (s) is the time from its submission to its end, None if it has not
     ended; ``objective`` (s) is the limit of it for the full worth.
+    ``core_seconds`` is its work by its estimates.
     """
 
     kind: str
@@ -41,6 +46,7 @@
     code: int
     age: float | None
     failed: bool
+    core_seconds: float
 
 
 def _worth_factor(
@@ -74,7 +80,15 @@
         actual = replace(job, steps=_steps_with_actual_times(world, job))
         objective = kind.slack * critical_path(actual.steps) + kind.latency
         code = world.codes.get(name, 0)
-        yield JobOutcome(kind.name, worth_factor, objective, code, age, failed)
+        yield JobOutcome(
+            kind.name,
+            worth_factor,
+            objective,
+            code,
+            age,
+            failed,
+            _core_seconds(job),
+        )
 
 
 def _steps_with_actual_times(world: World, job: JobSpec) -> tuple[Step, ...]:
@@ -104,30 +118,37 @@
 
 def earned_worth(outcome: JobOutcome, kind: JobKind) -> float:
     """Return the worth that a job has earned."""
-    if (
-        outcome.age is None
-        or outcome.code != ResultCode.ACCEPTED
-        or outcome.failed
-    ):
+    if not _is_served(outcome):
         return 0
-    if outcome.age <= outcome.objective:
-        return kind.worth * outcome.worth_factor
-    return (
-        kind.late_worth * outcome.worth_factor
-        if outcome.age <= MAX_AGE_FACTOR * outcome.objective
-        else 0
-    )
+    worth = kind.worth if outcome.age <= outcome.objective else kind.late_worth
+    return worth * outcome.worth_factor
+
+
+def _is_served(outcome: JobOutcome) -> bool:
+    """Tell whether a job's result still has a worth for its caller."""
+    if outcome.age is None or outcome.failed:
+        return False
+    if outcome.code != ResultCode.ACCEPTED:
+        return False
+    return outcome.age <= MAX_AGE_FACTOR * outcome.objective
 
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """Shares of a kind's jobs, and the share of its worth that was earned."""
+    """Shares of a kind's jobs, and the share of its worth that was earned.
+
+    ``served`` is the share of jobs that earned a worth, ``largest_tenth`` and
+    ``next_fifth`` that of the largest tenth by work and of the fifth below it.
+    """
 
     jobs: int
     refused: float
     in_time: float
     late: float
     earned: float
+    served: float = 0
+    largest_tenth: float = 0
+    next_fifth: float = 0
 
 
 def figures(world: World) -> dict[str, Figures]:
@@ -160,4 +181,20 @@
     in_time = sum(outcome.age <= outcome.objective for outcome in ended)
     late = len(ended) - in_time
     jobs = len(rows)
-    return Figures(jobs, refused / jobs, in_time / jobs, late / jobs, earned)
+    by_size = sorted(rows, key=attrgetter('core_seconds'), reverse=True)
+    largest = ceil(_LARGEST_SHARE * jobs)
+    next_largest = ceil((_LARGEST_SHARE + _NEXT_SHARE) * jobs)
+    return Figures(
+        jobs,
+        refused / jobs,
+        in_time / jobs,
+        late / jobs,
+        earned,
+        _served_share(rows),
+        _served_share(by_size[:largest]),
+        _served_share(by_size[largest:next_largest]),
+    )
+
+
+def _served_share(rows: list[JobOutcome]) -> float:
+    return sum(map(_is_served, rows)) / max(len(rows), 1)
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from math import exp, log, pi, sin
@@ -79,6 +80,8 @@
 _CHECKPOINTING_SHARE = 0.5
 _STRAGGLER_SHARE = 0.03
 _STRAGGLER_SLOWDOWN = 7
+# A refused caller submits its job again up to this many times.
+MAX_RETURNS = 4
 
 
 class _SimulatedTarget:
@@ -103,7 +106,8 @@
 
     ``callers`` holds when each caller of advice is free again (s), ``advice``
     the total time of advice calls (s).  By job, ``codes`` holds the result
-    code of its submission, and ``ends`` the time of its end (s) and whether
+    code of its last submission, ``returns`` how often its caller submitted it
+    again after a refusal, and ``ends`` the time of its end (s) and whether
     it failed.
     """
 
@@ -121,6 +125,8 @@
         self.customers: dict[str, str] = {}
         self.work_by_step: dict[str, list[float]] = {}
         self.codes: dict[str, int] = {}
+        self.returns: Counter[str] = Counter()
+        self.max_returns = MAX_RETURNS
         self.job_by_request: dict[int, str] = {}
         self.ends: dict[str, tuple[float, bool]] = {}
         self.callers = [0.0 for _ in range(load.callers)]
@@ -263,16 +269,32 @@
 
     def submit() -> None:
         world.jobs[job.id] = (kind, job, world.now)
-        seq = next(world.sequence_numbers)
-        world.job_by_request[seq] = job.id
-        request = JobRequest(
-            seq, JobVerb.SUBMIT, _HOST, f'/{kind.name}/{job.id}', job
-        )
-        on_job_request(world.lead, request, 'entry')
+        _send_submission(world, kind, job)
 
     return submit
 
 
+def _send_submission(world: World, kind: JobKind, job: JobSpec) -> None:
+    seq = next(world.sequence_numbers)
+    world.job_by_request[seq] = job.id
+    request = JobRequest(
+        seq, JobVerb.SUBMIT, _HOST, f'/{kind.name}/{job.id}', job
+    )
+    on_job_request(world.lead, request, 'entry')
+
+
+def _receive_answer(world: World, answer: CellResponse) -> None:
+    """Note the result of a submission; a refused caller returns when told."""
+    name = world.job_by_request.pop(answer.seq, '')
+    world.codes[name] = answer.code
+    may_return = world.returns[name] < world.max_returns
+    if answer.retry_after and may_return and name in world.jobs:
+        kind, job, _ = world.jobs[name]
+        world.returns[name] += 1
+        again = partial(_send_submission, world, kind, job)
+        _schedule(world, answer.retry_after, again)
+
+
 def _draw_job(world: World, kind: JobKind) -> JobSpec:
     random = world.random
     name = f'{next(world.sequence_numbers):016x}'
@@ -488,8 +510,7 @@
             failed = known['state'] == 'failed'
             world.ends[known['id']] = (world.now, failed)
         case CellResponse():
-            name = world.job_by_request.pop(message.seq, '')
-            world.codes[name] = message.code
+            _receive_answer(world, message)
 
 
 def run_leader_turn(world: World) -> None:
