Cell: order of placement by the cost of delay

Steps that had missed their objective were placed after all others, so urgent work that was a little late starved behind patient work. A pure module estimates what a delay costs a caller for the work that avoids it; the order follows it. A rank changes only when a limit is passed or tasks start, so a pass compares cached numbers. An error in an estimate is logged ('cost unknown'), and the step's limit decides.

--- a/daisygw/cell/_admission.py
+++ b/daisygw/cell/_admission.py
@@ -50,8 +50,10 @@
     )
     if expected.wait <= longest:
         return None
-    return_at = max(lead.now + expected.wait - longest, lead.next_return_at)
+    return_at = max(
+        lead.now + expected.wait - longest, lead.load.next_return_at
+    )
     retry = min(return_at - lead.now, MAX_RETRY_S)
-    lead.next_return_at = lead.now + retry + expected.interval
+    lead.load.next_return_at = lead.now + retry + expected.interval
     reason = f'calls to the advisor wait {expected.wait:.1f} s'
     return (ResultCode.OVERLOADED, retry, reason)
--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -1,10 +1,19 @@
 """Free capacity of the usable targets during one placement pass."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 from daisygw.cell._leader import DEFAULT_SPEED, CellLeader, WaitingStep
 from daisygw.cell._state import TargetState, task_size
-from daisygw.contracts import Queue, Size, Step, dominant_share, minus
+from daisygw.contracts import (
+    ZERO_SIZE,
+    Queue,
+    Size,
+    Step,
+    dominant_share,
+    minus,
+    plus,
+)
 from daisygw.machines import is_responsive
 
 # A target that has not answered for this long gets no new work: the longest
@@ -35,6 +44,16 @@
         }
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
+        lead.load.capacity = _total(
+            target.instance.capacity for target in available
+        )
+
+
+def _total(sizes: Iterable[Size]) -> Size:
+    total = ZERO_SIZE
+    for size in sizes:
+        total = plus(total, size)
+    return total
 
 
 def is_available(lead: CellLeader, target: TargetState) -> bool:
@@ -104,15 +123,31 @@
 
 
 def fitting_tasks(
-    free_capacity: FreeCapacity, waiting: WaitingStep, key: str
-) -> int:
-    """Return how many more tasks of a step fit on a target now."""
+    free_capacity: FreeCapacity,
+    waiting: WaitingStep,
+    targets: Iterable[TargetState],
+) -> dict[str, int]:
+    """Return how many more tasks of a step fit on each target now, by key."""
+    need = task_size(waiting.state.step)
+    fitting = {}
+    for target in targets:
+        free = free_capacity.free[target.key]
+        # Most targets of a full cell have no room: they need no division.
+        if free.cpus < need.cpus or free.memory < need.memory:
+            fitting[target.key] = 0
+        else:
+            limit = _limit_on(waiting, target.key)
+            fitting[target.key] = fit_count(need, free, limit)
+    return fitting
+
+
+def _limit_on(waiting: WaitingStep, key: str) -> int:
+    """Return how many more tasks a step's ``spread`` allows on a target."""
     step = waiting.state.step
-    limit = step.count
-    if step.spread:
-        held = sum(run.instance == key for run in waiting.state.runs.values())
-        limit = min(limit, step.spread - held)
-    return fit_count(task_size(step), free_capacity.free[key], limit)
+    if not step.spread:
+        return step.count
+    held = sum(run.instance == key for run in waiting.state.runs.values())
+    return min(step.count, step.spread - held)
 
 
 def hold_capacity(
@@ -137,23 +172,26 @@
     are left out.
     """
     approval = lead.approvals.get(waiting.state.key)
-    denied = approval.denied if approval else frozenset()
+    excluded = free_capacity.reserved
+    if approval and approval.denied:
+        excluded = excluded | approval.denied
+    max_tasks = _cached_max_tasks(free_capacity, waiting)
     return [
         target
         for key, target in free_capacity.targets.items()
-        if key not in denied
-        and key not in free_capacity.reserved
-        and _cached_max_tasks(waiting, target) > 0
+        if max_tasks[key] > 0 and key not in excluded
     ]
 
 
-def _cached_max_tasks(waiting: WaitingStep, target: TargetState) -> int:
-    """Return ``max_tasks_on``, cached as neither argument changes."""
-    max_tasks = waiting.max_tasks_by_target.get(target.key)
-    if max_tasks is None:
-        max_tasks = max_tasks_on(target, waiting.state.step, waiting.queue)
-        waiting.max_tasks_by_target[target.key] = max_tasks
-    return max_tasks
+def _cached_max_tasks(
+    free_capacity: FreeCapacity, waiting: WaitingStep
+) -> dict[str, int]:
+    """Return ``max_tasks_on`` of all targets, cached as it never changes."""
+    cached = waiting.max_tasks_by_target
+    for key in free_capacity.targets.keys() - cached.keys():
+        target = free_capacity.targets[key]
+        cached[key] = max_tasks_on(target, waiting.state.step, waiting.queue)
+    return cached
 
 
 def target_preference(
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from daisygw.cell._approval import Approval, PendingAdvice
+from daisygw.cell._load import CellLoad
 from daisygw.cell._state import (
     Cell,
     CellJob,
@@ -152,7 +153,9 @@
     ``avoid`` maps the index of a task to the targets on which it failed.
     ``since`` is when it began to wait, or when some of its tasks were placed
     last; its wait is logged once it is ``next_report`` long (s).  ``last_turn``
-    is when it was last considered behind more urgent steps (s).
+    is when it was last considered behind more urgent steps (s).  ``rank`` is
+    its place in the order, valid until ``rank_until`` (s) while ``rank_tasks``
+    of its tasks wait.
     """
 
     def __init__(
@@ -174,6 +177,9 @@
         self.since = since
         self.next_report = LONG_WAIT_S
         self.last_turn = float('-inf')
+        self.rank = float('-inf')
+        self.rank_until = float('-inf')
+        self.rank_tasks = 0
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
@@ -189,11 +195,10 @@
     ``pending_advice`` has the open requests to the advisor by correlation id;
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
-    they take (s).  The next caller that is refused for the advisor's time is
-    to return at ``next_return_at`` (s).  ``ended`` lists ended jobs and since
-    when they are kept, ``repeating`` names the unfinished repeating jobs, and
-    ``changed`` requests a placement pass.  ``check_record`` raises
-    ``ContractError`` for a record that the log cannot hold.
+    they take (s).  ``ended`` lists ended jobs and since when they are kept,
+    ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
+    a placement pass.  ``check_record`` raises ``ContractError`` for a record
+    that the log cannot hold.
     """
 
     def __init__(
@@ -236,9 +241,9 @@
         self.generations = itertools.count(1)
         self.repeating: set[str] = set()
         self.changed = True
-        self.next_return_at = float('-inf')
         self.scan_due = now
         self.approval_rates: dict[str, float] = {}
+        self.load = CellLoad()
 
     def record(self, record: Any) -> None:
         """Append a log record and apply it immediately.
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -1,9 +1,9 @@
 """Placement: which task starts on which target, and in which order.
 
-Steps are ordered by their latest start in time: those that can still meet
-their objective first, then late ones, then those that are worthless by now.  A
-gang that fits holds its capacity while its tickets are renewed; one that does
-not fit reserves targets, so that work due later does not keep taking them.
+Steps are ordered by what delaying them costs their callers (``_cost``); those
+that are worthless by now come last.  A gang that fits holds its capacity while
+its tickets are renewed; one that does not fit reserves targets, so that work
+whose delay costs less does not keep taking them.
 """
 
 from collections import Counter
@@ -26,6 +26,7 @@
     suitable_targets,
     target_preference,
 )
+from daisygw.cell._cost import Stake, next_limit, rank
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     LONG_WAIT_S,
@@ -36,6 +37,7 @@
     approval_of,
     pending_indexes,
 )
+from daisygw.cell._stakes import stake_of
 from daisygw.cell._state import TargetState
 from daisygw.contracts import RunsPlaced, dominant_share
 
@@ -53,13 +55,31 @@
 _MAX_LOGGED_ROWS = 100
 
 
-def order_key(waiting: WaitingStep, now: float) -> tuple[int, float]:
-    """Return a step's sort key in the placement order."""
-    if now <= waiting.due:
-        return (0, waiting.due)
-    if now <= waiting.worthless_at:
-        return (1, waiting.due)
-    return (2, waiting.due)
+def order_key(lead: CellLeader, waiting: WaitingStep) -> tuple[float, float]:
+    """Return a step's sort key in the placement order.
+
+    Steps whose delay costs most come first, and worthless ones last.
+    """
+    state = waiting.state
+    tasks = state.step.count - len(state.done) - len(state.runs)
+    if lead.now > waiting.rank_until or tasks != waiting.rank_tasks:
+        waiting.rank_tasks = tasks
+        _update_rank(lead, waiting)
+    return (-waiting.rank, waiting.due)
+
+
+def _update_rank(lead: CellLeader, waiting: WaitingStep) -> None:
+    """Estimate a step's rank; without an estimate its limit decides."""
+    try:
+        stake = stake_of(lead, waiting, waiting.rank_tasks)
+    except Exception as exc:
+        key = waiting.state.key
+        lead.log_event(
+            'cost unknown', id=key.job, step=key.step, error=repr(exc)
+        )
+        stake = Stake(1, 1, waiting.due, waiting.worthless_at)
+    waiting.rank = rank(stake, lead.now)
+    waiting.rank_until = next_limit(stake, lead.now)
 
 
 def place_waiting(lead: CellLeader) -> None:
@@ -68,7 +88,7 @@
         return
     lead.changed = False
     free_capacity = FreeCapacity(lead)
-    by_urgency = partial(order_key, now=lead.now)
+    by_urgency = partial(order_key, lead)
     urgent = nsmallest(
         MAX_STEPS_PER_PASS, lead.waiting.values(), key=by_urgency
     )
@@ -160,21 +180,10 @@
     if not needed or not may_request_approvals(lead, waiting):
         return
     targets = suitable_targets(lead, free_capacity, waiting)
-    fitting = _fitting_tasks(free_capacity, waiting, targets)
+    fitting = fitting_tasks(free_capacity, waiting, targets)
     request_approvals(lead, waiting, targets, fitting, needed)
 
 
-def _fitting_tasks(
-    free_capacity: FreeCapacity,
-    waiting: WaitingStep,
-    targets: list[TargetState],
-) -> dict[str, int]:
-    return {
-        target.key: fitting_tasks(free_capacity, waiting, target.key)
-        for target in targets
-    }
-
-
 def _allowed_targets(
     lead: CellLeader,
     free_capacity: FreeCapacity,
@@ -213,7 +222,7 @@
     pending = pending_indexes(waiting.state)
     if not waiting.state.step.gang:
         pending = pending[:MAX_STARTS_PER_STEP]
-    fitting = _fitting_tasks(free_capacity, waiting, targets)
+    fitting = fitting_tasks(free_capacity, waiting, targets)
     targets = [target for target in targets if fitting[target.key]]
     targets.sort(key=_preference(lead, waiting, fitting))
     step = waiting.state.step
--- a/daisygw/cell/_waits.py
+++ b/daisygw/cell/_waits.py
@@ -63,10 +63,8 @@
 ) -> None:
     key = waiting.state.key
     approval = lead.approvals.get(key) or Approval()
-    fitting = {
-        target.key: fitting_tasks(free_capacity, waiting, target.key)
-        for target in suitable_targets(lead, free_capacity, waiting)
-    }
+    targets = suitable_targets(lead, free_capacity, waiting)
+    fitting = fitting_tasks(free_capacity, waiting, targets)
     lead.log_event(
         'step waits',
         id=key.job,
