--- a/daisygw/cell/_limits.py
+++ b/daisygw/cell/_limits.py
@@ -7,7 +7,8 @@
 before there is enough for a gang.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from operator import attrgetter
 from types import MappingProxyType
 
 from daisygw.cell._admission import Refusal
@@ -104,6 +105,28 @@
     return pending[: headroom(lead, waiting, free_capacity.claims)]
 
 
+def steps_at_limits(lead: CellLeader) -> dict[str, Iterator[WaitingStep]]:
+    """Return by customer the waiting steps of those that a limit has held.
+
+    They come in the order in which they are due, whatever their delay costs:
+    a gang that waits for a part of the limit would otherwise be passed by all
+    smaller steps of its customer.
+    """
+    names = {
+        waiting.job.enqueued.customer
+        for waiting in lead.waiting.values()
+        if waiting.claims_limit
+    }
+    own_steps: dict[str, list[WaitingStep]] = {name: [] for name in names}
+    for waiting in lead.waiting.values() if names else ():
+        if waiting.job.enqueued.customer in names:
+            own_steps[waiting.job.enqueued.customer].append(waiting)
+    return {
+        name: iter(sorted(steps, key=attrgetter('due')))
+        for name, steps in own_steps.items()
+    }
+
+
 def claim_limit(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
