Cell: the cost of delay is a number for any figures; its tests

hypothesis found values that are not numbers (infinite or undefined times and work). Work is bounded, and limits that are not finite cost nothing.

--- a/daisygw/cell/_cost.py
+++ b/daisygw/cell/_cost.py
@@ -23,9 +23,10 @@
 # Time (s) in which about the whole capacity of a busy cell is freed once: a
 # limit that is farther away than this can be met by work that starts later.
 HORIZON_S = 3.0
-# Lower bound of values and of work, in shares of the cell times seconds: the
+# Bounds of values and of work, in shares of the cell times seconds: the
 # logarithm is defined, and an estimate of 0 does not outrank everything.
 _MIN_WORK = 1e-9
+_MAX_WORK = 1e12
 _MIN_HORIZON_S = 1e-3
 # Bounds of exponents, so that nothing overflows.
 _MAX_EXPONENT = 700.0
@@ -52,23 +53,27 @@
     ``typical_work`` is that of a typical job of its queue; ``priority`` 0 is
     the highest.
     """
-    own = CALLER_PART * max(typical_work, 0) + WORK_PART * max(work, 0)
+    own = CALLER_PART * _bounded(typical_work) + WORK_PART * _bounded(work)
     return own / PRIORITY_FACTOR ** min(max(priority, 0), _MAX_PRIORITY)
 
 
+def _bounded(amount: float) -> float:
+    """Return an amount of work within the bounds; the least if it is none."""
+    return max(_MIN_WORK, min(_MAX_WORK, amount))
+
+
 def rank(stake: Stake, now: float, horizon: float = HORIZON_S) -> float:
     """Return the logarithm of the cost at time 0; it is -inf without a loss.
 
     Of two ranks at the same ``now`` (s) the higher is that of the step whose
     delay costs more.  A rank changes only where ``next_limit`` is passed.
     """
-    horizon = max(horizon, _MIN_HORIZON_S)
     late_limit = max(stake.worthless_at, stake.due)
-    if not now <= late_limit or not isfinite(late_limit):
+    known = isfinite(stake.due) and isfinite(late_limit) and isfinite(horizon)
+    if not known or not now <= late_limit:
         return -inf
-    per_work = log(max(stake.value, _MIN_WORK)) - log(
-        max(stake.work, _MIN_WORK)
-    )
+    horizon = max(horizon, _MIN_HORIZON_S)
+    per_work = log(_bounded(stake.value)) - log(_bounded(stake.work))
     if now > stake.due:
         return per_work + log(LOSS_WHEN_WORTHLESS) - late_limit / horizon
     later = LOSS_WHEN_WORTHLESS * exp((stake.due - late_limit) / horizon)
@@ -84,6 +89,8 @@
 
 def delay_cost(stake: Stake, now: float, horizon: float = HORIZON_S) -> float:
     """Return the cost of delaying a step at ``now`` (s), 0 or above."""
-    horizon = max(horizon, _MIN_HORIZON_S)
-    exponent = rank(stake, now, horizon) + now / horizon
+    time_zero = rank(stake, now, horizon)
+    if time_zero == -inf or not isfinite(now):
+        return 0
+    exponent = time_zero + now / max(horizon, _MIN_HORIZON_S)
     return exp(min(exponent, _MAX_EXPONENT))
