--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -50,6 +50,8 @@
 # A start that is not confirmed, or a step that waits, for this long is logged;
 # a step again each time that its wait has doubled.
 LONG_WAIT_S = 3.0
+# A job that ends later than this multiple of its objective has no value.
+WORTHLESS_FACTOR = 3
 # Address of effects that the leader's own process carries out.
 LOCAL_PROCESS = ''
 # Correlation ids contain the term above this many bits: a process that leads
@@ -352,7 +354,7 @@
 ) -> tuple[float, float]:
     """Return a step's ``due`` and ``worthless_at`` (s), as in ``WaitingStep``.
 
-    The latter lets its job end within three times its latency objective.
+    The latter lets its job end within a multiple of its latency objective.
     """
     accepted = accepted_at(lead, job)
     estimate_factor = lead.estimate_factors.get(queue.name, 1.0)
@@ -360,7 +362,7 @@
     remaining = critical_path(job.spec.steps, step) * estimate_factor
     return (
         accepted + objective - remaining,
-        accepted + 3 * objective - remaining,
+        accepted + WORTHLESS_FACTOR * objective - remaining,
     )
 
 
--- a/daisygw/cell/_load.py
+++ b/daisygw/cell/_load.py
@@ -8,7 +8,11 @@
 
     ``capacity`` is that of the usable targets, ``typical_work`` by queue the
     mean work of a job (share of the capacity times s).  The next caller that
-    is refused for the advisor's time is to return at ``next_return_at`` (s).
+    is refused for the advisor's time is to return at ``next_return_at`` (s),
+    and one that is refused for want of room at ``next_room_at``.  Of the steps
+    that waited at ``backlog_at`` (s), ``backlog_ranks`` holds the negative
+    ranks in order, and ``backlog_sums`` the work up to each; for the jobs since
+    then, ``backlog_added`` holds rank and work.
     """
 
     def __init__(self) -> None:
@@ -16,3 +20,8 @@
         self.capacity = ZERO_SIZE
         self.typical_work: dict[str, float] = {}
         self.next_return_at = float('-inf')
+        self.next_room_at = float('-inf')
+        self.backlog_at = float('-inf')
+        self.backlog_ranks: list[float] = []
+        self.backlog_sums: list[float] = []
+        self.backlog_added: list[tuple[float, float]] = []
--- a/daisygw/cell/_stakes.py
+++ b/daisygw/cell/_stakes.py
@@ -1,10 +1,26 @@
 """What is at stake for the callers of waiting steps and of submitted jobs."""
 
-from daisygw.cell._cost import Stake, job_value
-from daisygw.cell._leader import CellLeader, WaitingStep
+from bisect import bisect_left
+from itertools import accumulate
+
+from daisygw.cell._cost import Stake, job_value, rank
+from daisygw.cell._leader import (
+    WORTHLESS_FACTOR,
+    CellLeader,
+    WaitingStep,
+)
 from daisygw.cell._state import CellJob, task_size
-from daisygw.contracts import JobSpec, Step, dominant_share
+from daisygw.contracts import (
+    JobSpec,
+    Queue,
+    Step,
+    critical_path,
+    dominant_share,
+)
 
+# A sum of the waiting work is used for this time (s): a sum takes 2 ms for
+# 5,000 steps, and jobs may come faster.
+_BACKLOG_AGE_S = 0.1
 # Weight of the newest job in the moving average of a queue's work.
 _NEWEST_WEIGHT = 0.05
 
@@ -20,6 +36,51 @@
     return sum(step_work(lead, step, step.count) for step in job.steps)
 
 
+def stake_of_job(lead: CellLeader, job: JobSpec, queue: Queue) -> Stake:
+    """Return what delaying a job costs that is submitted now."""
+    work = job_work(lead, job)
+    typical = lead.load.typical_work.get(queue.name, work)
+    path = critical_path(job.steps)
+    remaining = path * lead.estimate_factors.get(queue.name, 1.0)
+    objective = queue.slack * path + queue.latency
+    return Stake(
+        job_value(work, typical, queue.priority),
+        work,
+        lead.now + objective - remaining,
+        lead.now + WORTHLESS_FACTOR * objective - remaining,
+    )
+
+
+def backlog_ahead(lead: CellLeader, own_rank: float) -> float:
+    """Return how long (s) the whole cell needs for the steps ranked higher."""
+    load = lead.load
+    if lead.now - load.backlog_at > _BACKLOG_AGE_S:
+        rows = sorted(
+            (-waiting.rank, _left(lead, waiting))
+            for waiting in lead.waiting.values()
+        )
+        load.backlog_at = lead.now
+        load.backlog_added = []
+        load.backlog_ranks = [row[0] for row in rows]
+        load.backlog_sums = list(accumulate(row[1] for row in rows))
+    before = bisect_left(load.backlog_ranks, -own_rank)
+    added = sum(work for one, work in load.backlog_added if one >= own_rank)
+    if not before:
+        return added
+    return added + load.backlog_sums[before - 1]
+
+
+def add_to_backlog(lead: CellLeader, stake: Stake) -> None:
+    """Count a job that is accepted now, until the next sum."""
+    lead.load.backlog_added.append((rank(stake, lead.now), stake.work))
+
+
+def _left(lead: CellLeader, waiting: WaitingStep) -> float:
+    step = waiting.state.step
+    factor = lead.estimate_factors.get(waiting.queue.name, 1.0)
+    return step_work(lead, step, waiting.rank_tasks) * factor
+
+
 def stake_of(lead: CellLeader, waiting: WaitingStep, tasks: int) -> Stake:
     """Return what delaying a step costs, of which ``tasks`` tasks wait."""
     job, step = waiting.job, waiting.state.step
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -107,8 +107,8 @@
     ``callers`` holds when each caller of advice is free again (s), ``advice``
     the total time of advice calls (s).  By job, ``codes`` holds the result
     code of its last submission, ``returns`` how often its caller submitted it
-    again after a refusal, and ``ends`` the time of its end (s) and whether
-    it failed.
+    again after a refusal, ``retry_times`` the delay that it was last told
+    (s), and ``ends`` the time of its end (s) and whether it failed.
     """
 
     def __init__(self, load: Load, seed: int) -> None:
@@ -126,6 +126,7 @@
         self.work_by_step: dict[str, list[float]] = {}
         self.codes: dict[str, int] = {}
         self.returns: Counter[str] = Counter()
+        self.retry_times: dict[str, float] = {}
         self.max_returns = MAX_RETURNS
         self.job_by_request: dict[int, str] = {}
         self.ends: dict[str, tuple[float, bool]] = {}
@@ -287,6 +288,8 @@
     """Note the result of a submission; a refused caller returns when told."""
     name = world.job_by_request.pop(answer.seq, '')
     world.codes[name] = answer.code
+    if answer.retry_after:
+        world.retry_times[name] = answer.retry_after
     may_return = world.returns[name] < world.max_returns
     if answer.retry_after and may_return and name in world.jobs:
         kind, job, _ = world.jobs[name]
