--- a/tests/steps/shape_steps.py
+++ b/tests/steps/shape_steps.py
@@ -18,6 +18,7 @@
     'enum',
     'functools',
     'hdrh',
+    'bisect',
     'heapq',
     # Compares keys in a time that tells nothing about them; computes only.
     'hmac',
