--- /dev/null
+++ b/daisygw/cell/_fairness.py
@@ -0,0 +1,122 @@
+"""Customers' shares of a cell that is full.
+
+A customer's weight is its share of the capacity, and its rate: the jobs that it
+sends beyond the rate are surplus.  Surplus starts after all other work, where
+capacity is free, and is refused while other work waits for capacity.  Other
+work is placed by urgency; among steps of about the same urgency, the customer
+that has the smaller share of the cell in relation to its weight comes first.
+"""
+
+from collections.abc import Callable, Iterable
+from functools import reduce
+
+from daisygw.cell._admission import Refusal
+from daisygw.cell._capacity import FreeCapacity, is_mostly_free
+from daisygw.cell._leader import CellLeader, WaitingStep
+from daisygw.cell._rates import (
+    count_accepted,
+    exceeds_rate,
+    forget_old,
+    return_delay,
+)
+from daisygw.cell._waits import NO_CAPACITY, wait_cause
+from daisygw.contracts import (
+    ZERO_SIZE,
+    ResultCode,
+    StepKey,
+    plus,
+    weighted_share,
+)
+
+# Steps whose latest useful starts lie in the same interval of this length (s)
+# are about equally urgent.
+URGENCY_INTERVAL_S = 0.5
+# A customer with more than this multiple of its share comes after the others.
+EXCESSIVE_SHARE = 2.0
+# Weight of jobs without a customer, and of those whose customer was removed.
+_DEFAULT_WEIGHT = 1.0
+
+
+def is_surplus(waiting: WaitingStep) -> bool:
+    """Tell whether a step's job exceeded its customer's rate."""
+    return waiting.job.enqueued.surplus
+
+
+def reading_shares(lead: CellLeader) -> Callable[[WaitingStep], float]:
+    """Return a function that reads a step's customer's share of the cell.
+
+    The share is a multiple of the one that its weight gives it.  All shares are
+    0 in a cell without customers.
+    """
+    cell = lead.cell
+    if not cell.customers:
+        return lambda waiting: 0
+    capacities = (target.instance.capacity for target in cell.targets.values())
+    capacity = reduce(plus, capacities, ZERO_SIZE)
+    total = sum(customer.weight for customer in cell.customers.values())
+
+    def share_of(waiting: WaitingStep) -> float:
+        name = waiting.job.enqueued.customer
+        held = cell.customer_usage.get(name)
+        if held is None:
+            return 0
+        customer = cell.customers.get(name)
+        weight = customer.weight if customer else _DEFAULT_WEIGHT
+        return weighted_share(held, capacity, weight / total)
+
+    return share_of
+
+
+def fair_key(
+    waiting: WaitingStep, urgency: tuple[int, float], share: float
+) -> tuple:
+    """Return a sort key that also counts a customer's share.
+
+    ``urgency`` is the step's sort key without shares: its kind, and its latest
+    useful start (s).
+    """
+    kind, due = urgency
+    in_kind = (due // URGENCY_INTERVAL_S, share, due)
+    return (is_surplus(waiting), kind, share > EXCESSIVE_SHARE, in_kind)
+
+
+def is_over_rate(lead: CellLeader, customer: str) -> bool:
+    """Tell whether one more job of a customer would be surplus."""
+    known = lead.cell.customers.get(customer)
+    if known is None:
+        return False
+    forget_old(lead.rates, customer, known.weight, lead.now)
+    accepted = lead.rates.accepted[customer]
+    return exceeds_rate(accepted, known.weight, lead.now)
+
+
+def count_in_rate(lead: CellLeader, customer: str) -> None:
+    """Count a job that was accepted now, within its customer's rate."""
+    if customer in lead.cell.customers:
+        count_accepted(lead.rates, customer, lead.now)
+
+
+def surplus_refusal(lead: CellLeader, customer: str) -> Refusal | None:
+    """Refuse a surplus job while other work waits for capacity.
+
+    In a cell that is mostly free that work lacks something else than room, such
+    as targets of one kind.
+    """
+    if not lead.waiting or not lead.rates.in_rate_waits or is_mostly_free(lead):
+        return None
+    weight = lead.cell.customers[customer].weight
+    delay = return_delay(lead.rates, customer, weight, lead.now)
+    reason = f'the customer sends more than {weight:g} jobs per second'
+    return (ResultCode.OVERLOADED, delay, reason)
+
+
+def note_shortage(
+    lead: CellLeader, free_capacity: FreeCapacity, considered: Iterable[StepKey]
+) -> None:
+    """Note whether steps within the rates still wait for capacity."""
+    steps = (lead.waiting.get(key) for key in considered)
+    lead.rates.in_rate_waits = bool(lead.cell.customers) and any(
+        wait_cause(lead, free_capacity, waiting) == NO_CAPACITY
+        for waiting in steps
+        if waiting and not is_surplus(waiting)
+    )
--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -1,6 +1,11 @@
 """Requests about jobs (submit, cancel, show) and about configurations."""
 
 from daisygw.cell._admission import refusal_for
+from daisygw.cell._fairness import (
+    count_in_rate,
+    is_over_rate,
+    surplus_refusal,
+)
 from daisygw.cell._leader import (
     CellLeader,
     clean_up_job,
@@ -65,6 +70,7 @@
         code=code,
         reason=reason,
         retry_after_s=retry,
+        customer=customer_with_key(lead, request.key),
         config=cfg.version if cfg else 0,
         waiting=len(lead.waiting),
     )
@@ -89,26 +95,37 @@
     existing = lead.cell.jobs.get(request.job.id)
     if existing is None:
         customer = customer_with_key(lead, request.key)
-        refusal = limit_refusal(lead, request.job, customer) or refusal_for(
-            lead, request.job, queue
+        surplus = is_over_rate(lead, customer)
+        refusal = (
+            limit_refusal(lead, request.job, customer)
+            or refusal_for(lead, request.job, queue)
+            or (surplus and surplus_refusal(lead, customer))
         )
         if refusal:
             _refuse(lead, request, entry, *refusal)
             return
-        _accept(lead, request, queue, customer)
+        _accept(lead, request, queue, customer, surplus=surplus)
     lead.answer(entry, CellResponse(request.seq, ResultCode.ACCEPTED))
 
 
 def _accept(
-    lead: CellLeader, request: JobRequest, queue: Queue, customer: str
+    lead: CellLeader,
+    request: JobRequest,
+    queue: Queue,
+    customer: str,
+    *,
+    surplus: bool,
 ) -> None:
-    lead.record(
-        JobEnqueued(request.job, queue.host, queue.prefix, lead.wall, customer)
-    )
+    origin = (queue.host, queue.prefix)
+    lead.record(JobEnqueued(request.job, *origin, lead.wall, customer, surplus))
+    if not surplus:
+        count_in_rate(lead, customer)
     lead.log_event(
         'accepted',
         id=request.job.id,
         queue=queue.name,
+        customer=customer,
+        surplus=surplus,
         steps=len(request.job.steps),
         waiting=len(lead.waiting),
         config=lead.cell.cfg.version,
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from daisygw.cell._approval import Approval, PendingAdvice
+from daisygw.cell._rates import CustomerRates, count_accepted
 from daisygw.cell._state import (
     Cell,
     CellJob,
@@ -195,7 +196,8 @@
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
     they take (s).  The next caller that is refused for the advisor's time is
-    to return at ``next_return_at`` (s).  ``ended`` lists ended jobs and since
+    to return at ``next_return_at`` (s).  ``rates`` has the customers' jobs of
+    the last seconds.  ``ended`` lists ended jobs and since
     when they are kept, ``repeating`` names the unfinished repeating jobs, and
     ``changed`` requests a placement pass.  ``check_record`` raises
     ``ContractError`` for a record that the log cannot hold.
@@ -213,8 +215,6 @@
 
         Targets accept no lease longer than ``longest_lease`` (s).
         """
-        self.long_lease = min(LONG_LEASE_S, _MAX_LEASE_SHARE * longest_lease)
-        self.long_lease = max(self.long_lease, SHORT_LEASE_S)
         self.longest_lease = longest_lease
         self.cell = cell
         self.term = term
@@ -244,6 +244,7 @@
         self.next_return_at = float('-inf')
         self.scan_due = now
         self.approval_rates: dict[str, float] = {}
+        self.rates = CustomerRates()
 
     def record(self, record: Any) -> None:
         """Append a log record and apply it immediately.
@@ -299,7 +300,8 @@
         state = step_of(lead.cell, run.step)
         if state and state.step.lasting:
             return SHORT_LEASE_S
-    return lead.long_lease
+    long_lease = min(LONG_LEASE_S, _MAX_LEASE_SHARE * lead.longest_lease)
+    return max(long_lease, SHORT_LEASE_S)
 
 
 def collect_output(lead: CellLeader) -> tuple[list[Any], list[OutgoingMessage]]:
@@ -427,6 +429,10 @@
     for key in keys_in_dispute(instances):
         lead.lease_states[key].disputed_at = lead.now
     for job in lead.cell.jobs.values():
+        enqueued = job.enqueued
+        if enqueued.customer and not enqueued.surplus:
+            at = accepted_at(lead, job)
+            count_accepted(lead.rates, enqueued.customer, at)
         if job.over:
             lead.ended.append((lead.now, job.spec.id))
             stop_runs(lead, job)
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
-from heapq import heapify, heappop
+from heapq import heapify, heappop, heapreplace
 from operator import attrgetter
 from typing import Any
 
@@ -26,6 +26,12 @@
     suitable_targets,
     target_preference,
 )
+from daisygw.cell._fairness import (
+    fair_key,
+    is_surplus,
+    note_shortage,
+    reading_shares,
+)
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     LONG_WAIT_S,
@@ -73,6 +79,7 @@
     considered = _place_steps(
         lead, free_capacity, _in_order(lead), MAX_STEPS_PER_PASS
     )
+    note_shortage(lead, free_capacity, considered)
     others = _in_turn(lead, considered, open_calls)
     for key in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
         waiting = lead.waiting.get(key)
@@ -81,14 +88,29 @@
 
 
 def _in_order(lead: CellLeader) -> Iterator[WaitingStep]:
-    """Yield the waiting steps in placement order."""
+    """Yield the waiting steps in placement order.
+
+    A customer's share grows while its steps are placed, so a step that comes
+    next is sorted again.
+    """
+    share_of = reading_shares(lead)
+
+    def sort_key(waiting: WaitingStep) -> tuple:
+        urgency = order_key(waiting, lead.now)
+        return fair_key(waiting, urgency, share_of(waiting))
+
     heap = [
-        (order_key(waiting, lead.now), number, waiting)
+        (sort_key(waiting), number, waiting)
         for number, waiting in enumerate(lead.waiting.values())
     ]
     heapify(heap)
     while heap:
-        yield heappop(heap)[-1]
+        key, number, waiting = heap[0]
+        newest = sort_key(waiting)
+        if newest > key:
+            heapreplace(heap, (newest, number, waiting))
+        else:
+            yield heappop(heap)[-1]
 
 
 def _place_steps(
@@ -140,6 +162,7 @@
 ) -> Iterator[WaitingStep]:
     """Yield the steps behind the most urgent ones, by their last turn.
 
+    Surplus comes last.
     They must not delay the advisor's answers about the urgent steps, so those
     of a queue with many open calls are left out.
     """
@@ -149,7 +172,8 @@
         if key not in considered
         and open_calls[waiting.queue.name] < MAX_STEPS_PER_PASS
     ]
-    yield from sorted(others, key=attrgetter('last_turn'))
+    others.sort(key=attrgetter('last_turn'))
+    yield from sorted(others, key=is_surplus)
 
 
 def _place_tasks(
--- a/daisygw/cell/_waits.py
+++ b/daisygw/cell/_waits.py
@@ -4,6 +4,7 @@
 from daisygw.cell._capacity import (
     FreeCapacity,
     fitting_tasks,
+    max_tasks_on,
     suitable_targets,
 )
 from daisygw.cell._leader import (
@@ -12,6 +13,11 @@
     WaitingStep,
     pending_indexes,
 )
+from daisygw.cell._usage import task_size
+from daisygw.contracts import fit_count
+
+# Cause of a step's wait: its targets have no room.
+NO_CAPACITY = 'no capacity'
 
 
 def longest_wait(lead: CellLeader) -> float:
@@ -58,6 +64,34 @@
     )
 
 
+def wait_cause(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> str:
+    """Return what keeps a step from starting.
+
+    Capacity that is kept for other steps counts as free: with enough of it, a
+    step waits for a ticket, or for its turn (``order``).
+    """
+    if waiting.held:
+        return 'held'
+    step = waiting.state.step
+    least = step.count if step.gang else 1
+    usable = list(free_capacity.targets.values())
+    approval = lead.approvals.get(waiting.state.key) or Approval()
+    if waiting.queue.advisor:
+        usable = [one for one in usable if one.key in approval.tickets]
+    most = sum(max_tasks_on(one, step, waiting.queue) for one in usable)
+    if waiting.queue.advisor and most < least:
+        return 'no ticket' if approval.calls else 'no approved target'
+    free = sum(
+        fit_count(task_size(step), one.free, step.count) for one in usable
+    )
+    if free < least:
+        return NO_CAPACITY
+    expired = all(lead.now >= until for _, until in approval.tickets.values())
+    return 'no ticket' if waiting.queue.advisor and expired else 'order'
+
+
 def _report_wait(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
@@ -71,6 +105,9 @@
         'step waits',
         id=key.job,
         step=key.step,
+        cause=wait_cause(lead, free_capacity, waiting),
+        customer=waiting.job.enqueued.customer,
+        surplus=waiting.job.enqueued.surplus,
         tasks=len(pending_indexes(waiting.state)),
         runs=len(waiting.state.runs),
         waited_s=round(lead.now - waiting.since, 3),
--- a/daisygw/nodes/_meters.py
+++ b/daisygw/nodes/_meters.py
@@ -29,7 +29,10 @@
 
 
 class Meters:
-    """The metrics of one process."""
+    """The metrics of one process.
+
+    ``refreshers`` set gauges with labels whenever metrics are scraped.
+    """
 
     def __init__(self) -> None:
         """Create all metrics with zero values in a registry of their own."""
@@ -47,6 +50,13 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.refused = Counter(
+            'daisygw_customer_refused',
+            'Refused jobs, by customer and result code',
+            ('customer', 'code'),
+            registry=self.registry,
+        )
+        self.refreshers: list[Callable[[], None]] = []
         self.times = {
             event: Histogram(
                 f'daisygw_{name}_seconds',
@@ -62,6 +72,9 @@
     """Count an event; observe its duration (s) if it has one."""
     outcome = fields.get('how') or fields.get('code') or fields.get('state')
     meters.events.labels(event, str(outcome or '')).inc()
+    if event == 'refused' and fields.get('customer'):
+        code = str(int(fields['code']))
+        meters.refused.labels(fields['customer'], code).inc()
     observed = _TIMED_EVENTS.get(event)
     if observed:
         meters.times[event].observe(max(fields[observed[0]], 0))
@@ -78,6 +91,26 @@
     gauge.set_function(read)
 
 
+def add_labelled_gauge(
+    meters: Meters,
+    name: str,
+    text: str,
+    labels: tuple[str, ...],
+    read: Callable[[], Mapping[tuple, float]],
+) -> None:
+    """Register a gauge; ``read`` returns its values by labels."""
+    gauge = Gauge(f'daisygw_{name}', text, labels, registry=meters.registry)
+
+    def refresh() -> None:
+        gauge.clear()
+        for row, number in read().items():
+            gauge.labels(*row).set(number)
+
+    meters.refreshers.append(refresh)
+
+
 def show(meters: Meters) -> bytes:
     """Return all metrics in the Prometheus text format."""
+    for refresh in meters.refreshers:
+        refresh()
     return generate_latest(meters.registry)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -50,6 +50,7 @@
 )
 from daisygw.machines import TargetReport
 from daisygw.nodes import _clock
+from daisygw.nodes._customer_meters import add_customer_gauges
 from daisygw.nodes._meters import Meters, add_gauge
 from daisygw.nodes._peers import (
     LINK_TIMING,
@@ -136,6 +137,7 @@
         self.group = Group(replica, journal, machine)
         self.transport = Transport(partial(_send, self), partial(_emit, self))
         _add_state_gauges(self)
+        add_customer_gauges(self.meters, self.state)
 
 
 def _add_state_gauges(node: SchedulerNode) -> None:
--- a/standins/load_types.py
+++ b/standins/load_types.py
@@ -73,7 +73,8 @@
     arrival rates vary as a sine with the relative amplitude ``rate_swing``
     and the period ``swing_period`` (s).  Targets have ``target_cpus``
     (thousandths) and ``target_memory`` (MiB).  Customers send jobs in
-    proportion to their ``weights``; there are none without weights.
+    proportion to their ``weights``; there are none without weights.  A
+    customer's limit is ``limit_factor`` times its share of the processors.
     """
 
     kinds: tuple[JobKind, ...]
@@ -88,3 +89,4 @@
     target_memory: int = 262_144
     weights: tuple[int, ...] = ()
     surge: Surge | None = None
+    limit_factor: float = 2.0
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -52,6 +52,8 @@
     Then that task starts within 0.2 s
     And no call to the advisor was made for the gangs
     And a line "held" names the limit of the gangs' customer
+    And 4 s later the lines "step waits" of the gangs have the cause "held"
+    And the metrics have 4 cores of 4 in use and 100 steps held by customer "one", until it is removed
 
   Scenario: Small tasks do not use up what the limit leaves free for a gang
     Given a cell of 6 targets with customers
--- /dev/null
+++ b/tests/steps/share_steps.py
@@ -0,0 +1,364 @@
+"""Steps about customers' rates, their surplus, and their shares of a cell."""
+
+from dataclasses import replace
+from math import ceil
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from daisygw.cell import _placement
+from daisygw.cell._rates import (
+    MAX_RETURN_S,
+    RATE_WINDOW_S,
+    exceeds_rate,
+    window_of,
+)
+from daisygw.contracts import ZERO_SIZE, ResultCode, RunsPlaced, Size
+from standins import cell_load
+from standins.cell_figures import earned_worth, job_outcomes
+from standins.cell_loads import LOADS
+from standins.load_types import Surge
+from tests import cell_world
+from tests.cell_jobs import small_job
+from tests.cell_world import World, customer, run_for, submit
+
+# Fills a target, so that six of them fill the cell.
+_WHOLE_TARGET = Size(8000, 500, 0, 0)
+_OWNERS = ('one', 'two')
+_SURGE_AT = 7.6
+_SURGE_S = 5.4
+
+
+def _count(times, weight):
+    """Return the times of the jobs within the rate, and those of surplus."""
+    accepted, surplus = [], []
+    for at in times:
+        kind = surplus if exceeds_rate(accepted, weight, at) else accepted
+        kind.append(at)
+    return accepted, surplus
+
+
+@when(
+    '{examples:d} random sequences of submissions are counted from seed '
+    '{number:d}'
+)
+def count_random(context, examples, number):
+    """Draw weights, and times of which some are close together."""
+    context.counted = []
+
+    @seed(number)
+    @settings(deadline=None, database=None, max_examples=examples)
+    @hypothesis_given(
+        st.sampled_from((0.1, 0.3, 1, 2.5, 14)),
+        st.lists(st.floats(0, 20), max_size=60),
+    )
+    def run(weight, times):
+        context.counted.append((weight, *_count(sorted(times), weight)))
+
+    run()
+
+
+def _in_window(times, weight, at):
+    return sum(0 <= at - one < window_of(weight) for one in times)
+
+
+@then('no window had more jobs within the rate than the weight allows')
+def check_rate(context):
+    """Look at the window that ends with each job."""
+    for weight, accepted, _ in context.counted:
+        for at in accepted:
+            most = ceil(weight * window_of(weight))
+            assert _in_window(accepted, weight, at) <= most
+
+
+@then('a job was surplus only when the window before it was full')
+def check_full(context):
+    """A customer that sends too much still gets its rate."""
+    assert any(surplus for _, _, surplus in context.counted)
+    for weight, accepted, surplus in context.counted:
+        for at in surplus:
+            least = weight * window_of(weight)
+            assert _in_window(accepted, weight, at) >= least
+
+
+@when(
+    'customers of weights {weights} submit evenly just below their '
+    'rates for {seconds:d} s'
+)
+def submit_evenly(context, weights, seconds):
+    """Count the jobs of each customer."""
+    numbers = map(float, weights.replace('and', ',').split(','))
+    context.counted = [
+        _count(
+            [1.001 * one / weight for one in range(int(seconds * weight))],
+            weight,
+        )
+        for weight in numbers
+    ]
+
+
+@then('none of their jobs is surplus')
+def check_no_surplus(context):
+    """Read the counts of each weight."""
+    for accepted, surplus in context.counted:
+        assert accepted and not surplus, (len(accepted), surplus)
+
+
+@given('a cell of 6 targets with customers of weight 1')
+def start_cell(context):
+    """Start a cell without an advisor, whose jobs can wait."""
+    context.world = World(1)
+    run_for(context.world, 1)
+    queue = replace(cell_world.queue('/a/', 0), advisor=None, latency=100)
+    customers = (customer('one'), customer('two'))
+    cell_world.configure(context.world, 2, queues=(queue,), customers=customers)
+    context.number = 0
+
+
+def _submit(context, jobs, owner='one', **more):
+    """Submit jobs of one task each; return their sequence numbers."""
+    sequence = []
+    for _ in range(jobs):
+        context.number += 1
+        job = small_job(context.number, **more)
+        sequence.append(submit(context.world, job, owner=owner))
+    return sequence
+
+
+def _jobs(world, owner='one'):
+    return [
+        job
+        for job in world.cell.jobs.values()
+        if job.enqueued.customer == owner
+    ]
+
+
+def _surplus_of(cell):
+    return [job.enqueued.surplus for job in cell.jobs.values()]
+
+
+@when(
+    'a customer submits {count:d} jobs, the leader changes, and it submits '
+    '{more:d} more'
+)
+def submit_to_both(context, count, more):
+    """All start at once, so none is refused."""
+    _submit(context, count)
+    run_for(context.world, 0.5)
+    cell_world.fail_over(context.world)
+    run_for(context.world, 0.5)
+    _submit(context, more)
+    run_for(context.world, 0.1)
+
+
+@then('the last {count:d} of its jobs are surplus, on each replica')
+def check_surplus(context, count):
+    """Expect as many as the window of 5 s allows before them."""
+    for cell in (context.world.cell, context.world.follower):
+        marks = _surplus_of(cell)
+        assert not any(marks[:-count]), marks
+        assert all(marks[-count:]), marks
+
+
+@then('6 s later it may submit {count:d} jobs within its rate')
+def check_rate_again(context, count):
+    """Submit one more, which is surplus."""
+    run_for(context.world, 6)
+    _submit(context, count + 1)
+    *within, last = _surplus_of(context.world.cell)[-count - 1 :]
+    assert last and not any(within), within
+
+
+@when('a customer submits {count:d} jobs at once')
+def submit_many(context, count):
+    """Submit more than the rate allows."""
+    context.sequence = _submit(context, count)
+
+
+@then('all of them run 0.5 s later')
+def check_all_run(context):
+    """Expect a run of each job, surplus or not."""
+    run_for(context.world, 0.5)
+    assert any(_surplus_of(context.world.cell))
+    assert all(job.started for job in _jobs(context.world))
+
+
+def _fill(context, owner):
+    """Occupy all targets with tasks of one job."""
+    _submit(context, 1, owner, count=6, size=_WHOLE_TARGET, estimate=4)
+    run_for(context.world, 0.3)
+    usage = context.world.cell.customer_usage[owner]
+    assert usage.cpus == 6 * _WHOLE_TARGET.cpus, usage
+
+
+@when('the cell is full, and surplus was accepted before other jobs')
+def submit_surplus_first(context):
+    """No work within the rates waits when the surplus is submitted."""
+    _submit(context, 5, estimate=0.1)
+    run_for(context.world, 0.5)
+    _fill(context, 'two')
+    _submit(context, 2, size=_WHOLE_TARGET)
+    run_for(context.world, 0.3)
+    assert _surplus_of(context.world.cell)[-2:] == [True, True]
+    _submit(context, 3, 'two', size=_WHOLE_TARGET, estimate=2)
+
+
+@then('the surplus starts after them when the cell is free again')
+def check_surplus_last(context):
+    """Read the order of the placements of the last five jobs."""
+    run_for(context.world, 20)
+    begun = [
+        int(dict(event.fields)['id'], 16)
+        for event in context.world.log
+        if event.event == 'placed'
+    ]
+    assert begun[-5:] == [9, 10, 11, 7, 8], begun
+
+
+@when('the cell is full, and a job within the rate waits for capacity')
+def wait_for_capacity(context):
+    """The other customer's job waits."""
+    _fill(context, 'two')
+    _submit(context, 1, 'two', size=_WHOLE_TARGET)
+    run_for(context.world, 0.3)
+
+
+@then('{count:d} are accepted, and the others refused with code {code:d}')
+def check_refused(context, count, code):
+    """Read the answers in the order of the submissions."""
+    run_for(context.world, 0.1)
+    responses = context.world.responses
+    context.answers = [responses[seq] for seq in context.sequence]
+    codes = [answer.code for answer in context.answers]
+    assert set(codes[:count]) == {ResultCode.ACCEPTED}, codes
+    assert set(codes[count:]) == {code}, codes
+
+
+@then('the refused ones are told to return one after the other, within 10 s')
+def check_return_times(context):
+    """The first returns when its customer's window has moved."""
+    times = [one.retry_after for one in context.answers if one.retry_after]
+    assert times == sorted(times), times
+    assert times[0] >= RATE_WINDOW_S - 1 and times[-1] <= MAX_RETURN_S, times
+    assert len(set(times[:5])) == 5, times
+
+
+@then("a resubmitted job is accepted, and so are the other customer's jobs")
+def check_resubmitted(context):
+    """The first of the customer's jobs is known already."""
+    world = context.world
+    accepted = _jobs(world)[0].spec
+    seqs = [submit(world, accepted, owner='one'), *_submit(context, 2, 'two')]
+    run_for(world, 0.1)
+    codes = {world.responses[seq].code for seq in seqs}
+    assert codes == {ResultCode.ACCEPTED}, codes
+
+
+@when('a customer fills the cell, and both customers wait with equal jobs')
+def wait_with_both(context):
+    """The first customer's jobs are submitted first."""
+    _fill(context, 'one')
+    for owner in ('one', 'two'):
+        _submit(context, 4, owner, size=_WHOLE_TARGET, estimate=9)
+    world = context.world
+    context.starts = []
+
+    def watch(record):
+        if isinstance(record, RunsPlaced):
+            usage = world.follower.customer_usage
+            held = [usage.get(owner, ZERO_SIZE).cpus for owner in _OWNERS]
+            owner = world.callers.owners[record.step.job]
+            context.starts.append((owner, held))
+
+    world.callers.watch_record = watch
+
+
+@then('each start is one of the customer that has less running')
+def check_smaller_share(context):
+    """Look at the starts while jobs of both customers wait."""
+    run_for(context.world, 15)
+    assert len(context.starts) == 8, context.starts
+    for owner, held in context.starts[:5]:
+        assert held[_OWNERS.index(owner)] == min(held), context.starts
+    assert context.starts[0][0] == 'two', context.starts
+
+
+@when(
+    'the load "{name}" is replayed with and without a surge of customer '
+    '{number:d}, {factor:g} times its rate'
+)
+def replay_surge(context, name, number, factor):
+    """Replay until shortly after the surge."""
+    _replay_both(context, name, Surge(number, _SURGE_AT, _SURGE_S, factor))
+
+
+@when(
+    'the load "{name}" is replayed without customers, {order}, with and '
+    'without a surge of customer {number:d}, {factor:g} times its rate'
+)
+def replay_without_customers(context, name, order, number, factor):
+    """Place by the time of acceptance where the order says so."""
+    surge = Surge(number, _SURGE_AT, _SURGE_S, factor)
+    with mock.patch.object(_placement, 'order_key', _ORDERS[order]):
+        _replay_both(context, name, surge, names_customers=False)
+
+
+def _by_acceptance(waiting, now):
+    return (0, waiting.job.enqueued.at)
+
+
+_ORDERS = {
+    'by urgency': _placement.order_key,
+    'first come first served': _by_acceptance,
+}
+
+
+def _replay_both(context, name, surge, **more):
+    """Earn without and with a surge, during it, by the other customers."""
+    context.earned = []
+    for one in (None, surge):
+        load = replace(LOADS[name], surge=one, seconds=14)
+        world = cell_load.World(load, 1, **more)
+        cell_load.replay_load(world, after=8)
+        context.earned.append(_earned_by_others(world, surge))
+
+
+def _earned_by_others(world, surge):
+    """Return the share of their worth that the other customers earned.
+
+    Only jobs count that were submitted during the surge.
+    """
+    kinds = {kind.name: kind for kind in world.load.kinds}
+    surging = cell_load.customer_name(surge.customer)
+    began = 100 + surge.at
+    earned, possible = 0.0, 0.0
+    for job, outcome in zip(world.jobs, job_outcomes(world), strict=True):
+        during = 0 <= world.jobs[job][2] - began < surge.seconds
+        if during and world.customers[job] != surging:
+            kind = kinds[outcome.kind]
+            earned += earned_worth(outcome, kind)
+            possible += kind.worth * outcome.worth_factor
+    return earned / possible
+
+
+@then(
+    'during the surge the others earn at least {share:g} of what they earn '
+    'without it'
+)
+def check_unfelt(context, share):
+    """Compare the two shares of worth."""
+    without, with_surge = context.earned
+    assert with_surge >= share * without, context.earned
+
+
+@then(
+    'during the surge the others earn less than {share:g} of what they earn '
+    'without it'
+)
+def check_felt(context, share):
+    """Guards against a load whose surge nobody would feel in any case."""
+    without, with_surge = context.earned
+    assert with_surge < share * without, context.earned
