Steps with an open call keep their part of the customer's limit

A customer with 40 gangs, of which its limit lets one run, asked a slow advisor about most of them before the first was placed, and others' gangs were refused for the advisor's time. A step whose call is open now keeps its least start from less urgent steps of its customer.

--- a/daisygw/cell/_limits.py
+++ b/daisygw/cell/_limits.py
@@ -116,13 +116,16 @@
     """Keep a part of the limit for a step that it holds, or has held before.
 
     The part stays free until the step has started, also while it waits for
-    advice or capacity.  Nothing is kept for a step that does not fit beside
-    the customer's long-running tasks: it may wait forever.
+    advice or capacity.  A step whose call to the advisor is open keeps it too,
+    as the calls of steps that cannot start beside it would be in vain.  Nothing
+    is kept for a step that does not fit beside the customer's long-running
+    tasks: it may wait forever.
     """
     name = waiting.job.enqueued.customer
     limit = _limit_of(lead, name)
-    still_waits = waiting.state.key in lead.waiting
-    if limit is None or not still_waits or not waiting.claims_limit:
+    if limit is None or waiting.state.key not in lead.waiting:
+        return
+    if not waiting.claims_limit and not _has_open_call(lead, waiting):
         return
     need = _least_start(waiting.state.step)
     lasting = lead.cell.lasting_usage.get(name, ZERO_SIZE)
@@ -131,6 +134,11 @@
         claims[name] = plus(claims.get(name, ZERO_SIZE), need)
 
 
+def _has_open_call(lead: CellLeader, waiting: WaitingStep) -> bool:
+    approval = lead.approvals.get(waiting.state.key)
+    return approval is not None and approval.calls > 0
+
+
 def _report_held(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -1,7 +1,7 @@
 Feature: Limits on what a customer has running
 
   Scenario: No sequence of faults and of new limits brings a customer above its limit
-    When 12 random sequences of jobs, faults, new leaders and limits are run from seed 1
+    When 25 random sequences of jobs, faults, new leaders and limits are run from seed 1
     Then in each of them no start exceeded its customer's limit, and gangs started whole
     And what ran was always counted
     And all jobs ended once there were no limits
@@ -64,3 +64,8 @@
     Given a cell of 6 targets with customers
     When a customer with a limit of 4 tasks has a long-running one, and a gang of 4 waits
     Then later tasks of that customer start within 0.5 s
+
+  Scenario: Everything accepted ends, also what exceeds its customer's rate
+    When 15 random sequences of jobs beyond their customers' rates are run from seed 3
+    Then some of the jobs were surplus
+    And all jobs ended
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -97,6 +97,12 @@
       | 1    |
       | 3    |
 
+  Scenario: Gangs that a customer's limit holds leave the advisor to others
+    Given a cell of 60 targets whose advisor is slow, and a customer that may run one gang at a time
+    When the customer submits 40 gangs one by one, and another customer one
+    Then all of them were accepted
+    And the advisor was asked about 2 of them
+
   Scenario: Without the refusals gangs stand still for more than 3 s
     Given jobs are accepted however late the advisor answers
     When the load "slow-advice" is replayed for 8 s from seed 1 and watched
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -46,16 +46,24 @@
     st.tuples(st.just('job'), _JOBS),
     st.tuples(st.just('limits'), st.integers(1, 8)),
     st.tuples(
-        st.sampled_from(('leader', 'cancel', 'crash', 'cut', 'lossy', 'late')),
+        st.sampled_from((
+            'leader',
+            'cancel',
+            'crash',
+            'cut',
+            'lossy',
+            'late',
+            'stops',
+        )),
         st.integers(0, 5),
     ),
 )
 
 
-def _limits(count):
+def _limits(count, weight=1000):
     """Return customers with limits of a number of tasks, and high rates."""
     limit = times(_TASK, count)
-    return tuple(customer(name, limit, weight=1000) for name in _OWNERS)
+    return tuple(customer(name, limit, weight=weight) for name in _OWNERS)
 
 
 def _set_limits(world, customers, queues=None):
@@ -131,6 +139,8 @@
         world.cut ^= {f'w{value}'}
     elif kind == 'lossy':
         world.loss_probability = value / 10
+    elif kind == 'stops':
+        world.held.stop_delay = value / 2
     elif kind == 'late':
         world.late_probability = value / 40
 
@@ -203,6 +213,20 @@
     '{number:d}'
 )
 def run_without_faults(context, examples, number):
+    """Let all jobs be within the rates."""
+    _run_jobs(context, examples, number, _limits(5))
+
+
+@when(
+    "{examples:d} random sequences of jobs beyond their customers' rates are "
+    'run from seed {number:d}'
+)
+def run_beyond_rates(context, examples, number):
+    """Let one job a second be within the rates."""
+    _run_jobs(context, examples, number, _limits(5, weight=1))
+
+
+def _run_jobs(context, examples, number, customers):
     """Look at the first step of each customer after each turn."""
     context.worlds, context.startable = [], []
     patient = replace(cell_world.queue('/a/', 0), advisor=None, latency=1000)
@@ -212,7 +236,7 @@
     @hypothesis_given(st.lists(_JOBS, min_size=5, max_size=15))
     def run(jobs):
         world = World(number)
-        _set_limits(world, _limits(5), (patient,))
+        _set_limits(world, customers, (patient,))
         run_for(world, 0.2)
         for row in jobs:
             _apply_event(world, 'job', row)
@@ -225,6 +249,13 @@
     run()
 
 
+@then('some of the jobs were surplus')
+def check_some_surplus(context):
+    """Guards against sequences that test nothing."""
+    jobs = [job for one in context.worlds for job in one.cell.jobs.values()]
+    assert any(job.enqueued.surplus for job in jobs)
+
+
 def _startable_first_steps(world):
     """Yield the first step of each customer if it could start now."""
     lead = world.lead
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -46,11 +46,13 @@
     return replace(usual, **more)
 
 
-def _submit(world, name, kind, step, work):
+def _submit(world, name, kind, step, work, owner=''):
     job = JobSpec(name, 'work', (step,))
     world.jobs[name] = (kind, job, world.now)
     world.work_by_step[name] = [work]
-    request = JobRequest(1, JobVerb.SUBMIT, 'host', f'/{kind.name}/{name}', job)
+    request = JobRequest(
+        1, JobVerb.SUBMIT, 'host', f'/{kind.name}/{name}', job, owner.encode()
+    )
     on_job_request(world.lead, request, 'entry')
 
 
@@ -76,6 +78,53 @@
     _start_cell(context, _job_kind('gang', advisor=_SLOW_ADVISOR))
 
 
+@given(
+    'a cell of 60 targets whose advisor is slow, and a customer that may run '
+    'one gang at a time'
+)
+def limited_cell(context):
+    """Give the first customer a limit of one target's processors."""
+    context.kind = _job_kind('gang', advisor=_SLOW_ADVISOR)
+    weights = {'weights': (1, 59), 'limit_factor': 1}
+    load = Load((context.kind,), targets=60, rack=8, callers=9, **weights)
+    context.world = World(replace(load, seconds=0), 1)
+    _run_for(context.world, 1)
+
+
+@when(
+    'the customer submits {count:d} gangs one by one, and another customer one'
+)
+def submit_limited(context, count):
+    """Two turns lie between the gangs, which need nearly the whole limit."""
+    world = context.world
+    step = Step(3, _THIRD_OF_TARGET, 60, gang=True)
+    context.gangs = [f'{number:016x}' for number in range(count + 1)]
+    for name in context.gangs:
+        owner = 'customer-1' if name == context.gangs[-1] else 'customer-0'
+        _submit(world, name, context.kind, step, 60, owner)
+        _run_for(world, 0.03)
+    _run_for(world, 3)
+
+
+@then('all of them were accepted')
+def check_accepted(context):
+    """Expect none to be refused for the advisor's time."""
+    refused = [
+        one for one in context.gangs if one not in context.world.cell.jobs
+    ]
+    assert not refused, refused
+
+
+@then('the advisor was asked about {count:d} of them')
+def check_asked(context, count):
+    """Expect the first gang of each customer."""
+    asked = [key.job for key in context.world.lead.approvals]
+    called = [
+        key for key, one in context.world.lead.approvals.items() if one.tickets
+    ]
+    assert len(called) == count, (len(asked), called)
+
+
 def _start_cell(context, kind):
     context.kind = kind
     context.patient = _job_kind(
