--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -7,6 +7,11 @@
     may_use_queue,
     owner_of_new_job,
 )
+from daisygw.cell._fairness import (
+    count_in_rate,
+    is_over_rate,
+    surplus_refusal,
+)
 from daisygw.cell._leader import (
     CellLeader,
     clean_up_job,
@@ -75,6 +80,7 @@
         code=code,
         reason=reason,
         retry_after_s=retry,
+        customer=customer_of(lead.cell.key_index, request.key),
         config=cfg.version if cfg else 0,
         waiting=len(lead.waiting),
     )
@@ -109,27 +115,37 @@
         return
     if existing is None:
         owner = owner_of_new_job(queue, customer)
-        refusal = limit_refusal(lead, request.job, owner) or refusal_for(
-            lead, request.job, queue
+        surplus = is_over_rate(lead, owner)
+        refusal = (
+            limit_refusal(lead, request.job, owner)
+            or refusal_for(lead, request.job, queue)
+            or (surplus and surplus_refusal(lead, owner))
         )
         if refusal:
             _refuse(lead, request, entry, *refusal)
             return
-        _accept(lead, request, queue, owner)
+        _accept(lead, request, queue, owner, surplus=surplus)
     lead.answer(entry, CellResponse(request.seq, ResultCode.ACCEPTED))
 
 
 def _accept(
-    lead: CellLeader, request: JobRequest, queue: Queue, customer: str
+    lead: CellLeader,
+    request: JobRequest,
+    queue: Queue,
+    customer: str,
+    *,
+    surplus: bool,
 ) -> None:
-    lead.record(
-        JobEnqueued(request.job, queue.host, queue.prefix, lead.wall, customer)
-    )
+    origin = (queue.host, queue.prefix)
+    lead.record(JobEnqueued(request.job, *origin, lead.wall, customer, surplus))
+    if not surplus:
+        count_in_rate(lead, customer)
     lead.log_event(
         'accepted',
         id=request.job.id,
         queue=queue.name,
         customer=customer,
+        surplus=surplus,
         steps=len(request.job.steps),
         waiting=len(lead.waiting),
         config=lead.cell.cfg.version,
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -14,6 +14,7 @@
 
 from daisygw.cell._approval import Approval, PendingAdvice
 from daisygw.cell._load import CellLoad
+from daisygw.cell._rates import CustomerRates, count_accepted
 from daisygw.cell._state import (
     Cell,
     CellJob,
@@ -159,7 +160,8 @@
     ``held``, its customer's limit allows no start; it has been held before if
     it ``claims_limit``, and is logged again from ``held_report_due`` (s) on.
     ``rank`` is its place in the order, valid until ``rank_until`` (s) while
-    ``rank_tasks`` of its tasks wait.
+    ``rank_tasks`` of its tasks wait; ``rank_basis`` has their number and the
+    version of ``CellLoad`` for which it was computed.
     """
 
     def __init__(
@@ -187,6 +189,7 @@
         self.rank = float('-inf')
         self.rank_until = float('-inf')
         self.rank_tasks = 0
+        self.rank_basis = (0, 0)
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
@@ -202,10 +205,11 @@
     ``pending_advice`` has the open requests to the advisor by correlation id;
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
-    they take (s).  ``ended`` lists ended jobs and since when they are kept,
-    ``repeating`` names the unfinished repeating jobs, and ``changed`` requests
-    a placement pass.  ``check_record`` raises ``ContractError`` for a record
-    that the log cannot hold.
+    they take (s).  ``rates`` has the customers' jobs of the last seconds.
+    ``ended`` lists ended jobs and since when they are kept, ``repeating``
+    names the unfinished repeating jobs, and ``changed`` requests a placement
+    pass.  ``check_record`` raises ``ContractError`` for a record that the log
+    cannot hold.
     """
 
     def __init__(
@@ -220,8 +224,6 @@
 
         Targets accept no lease longer than ``longest_lease`` (s).
         """
-        self.long_lease = min(LONG_LEASE_S, _MAX_LEASE_SHARE * longest_lease)
-        self.long_lease = max(self.long_lease, SHORT_LEASE_S)
         self.longest_lease = longest_lease
         self.cell = cell
         self.term = term
@@ -251,6 +253,7 @@
         self.scan_due = now
         self.approval_rates: dict[str, float] = {}
         self.load = CellLoad()
+        self.rates = CustomerRates()
 
     def record(self, record: Any) -> None:
         """Append a log record and apply it immediately.
@@ -306,7 +309,8 @@
         state = step_of(lead.cell, run.step)
         if state and state.step.lasting:
             return SHORT_LEASE_S
-    return lead.long_lease
+    long_lease = min(LONG_LEASE_S, _MAX_LEASE_SHARE * lead.longest_lease)
+    return max(long_lease, SHORT_LEASE_S)
 
 
 def collect_output(lead: CellLeader) -> tuple[list[Any], list[OutgoingMessage]]:
@@ -434,6 +438,10 @@
     for key in keys_in_dispute(instances):
         lead.lease_states[key].disputed_at = lead.now
     for job in lead.cell.jobs.values():
+        enqueued = job.enqueued
+        if enqueued.customer and not enqueued.surplus:
+            at = accepted_at(lead, job)
+            count_accepted(lead.rates, enqueued.customer, at)
         if job.over:
             lead.ended.append((lead.now, job.spec.id))
             stop_runs(lead, job)
--- a/daisygw/cell/_load.py
+++ b/daisygw/cell/_load.py
@@ -6,8 +6,10 @@
 class CellLoad:
     """The capacity of a leader's cell and the work that is sent to it.
 
-    ``capacity`` is that of the usable targets, ``typical_work`` by queue the
-    mean work of a job (share of the capacity times s).  The next caller that
+    ``capacity`` is that of the usable targets, ``mean_work`` by queue the
+    moving average of a job's work (share of the capacity times s), and
+    ``typical_work`` the value of it that ranks use; ``version`` rises when one
+    of these changes.  The next caller that
     is refused for the advisor's time is to return at ``next_return_at`` (s),
     and one that is refused for want of room at ``next_room_at``.  Of the steps
     that waited at ``backlog_at`` (s), ``backlog_ranks`` holds the negative
@@ -18,7 +20,9 @@
     def __init__(self) -> None:
         """Begin without knowledge."""
         self.capacity = ZERO_SIZE
+        self.mean_work: dict[str, float] = {}
         self.typical_work: dict[str, float] = {}
+        self.version = 0
         self.next_return_at = float('-inf')
         self.next_room_at = float('-inf')
         self.backlog_at = float('-inf')
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
-from heapq import heapify, heappop
+from heapq import heapify, heappop, heapreplace
 from operator import attrgetter
 from typing import Any
 
@@ -27,6 +27,12 @@
     target_preference,
 )
 from daisygw.cell._cost import Stake, next_limit, rank
+from daisygw.cell._fairness import (
+    fair_key,
+    is_surplus,
+    note_shortage,
+    reading_shares,
+)
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     LONG_WAIT_S,
@@ -68,9 +74,11 @@
     """
     state = waiting.state
     tasks = state.step.count - len(state.done) - len(state.runs)
-    if lead.now > waiting.rank_until or tasks != waiting.rank_tasks:
+    basis = (tasks, lead.load.version)
+    if lead.now > waiting.rank_until or basis != waiting.rank_basis:
         waiting.rank_tasks = tasks
         _update_rank(lead, waiting)
+        waiting.rank_basis = (tasks, lead.load.version)
     return (-waiting.rank, waiting.due)
 
 
@@ -98,6 +106,7 @@
     considered = _place_steps(
         lead, free_capacity, _in_order(lead), MAX_STEPS_PER_PASS
     )
+    note_shortage(lead, free_capacity, considered)
     others = _in_turn(lead, considered, open_calls)
     for key in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
         waiting = lead.waiting.get(key)
@@ -106,15 +115,30 @@
 
 
 def _in_order(lead: CellLeader) -> Iterator[WaitingStep]:
-    """Yield the waiting steps in placement order."""
+    """Yield the waiting steps in placement order.
+
+    A customer's share grows while its steps are placed, so a step that comes
+    next is sorted again.
+    """
+    share_of = reading_shares(lead)
+
+    def sort_key(waiting: WaitingStep) -> tuple:
+        urgency = order_key(lead, waiting)
+        return fair_key(waiting, urgency, share_of(waiting))
+
     heap = [
-        (order_key(lead, waiting), number, waiting)
+        (sort_key(waiting), number, waiting)
         for number, waiting in enumerate(lead.waiting.values())
     ]
     heapify(heap)
     own_order = steps_at_limits(lead)
     while heap:
-        waiting = heappop(heap)[-1]
+        key, number, waiting = heap[0]
+        newest = sort_key(waiting)
+        if newest > key:
+            heapreplace(heap, (newest, number, waiting))
+            continue
+        heappop(heap)
         own = own_order.get(waiting.job.enqueued.customer)
         yield next(own) if own else waiting
 
@@ -168,6 +192,7 @@
 ) -> Iterator[WaitingStep]:
     """Yield the steps behind the most urgent ones, by their last turn.
 
+    Surplus comes last.
     They must not delay the advisor's answers about the urgent steps, so those
     of a queue with many open calls are left out.
     """
@@ -177,7 +202,8 @@
         if key not in considered
         and open_calls[waiting.queue.name] < MAX_STEPS_PER_PASS
     ]
-    yield from sorted(others, key=attrgetter('last_turn'))
+    others.sort(key=attrgetter('last_turn'))
+    yield from sorted(others, key=is_surplus)
 
 
 def _place_tasks(
--- a/daisygw/cell/_stakes.py
+++ b/daisygw/cell/_stakes.py
@@ -23,6 +23,9 @@
 _BACKLOG_AGE_S = 0.1
 # Weight of the newest job in the moving average of a queue's work.
 _NEWEST_WEIGHT = 0.05
+# The ranks of all waiting steps use the same typical work, which follows the
+# average when it has changed by this part.
+_TYPICAL_CHANGE = 0.1
 
 
 def step_work(lead: CellLeader, step: Step, tasks: int) -> float:
@@ -110,9 +113,13 @@
 
 def _typical(lead: CellLeader, waiting: WaitingStep, work: float) -> float:
     """Return the mean work of a queue's jobs; learn it from a new step."""
-    name = waiting.queue.name
-    average = lead.load.typical_work.get(name, work)
+    name, load = waiting.queue.name, lead.load
     if waiting.rank_until == float('-inf'):
+        average = load.mean_work.get(name, work)
         average += _NEWEST_WEIGHT * (work - average)
-        lead.load.typical_work[name] = average
-    return average
+        load.mean_work[name] = average
+        typical = load.typical_work.get(name, 0)
+        if abs(average - typical) > _TYPICAL_CHANGE * typical:
+            load.typical_work[name] = average
+            load.version += 1
+    return load.typical_work.get(name, work)
--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from hashlib import sha256
 from math import exp, log, pi, sin
@@ -42,7 +42,6 @@
     start_leading,
 )
 from daisygw.contracts import (
-    ZERO_SIZE,
     AdviceRequest,
     AdviceResponse,
     CellConfig,
@@ -114,8 +113,14 @@
     (s), and ``ends`` the time of its end (s) and whether it failed.
     """
 
-    def __init__(self, load: Load, seed: int) -> None:
-        """Create a cell that knows all targets and has a configuration."""
+    def __init__(
+        self, load: Load, seed: int, *, names_customers: bool = True
+    ) -> None:
+        """Create a cell that knows all targets and has a configuration.
+
+        The configuration names the load's customers, if it ``names_customers``.
+        """
+        self.names_customers = names_customers and bool(load.weights)
         self.load = load
         self.random = Random(seed)
         self.now = 100.0
@@ -163,19 +168,20 @@
         )
         for kind in world.load.kinds
     )
-    customers = tuple(
-        Customer(
-            customer_name(number),
-            (_key_of(customer_name(number)),),
-            weight,
-            ZERO_SIZE,
-        )
-        for number, weight in enumerate(world.load.weights)
-    )
-    cfg = CellConfig(1, queues, (_SERVICE,), 1 << 18, b'{}', customers or None)
+    customers = tuple(_customers(world.load)) if world.names_customers else None
+    cfg = CellConfig(1, queues, (_SERVICE,), 1 << 18, b'{}', customers)
     on_config_request(world.lead, ConfigRequest(1, cfg), 'operator')
 
 
+def _customers(load: Load) -> Iterator[Customer]:
+    """Yield the customers; a customer's only key is its name."""
+    cpus = load.targets * load.target_cpus * load.limit_factor
+    for number, weight in enumerate(load.weights):
+        name = customer_name(number)
+        limit = Size(int(cpus * weight / sum(load.weights)))
+        yield Customer(name, (_key_of(name),), weight, limit)
+
+
 def _add_target(world: World, number: int) -> None:
     name = f't{number}'
     instance = TargetInstance(
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -19,6 +19,9 @@
     plus,
     times,
 )
+from daisygw.nodes._customer_meters import add_customer_gauges
+from daisygw.nodes._meters import Meters, show
+from daisygw.nodes._state_machine import CellState
 from tests import cell_history, cell_world
 from tests.cell_jobs import small_job
 from tests.cell_world import World, customer, run_for, submit
@@ -42,15 +45,24 @@
     st.tuples(st.just('job'), _JOBS),
     st.tuples(st.just('limits'), st.integers(1, 8)),
     st.tuples(
-        st.sampled_from(('leader', 'cancel', 'crash', 'cut', 'lossy', 'late')),
+        st.sampled_from((
+            'leader',
+            'cancel',
+            'crash',
+            'cut',
+            'lossy',
+            'late',
+            'stops',
+        )),
         st.integers(0, 5),
     ),
 )
 
 
-def _limits(count):
-    """Return the limits of all customers, for a number of tasks."""
-    return tuple(customer(name, times(_TASK, count)) for name in _OWNERS)
+def _limits(count, weight=1000):
+    """Return customers with limits of a number of tasks, and high rates."""
+    limit = times(_TASK, count)
+    return tuple(customer(name, limit, weight=weight) for name in _OWNERS)
 
 
 def _set_limits(world, customers, queues=None):
@@ -126,6 +138,8 @@
         world.cut ^= {f'w{value}'}
     elif kind == 'lossy':
         world.loss_probability = value / 10
+    elif kind == 'stops':
+        world.held.stop_delay = value / 2
     elif kind == 'late':
         world.late_probability = value / 40
 
@@ -198,6 +212,20 @@
     '{number:d}'
 )
 def run_without_faults(context, examples, number):
+    """Let all jobs be within the rates."""
+    _run_jobs(context, examples, number, _limits(5))
+
+
+@when(
+    "{examples:d} random sequences of jobs beyond their customers' rates are "
+    'run from seed {number:d}'
+)
+def run_beyond_rates(context, examples, number):
+    """Let one job a second be within the rates."""
+    _run_jobs(context, examples, number, _limits(5, weight=1))
+
+
+def _run_jobs(context, examples, number, customers):
     """Look at the first step of each customer after each turn."""
     context.worlds, context.startable = [], []
     patient = replace(cell_world.queue('/a/', 0), advisor=None, latency=1000)
@@ -207,7 +235,7 @@
     @hypothesis_given(st.lists(_JOBS, min_size=5, max_size=15))
     def run(jobs):
         world = World(number)
-        _set_limits(world, _limits(5), (patient,))
+        _set_limits(world, customers, (patient,))
         run_for(world, 0.2)
         for row in jobs:
             _apply_event(world, 'job', row)
@@ -220,6 +248,13 @@
     run()
 
 
+@then('some of the jobs were surplus')
+def check_some_surplus(context):
+    """Guards against sequences that test nothing."""
+    jobs = [job for one in context.worlds for job in one.cell.jobs.values()]
+    assert any(job.enqueued.surplus for job in jobs)
+
+
 def _startable_first_steps(world):
     """Yield the first step of each customer if it could start now."""
     lead = world.lead
@@ -499,3 +534,41 @@
     """Expect the long-running task and the two later ones."""
     run_for(context.world, seconds)
     assert _count_running(context) == 3
+
+
+@then(
+    '{seconds:d} s later the lines "step waits" of the gangs have the cause '
+    '"{cause}"'
+)
+def check_cause(context, seconds, cause):
+    """Expect a line of each gang, and of no other step."""
+    run_for(context.world, seconds)
+    lines = [
+        dict(event.fields)
+        for event in context.world.log
+        if event.event == 'step waits'
+    ]
+    assert len(lines) == 100, len(lines)
+    assert {line['cause'] for line in lines} == {cause}, lines[0]
+
+
+@then(
+    'the metrics have {cores:d} cores of {limit:d} in use and {steps:d} steps '
+    'held by customer "{name}", until it is removed'
+)
+def check_metrics(context, cores, limit, steps, name):
+    """Read what a scrape shows, before and after a new configuration."""
+    state = CellState()
+    state.cell, state.lead = context.world.cell, context.world.lead
+    meters = Meters()
+    add_customer_gauges(meters, state)
+    label = f'customer="{name}"'
+    shown = show(meters).decode()
+    for line in (
+        f'daisygw_customer_running{{{label},resource="cores"}} {cores}.0',
+        f'daisygw_customer_limit{{{label},resource="cores"}} {limit}.0',
+        f'daisygw_customer_steps_held{{{label}}} {steps}.0',
+    ):
+        assert line in shown, shown
+    _set_limits(context.world, _limits(limit)[1:])
+    assert label not in show(meters).decode()
