Soak with customers: no caller's key is refused beside faults

Without the option nothing changes. The customers of the stand-ins have limits and rates that no test's cell reaches, so that they stay valid when limits and rates are enforced.

The search of the metrics waits for a scheduler that was just restarted; it failed once with a machine load of 24, as a metrics port did not answer yet.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,11 +14,13 @@
 undone.  The placement advisor of some jobs, all gangs, is slow.  In some runs
 all schedulers are killed at once in the end, right after they acknowledged
 something, and lose what they did not sync, or one of them its data folder.
+With ``--customers`` all callers send the key of a customer.
 
 No request may be cut off without a response while its entry is not disturbed.
 Every accepted job must be completed, and shown in between.  While there are no
 faults, no job may stand still beside free capacity.  The configuration in
-force must be at least the newest that was acknowledged.  No task may have run
+force must be at least the newest that was acknowledged.  No caller's key may
+be refused.  No task may have run
 twice at the same time, or again after its end was acknowledged, and no worker
 may have held more than its capacity.
 """
@@ -42,6 +44,7 @@
     jobs_of,
     lost_jobs,
     overcommitted_workers,
+    refused_keys,
     repeated_runs,
     repeats,
     stalled_jobs,
@@ -49,6 +52,7 @@
 from bench.soak_faults import (
     WORKERS,
     SoakRun,
+    configuration,
     do_planned_work,
     inject_fault,
     inject_last_fault,
@@ -201,7 +205,7 @@
         version, acknowledged = cfg['version'], soak.acknowledged_version
         if version < acknowledged:
             yield f'{version} in force, {acknowledged} acknowledged'
-        if cfg != cells.configuration(version):
+        if cfg != configuration(soak, version):
             yield f'not as it was sent: {cfg}'
 
 
@@ -213,14 +217,19 @@
                 yield f'logged by {host}: {line}'
 
 
-def run(seed: int, seconds: float) -> SoakResult:
-    """Run one seed, wait until all jobs are completed, and check the run."""
+def run(
+    seed: int, seconds: float, *, with_customers: bool = False
+) -> SoakResult:
+    """Run one seed, wait until all jobs are completed, and check the run.
+
+    ``with_customers`` lets all callers send the key of a customer.
+    """
     with (
         tempfile.TemporaryDirectory() as folder,
         cells.running_cell(Path(folder), WORKERS, relayed=True) as cell,
     ):
-        soak = SoakRun(cell, seed)
-        cfg = cells.configuration(soak.version)
+        soak = SoakRun(cell, seed, with_customers=with_customers)
+        cfg = configuration(soak, soak.version)
         cells.wait_until(
             lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
@@ -246,6 +255,7 @@
             *_logged_faults(cell),
             *cut_requests(calls, [*soak.undone, *stalls]),
             *lost_jobs(calls, jobs),
+            *refused_keys(calls),
             *stalled_jobs(rows, jobs, workers, [all_faults, *stalls], ended_at),
             *repeated_runs(rows),
             *overcommitted_workers(rows, jobs),
@@ -268,10 +278,11 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--rounds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--customers', action='store_true')
     args = parser.parse_args()
     status = 0
     for seed in range(args.seed, args.seed + args.rounds):
-        result = run(seed, args.seconds)
+        result = run(seed, args.seconds, with_customers=args.customers)
         status = status or int(bool(result.broken))
         line = {
             'seed': result.seed,
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -34,6 +34,7 @@
 # Free capacity is this multiple of what a step needs.
 _ROOM_FACTOR = 2
 _HTTP_OK = 200
+_HTTP_UNAUTHORIZED = 401
 _HTTP_GONE = 410
 _NEVER = float('inf')
 # Begin and end of something, s.
@@ -113,6 +114,13 @@
                 yield f'{call.state} without cause: {job} {call}'
 
 
+def refused_keys(calls: Iterable[Call]) -> Iterator[str]:
+    """Yield calls whose key was refused: all configurations have it."""
+    for call in calls:
+        if call.status == _HTTP_UNAUTHORIZED:
+            yield f'key refused: {call}'
+
+
 def cut_requests(calls: Iterable[Call], faults: list[Fault]) -> Iterator[str]:
     """Yield requests whose connection ended without a complete response.
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from random import Random
 from types import MappingProxyType
+from typing import Any
 
 from bench.soak_checks import Fault, Job
 from standins import odd_messages
@@ -58,12 +59,19 @@
     were accepted.  ``restart_random`` draws the restarts of workers,
     ``isolated_workers`` holds those that are cut off afterwards.  ``links``
     holds the states of impaired links, ``faults_changed_at`` when a fault of a
-    host or link last began or ended (s).
+    host or link last began or ended (s).  ``common`` holds what all
+    configurations have besides the stand-in's: customers, if any.
     """
 
-    def __init__(self, cell: PlatformCell, seed: int) -> None:
+    def __init__(
+        self, cell: PlatformCell, seed: int, *, with_customers: bool = False
+    ) -> None:
         self.cell = cell
         self.seed = seed
+        self.common: dict[str, Any] = {}
+        if with_customers:
+            names = ('acme', 'beta')
+            self.common['tenants'] = list(map(odd_messages.tenant, names))
         self.random = Random(seed)
         self.pending_repairs: list[tuple[float, object]] = []
         self.undone: list[Fault] = []
@@ -214,10 +222,15 @@
     _schedule_repair(soak, restore)
 
 
+def configuration(soak: SoakRun, version: int) -> dict[str, Any]:
+    """Return the configuration of a version."""
+    return cells.configuration(version, **soak.common)
+
+
 def _change_configuration(soak: SoakRun) -> None:
     """Send a newer configuration; record its version if acknowledged."""
     soak.version += 1
-    cfg = cells.configuration(soak.version)
+    cfg = configuration(soak, soak.version)
     if cells.put_config(soak.cell, cfg) == cells.HTTP_OK:
         soak.acknowledged_version = soak.version
 
--- a/standins/odd_messages.py
+++ b/standins/odd_messages.py
@@ -91,13 +91,16 @@
 
 
 def tenant(name: str, **more: Any) -> dict[str, Any]:
-    """Return a customer with two keys; ``more`` replaces its fields."""
+    """Return a customer with two keys; ``more`` replaces its fields.
+
+    Its limit and its rate are beyond what a test's cell reaches.
+    """
     fields = {
         'name': name,
         'apiKeys': [f'{KEY_MARK} 1 of {name}', f'{KEY_MARK} 2 of {name}'],
-        'weight': 3,
+        'weight': 1000,
         'priority': 1,
-        'maxCount': {'cpu': 8000, 'memMb': 0, 'gpu': 1},
+        'maxCount': {'cpu': 1_000_000, 'memMb': 0, 'gpu': 0},
     }
     return {**fields, **more}
 
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -396,7 +396,7 @@
     """
     for host in SCHEDULERS:
         status, _ = call(f'{host}:{cell.ports.control}', 'PUT', '/config', cfg)
-        if status == HTTP_OK and 'tenants' in cfg:
+        if status == HTTP_OK and cfg.get('tenants'):
             cell.keys[cfg['version']] = tuple(
                 key for tenant in cfg['tenants'] for key in tenant['apiKeys']
             )
--- a/tests/steps/customer_key_steps.py
+++ b/tests/steps/customer_key_steps.py
@@ -247,7 +247,11 @@
     for host in (*SCHEDULERS, *ENTRIES):
         text = (cell.folder / f'{host}.log').read_text()
         address = f'{host}:{cell.ports.metrics}'
-        metrics = cells.call(address, 'GET', '/metrics')[1].decode()
+        # A scheduler that was just restarted may not serve them yet.
+        metrics = cells.wait_until(
+            lambda address=address: cells.call(address, 'GET', '/metrics')[1],
+            'the metrics',
+        ).decode()
         assert '"event"' in text and 'daisygw_' in metrics, host
         found = [one for one in secrets if one in text or one in metrics]
         assert not found, (host, found)
