Cell: the backlog by steps of the rank

The decision packages may import no bisect (shape.feature); sums by steps of the rank need no sorted list, and jobs accepted since the last sum are added.

--- a/daisygw/cell/_load.py
+++ b/daisygw/cell/_load.py
@@ -1,5 +1,7 @@
 """What a leader knows of the load on its cell."""
 
+from collections import Counter
+
 from daisygw.contracts import ZERO_SIZE
 
 
@@ -9,10 +11,9 @@
     ``capacity`` is that of the usable targets, ``typical_work`` by queue the
     mean work of a job (share of the capacity times s).  The next caller that
     is refused for the advisor's time is to return at ``next_return_at`` (s),
-    and one that is refused for want of room at ``next_room_at``.  Of the steps
-    that waited at ``backlog_at`` (s), ``backlog_ranks`` holds the negative
-    ranks in order, and ``backlog_sums`` the work up to each; for the jobs since
-    then, ``backlog_added`` holds rank and work.
+    and one that is refused for want of room at ``next_room_at``.  ``backlog``
+    holds the work that waited at ``backlog_at`` (s), and that of the jobs since
+    then, by steps of the rank.
     """
 
     def __init__(self) -> None:
@@ -22,6 +23,4 @@
         self.next_return_at = float('-inf')
         self.next_room_at = float('-inf')
         self.backlog_at = float('-inf')
-        self.backlog_ranks: list[float] = []
-        self.backlog_sums: list[float] = []
-        self.backlog_added: list[tuple[float, float]] = []
+        self.backlog: Counter[int] = Counter()
--- a/daisygw/cell/_stakes.py
+++ b/daisygw/cell/_stakes.py
@@ -1,7 +1,7 @@
 """What is at stake for the callers of waiting steps and of submitted jobs."""
 
-from bisect import bisect_left
-from itertools import accumulate
+from collections import Counter
+from math import floor, inf
 
 from daisygw.cell._cost import Stake, job_value, rank
 from daisygw.cell._leader import (
@@ -21,6 +21,8 @@
 # A sum of the waiting work is used for this time (s): a sum takes 2 ms for
 # 5,000 steps, and jobs may come faster.
 _BACKLOG_AGE_S = 0.1
+# The waiting work is summed up by rank, in steps of this.
+_BUCKET = 0.25
 # Weight of the newest job in the moving average of a queue's work.
 _NEWEST_WEIGHT = 0.05
 
@@ -52,27 +54,28 @@
 
 
 def backlog_ahead(lead: CellLeader, own_rank: float) -> float:
-    """Return how long (s) the whole cell needs for the steps ranked higher."""
+    """Return how long (s) the whole cell needs for steps of this rank or above.
+
+    Ranks that differ by less than a quarter count as equal.
+    """
     load = lead.load
     if lead.now - load.backlog_at > _BACKLOG_AGE_S:
-        rows = sorted(
-            (-waiting.rank, _left(lead, waiting))
-            for waiting in lead.waiting.values()
-        )
         load.backlog_at = lead.now
-        load.backlog_added = []
-        load.backlog_ranks = [row[0] for row in rows]
-        load.backlog_sums = list(accumulate(row[1] for row in rows))
-    before = bisect_left(load.backlog_ranks, -own_rank)
-    added = sum(work for one, work in load.backlog_added if one >= own_rank)
-    if not before:
-        return added
-    return added + load.backlog_sums[before - 1]
+        load.backlog = Counter()
+        for waiting in lead.waiting.values():
+            if waiting.rank > -inf:
+                load.backlog[_bucket(waiting.rank)] += _left(lead, waiting)
+    own = _bucket(own_rank)
+    return sum(work for bucket, work in load.backlog.items() if bucket >= own)
 
 
 def add_to_backlog(lead: CellLeader, stake: Stake) -> None:
     """Count a job that is accepted now, until the next sum."""
-    lead.load.backlog_added.append((rank(stake, lead.now), stake.work))
+    lead.load.backlog[_bucket(rank(stake, lead.now))] += stake.work
+
+
+def _bucket(own_rank: float) -> int:
+    return floor(own_rank / _BUCKET)
 
 
 def _left(lead: CellLeader, waiting: WaitingStep) -> float:
