--- a/daisygw/cell/_fairness.py
+++ b/daisygw/cell/_fairness.py
@@ -35,6 +35,8 @@
 EXCESSIVE_SHARE = 2.0
 # Weight of jobs without a customer, and of those whose customer was removed.
 _DEFAULT_WEIGHT = 1.0
+# Lower bound of a weight in divisions.
+_LEAST_WEIGHT = 0.001
 
 
 def is_surplus(waiting: WaitingStep) -> bool:
@@ -62,7 +64,8 @@
             return 0
         customer = cell.customers.get(name)
         weight = customer.weight if customer else _DEFAULT_WEIGHT
-        return weighted_share(held, capacity, weight / total)
+        weight = max(weight, _LEAST_WEIGHT)
+        return weighted_share(held, capacity, weight) * total
 
     return share_of
 
--- a/daisygw/cell/_limits.py
+++ b/daisygw/cell/_limits.py
@@ -88,12 +88,17 @@
 def may_start(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> bool:
-    """Tell whether the limit allows a step to start a task, a gang whole."""
+    """Tell whether the limit allows a step to start a task, a gang whole.
+
+    A step keeps a part of the limit from then on if what runs leaves too little
+    of it, not if other steps keep it.
+    """
     step = waiting.state.step
     least = step.count if step.gang else 1
     waiting.held = headroom(lead, waiting, free_capacity.claims) < least
     if waiting.held:
-        waiting.claims_limit = True
+        if headroom(lead, waiting) < least:
+            waiting.claims_limit = True
         if lead.now >= waiting.held_report_due:
             waiting.held_report_due = lead.now + LONG_WAIT_S
             _report_held(lead, free_capacity, waiting)
@@ -113,19 +118,19 @@
 def claim_limit(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
-    """Keep a part of the limit for a step that it holds, or has held before.
+    """Keep a part of the limit for a step that it has held before.
 
     The part stays free until the step has started, also while it waits for
-    advice or capacity.  A step whose call to the advisor is open keeps it too,
-    as the calls of steps that cannot start beside it would be in vain.  Nothing
-    is kept for a step that does not fit beside the customer's long-running
-    tasks: it may wait forever.
+    advice or capacity.  A gang whose call to the advisor is open keeps it too:
+    calls of gangs that cannot start beside it would be in vain.  Nothing is
+    kept for a step that does not fit beside the customer's long-running tasks:
+    it may wait forever.
     """
     name = waiting.job.enqueued.customer
     limit = _limit_of(lead, name)
     if limit is None or waiting.state.key not in lead.waiting:
         return
-    if not waiting.claims_limit and not _has_open_call(lead, waiting):
+    if not waiting.claims_limit and not _is_advised_now(lead, waiting):
         return
     need = _least_start(waiting.state.step)
     lasting = lead.cell.lasting_usage.get(name, ZERO_SIZE)
@@ -134,7 +139,10 @@
         claims[name] = plus(claims.get(name, ZERO_SIZE), need)
 
 
-def _has_open_call(lead: CellLeader, waiting: WaitingStep) -> bool:
+def _is_advised_now(lead: CellLeader, waiting: WaitingStep) -> bool:
+    """Tell whether a step is a gang whose call to the advisor is open."""
+    if not waiting.state.step.gang:
+        return False
     approval = lead.approvals.get(waiting.state.key)
     return approval is not None and approval.calls > 0
 
--- a/daisygw/cell/_rates.py
+++ b/daisygw/cell/_rates.py
@@ -11,6 +11,8 @@
 # Length of the sliding window: a customer may send its jobs of this time (s) at
 # once.
 RATE_WINDOW_S = 5.0
+# Lower bound of the rate (1/s) in divisions.
+_LEAST_RATE = 0.001
 # Longest time until a refused caller is to return: a surge is over by then.
 MAX_RETURN_S = 10.0
 
@@ -30,9 +32,14 @@
         self.in_rate_waits = False
 
 
+def interval_of(weight: float) -> float:
+    """Return the mean time between two jobs of a customer at its rate (s)."""
+    return 1 / max(weight, _LEAST_RATE)
+
+
 def window_of(weight: float) -> float:
-    """Return the length of a customer's window (s), one job's time at least."""
-    return max(RATE_WINDOW_S, 1 / weight)
+    """Return the length of a customer's window (s), one interval at least."""
+    return max(RATE_WINDOW_S, interval_of(weight))
 
 
 def exceeds_rate(accepted: Iterable[float], weight: float, now: float) -> bool:
@@ -70,7 +77,7 @@
     oldest = accepted[0] if accepted else now
     return_at = max(
         oldest + window_of(weight),
-        rates.return_at.get(customer, now) + 1 / weight,
+        rates.return_at.get(customer, now) + interval_of(weight),
     )
     rates.return_at[customer] = min(return_at, now + MAX_RETURN_S)
     return rates.return_at[customer] - now
