--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -157,8 +157,9 @@
     ``since`` is when it began to wait, or when some of its tasks were placed
     last; its wait is logged once it is ``next_report`` long (s).  ``last_turn``
     is when it was last considered behind more urgent steps (s).  While it is
-    ``held``, its customer's limit allows no start; it has been held before if
-    it ``claims_limit``, and is logged again from ``held_report_due`` (s) on.
+    ``held``, its customer's limit allows no start; it ``claims_limit`` since
+    what runs held it first, at ``held_since`` (s), and is logged again from
+    ``held_report_due`` (s) on.
     ``rank`` is its place in the order, valid until ``rank_until`` (s) while
     ``rank_tasks`` of its tasks wait; ``rank_basis`` has their number and the
     version of ``CellLoad`` for which it was computed.
@@ -185,6 +186,7 @@
         self.last_turn = float('-inf')
         self.held = False
         self.claims_limit = False
+        self.held_since = float('inf')
         self.held_report_due = float('-inf')
         self.rank = float('-inf')
         self.rank_until = float('-inf')
--- a/daisygw/cell/_limits.py
+++ b/daisygw/cell/_limits.py
@@ -7,7 +7,7 @@
 before there is enough for a gang.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from operator import attrgetter
 from types import MappingProxyType
 
@@ -32,6 +32,9 @@
     times,
 )
 
+# How long (s) a step that its customer's limit holds is passed by steps of that
+# customer whose delay costs more.
+HELD_PATIENCE_S = 2.0
 _NO_CLAIMS: Mapping[str, Size] = MappingProxyType({})
 
 
@@ -83,12 +86,18 @@
 def may_start(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> bool:
-    """Tell whether the limit allows a step to start a task, a gang whole."""
+    """Tell whether the limit allows a step to start a task, a gang whole.
+
+    A step keeps a part of the limit from then on if what runs leaves too little
+    of it, not if other steps keep it.
+    """
     step = waiting.state.step
     least = step.count if step.gang else 1
     waiting.held = headroom(lead, waiting, free_capacity.claims) < least
     if waiting.held:
-        waiting.claims_limit = True
+        if headroom(lead, waiting) < least and not waiting.claims_limit:
+            waiting.claims_limit = True
+            waiting.held_since = lead.now
         if lead.now >= waiting.held_report_due:
             waiting.held_report_due = lead.now + LONG_WAIT_S
             _report_held(lead, free_capacity, waiting)
@@ -105,44 +114,41 @@
     return pending[: headroom(lead, waiting, free_capacity.claims)]
 
 
-def steps_at_limits(lead: CellLeader) -> dict[str, Iterator[WaitingStep]]:
-    """Return by customer the waiting steps of those that a limit has held.
+def overdue_at_limits(lead: CellLeader) -> dict[str, list[WaitingStep]]:
+    """Return by customer the gangs that its limit has held for long.
 
-    They come in the order in which they are due, whatever their delay costs:
-    a gang that waits for a part of the limit would otherwise be passed by all
-    smaller steps of its customer.
+    They come first among the steps of their customer, in the order in which
+    they are due.  By the cost of their delay alone, a gang that waits for a
+    part of the limit would be passed by all smaller steps that its customer
+    sends; a step that is no gang starts some tasks in between.
     """
-    names = {
-        waiting.job.enqueued.customer
-        for waiting in lead.waiting.values()
-        if waiting.claims_limit
-    }
-    own_steps: dict[str, list[WaitingStep]] = {name: [] for name in names}
-    for waiting in lead.waiting.values() if names else ():
-        if waiting.job.enqueued.customer in names:
-            own_steps[waiting.job.enqueued.customer].append(waiting)
-    return {
-        name: iter(sorted(steps, key=attrgetter('due')))
-        for name, steps in own_steps.items()
-    }
+    overdue: dict[str, list[WaitingStep]] = {}
+    for waiting in lead.waiting.values():
+        held_for = lead.now - waiting.held_since
+        if held_for > HELD_PATIENCE_S and waiting.state.step.gang:
+            name = waiting.job.enqueued.customer
+            overdue.setdefault(name, []).append(waiting)
+    for steps in overdue.values():
+        steps.sort(key=attrgetter('due'))
+    return overdue
 
 
 def claim_limit(
     lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
 ) -> None:
-    """Keep a part of the limit for a step that it holds, or has held before.
+    """Keep a part of the limit for a step that it has held before.
 
     The part stays free until the step has started, also while it waits for
-    advice or capacity.  A step whose call to the advisor is open keeps it too,
-    as the calls of steps that cannot start beside it would be in vain.  Nothing
-    is kept for a step that does not fit beside the customer's long-running
-    tasks: it may wait forever.
+    advice or capacity.  A gang whose call to the advisor is open keeps it too:
+    calls of gangs that cannot start beside it would be in vain.  Nothing is
+    kept for a step that does not fit beside the customer's long-running tasks:
+    it may wait forever.
     """
     name = waiting.job.enqueued.customer
     limit = _limit_of(lead, name)
     if limit is None or waiting.state.key not in lead.waiting:
         return
-    if not waiting.claims_limit and not _has_open_call(lead, waiting):
+    if not waiting.claims_limit and not _is_advised_now(lead, waiting):
         return
     need = _least_start(waiting.state.step)
     lasting = lead.cell.lasting_usage.get(name, ZERO_SIZE)
@@ -151,7 +157,10 @@
         claims[name] = plus(claims.get(name, ZERO_SIZE), need)
 
 
-def _has_open_call(lead: CellLeader, waiting: WaitingStep) -> bool:
+def _is_advised_now(lead: CellLeader, waiting: WaitingStep) -> bool:
+    """Tell whether a step is a gang whose call to the advisor is open."""
+    if not waiting.state.step.gang:
+        return False
     approval = lead.approvals.get(waiting.state.key)
     return approval is not None and approval.calls > 0
 
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -47,7 +47,7 @@
     allowed_indexes,
     claim_limit,
     may_start,
-    steps_at_limits,
+    overdue_at_limits,
 )
 from daisygw.cell._stakes import stake_of
 from daisygw.cell._state import TargetState
@@ -103,9 +103,8 @@
     lead.changed = False
     free_capacity = FreeCapacity(lead)
     open_calls = _count_open_calls(lead)
-    considered = _place_steps(
-        lead, free_capacity, _in_order(lead), MAX_STEPS_PER_PASS
-    )
+    in_order = _overdue_first(lead, _in_order(lead))
+    considered = _place_steps(lead, free_capacity, in_order, MAX_STEPS_PER_PASS)
     note_shortage(lead, free_capacity, considered)
     others = _in_turn(lead, considered, open_calls)
     for key in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
@@ -131,16 +130,30 @@
         for number, waiting in enumerate(lead.waiting.values())
     ]
     heapify(heap)
-    own_order = steps_at_limits(lead)
     while heap:
         key, number, waiting = heap[0]
         newest = sort_key(waiting)
         if newest > key:
             heapreplace(heap, (newest, number, waiting))
-            continue
-        heappop(heap)
-        own = own_order.get(waiting.job.enqueued.customer)
-        yield next(own) if own else waiting
+        else:
+            yield heappop(heap)[-1]
+
+
+def _overdue_first(
+    lead: CellLeader, steps: Iterator[WaitingStep]
+) -> Iterator[WaitingStep]:
+    """Yield steps in order, but those held for long first among their own.
+
+    Their customer's limit has held them.
+    """
+    overdue = overdue_at_limits(lead)
+    yielded: set[StepKey] = set()
+    for waiting in steps:
+        own = overdue.pop(waiting.job.enqueued.customer, ())
+        yield from own
+        yielded.update(step.state.key for step in own)
+        if waiting.state.key not in yielded:
+            yield waiting
 
 
 def _place_steps(
