--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from daisygw.cell._approval import Approval, PendingAdvice
+from daisygw.cell._cost import Stake
 from daisygw.cell._load import CellLoad
 from daisygw.cell._rates import CustomerRates, count_accepted
 from daisygw.cell._state import (
@@ -160,9 +161,10 @@
     ``held``, its customer's limit allows no start; it ``claims_limit`` since
     what runs held it first, at ``held_since`` (s), and is logged again from
     ``held_report_due`` (s) on.
-    ``rank`` is its place in the order, valid until ``rank_until`` (s) while
-    ``rank_tasks`` of its tasks wait; ``rank_basis`` has their number and the
-    version of ``CellLoad`` for which it was computed.
+    ``rank`` is its place in the order, valid until ``rank_until`` (s).  It
+    follows from ``stake``, which was estimated for ``rank_basis``: the number
+    of tasks that wait and the version of ``CellLoad``.  These tasks need
+    ``work`` (share of the capacity times s).
     """
 
     def __init__(
@@ -188,10 +190,11 @@
         self.claims_limit = False
         self.held_since = float('inf')
         self.held_report_due = float('-inf')
+        self.stake: Stake | None = None
         self.rank = float('-inf')
         self.rank_until = float('-inf')
-        self.rank_tasks = 0
         self.rank_basis = (0, 0)
+        self.work = 0.0
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
 
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -49,7 +49,7 @@
     may_start,
     overdue_at_limits,
 )
-from daisygw.cell._stakes import stake_of
+from daisygw.cell._stakes import expected_work, stake_of
 from daisygw.cell._state import TargetState
 from daisygw.contracts import RunsPlaced, StepKey, dominant_share
 
@@ -75,25 +75,34 @@
     state = waiting.state
     tasks = state.step.count - len(state.done) - len(state.runs)
     basis = (tasks, lead.load.version)
-    if lead.now > waiting.rank_until or basis != waiting.rank_basis:
-        waiting.rank_tasks = tasks
-        _update_rank(lead, waiting)
+    if basis != waiting.rank_basis:
+        waiting.stake = _estimate_stake(lead, waiting, tasks)
         waiting.rank_basis = (tasks, lead.load.version)
+        _update_rank(lead, waiting)
+    elif lead.now > waiting.rank_until:
+        _update_rank(lead, waiting)
     return (-waiting.rank, waiting.due)
 
 
-def _update_rank(lead: CellLeader, waiting: WaitingStep) -> None:
-    """Estimate a step's rank; without an estimate its limit decides."""
+def _estimate_stake(
+    lead: CellLeader, waiting: WaitingStep, tasks: int
+) -> Stake:
+    """Return a step's stake; without an estimate its limits decide."""
     try:
-        stake = stake_of(lead, waiting, waiting.rank_tasks)
+        waiting.work = expected_work(lead, waiting, tasks)
+        return stake_of(lead, waiting, tasks)
     except Exception as exc:
         key = waiting.state.key
         lead.log_event(
             'cost unknown', id=key.job, step=key.step, error=repr(exc)
         )
-        stake = Stake(1, 1, waiting.due, waiting.worthless_at)
-    waiting.rank = rank(stake, lead.now)
-    waiting.rank_until = next_limit(stake, lead.now)
+    return Stake(1, 1, waiting.due, waiting.worthless_at)
+
+
+def _update_rank(lead: CellLeader, waiting: WaitingStep) -> None:
+    """Update a step's rank, which changes when a limit is passed."""
+    waiting.rank = rank(waiting.stake, lead.now)
+    waiting.rank_until = next_limit(waiting.stake, lead.now)
 
 
 def place_waiting(lead: CellLeader) -> None:
