--- a/daisygw/cell/_fairness.py
+++ b/daisygw/cell/_fairness.py
@@ -25,7 +25,7 @@
 from daisygw.contracts import (
     ZERO_SIZE,
     ResultCode,
-    StepKey,
+    Size,
     plus,
     weighted_share,
 )
@@ -33,8 +33,10 @@
 # Steps are about equally urgent if the logarithms of what their delays cost lie
 # in the same interval of this length: half a second of slack.
 _COST_INTERVAL = 0.5 / HORIZON_S
-# Stands for the cost of steps whose delay costs nothing more.
-_MAX_COST = 1e9
+# Cost, as a negative rank, of steps whose delay costs nothing more.
+_WORTHLESS_COST = 1e8
+# Places surplus after all other work.
+_SURPLUS_COST = 1e9
 # The cost of a delay is divided by what a customer has beyond this multiple of
 # its share.
 EXCESSIVE_SHARE = 2.0
@@ -51,46 +53,59 @@
     return waiting.job.enqueued.surplus
 
 
-def reading_shares(lead: CellLeader) -> Callable[[WaitingStep], float]:
-    """Return a function that reads a step's customer's share of the cell.
+def reading_shares(lead: CellLeader) -> Callable[[str], float]:
+    """Return a function that reads a customer's share of the cell by its name.
 
     The share is a multiple of the one that its weight gives it.  All shares are
     0 in a cell without customers.
     """
     cell = lead.cell
     if not cell.customers:
-        return lambda waiting: 0
+        return lambda name: 0
     capacities = (target.instance.capacity for target in cell.targets.values())
     capacity = reduce(plus, capacities, ZERO_SIZE)
     total = sum(customer.weight for customer in cell.customers.values())
     total = max(total, _MIN_WEIGHT)
+    known: dict[str, tuple[Size | None, float]] = {}
 
-    def share_of(waiting: WaitingStep) -> float:
-        name = waiting.job.enqueued.customer
+    def share_of(name: str) -> float:
         held = cell.customer_usage.get(name)
-        if held is None:
-            return 0
+        earlier, share = known.get(name, (None, 0))
+        if held is earlier:
+            return share
         customer = cell.customers.get(name)
         weight = customer.weight if customer else _DEFAULT_WEIGHT
         weight = max(weight, _LEAST_WEIGHT)
-        return weighted_share(held, capacity, weight) * total
+        share = weighted_share(held or ZERO_SIZE, capacity, weight) * total
+        known[name] = (held, share)
+        return share
 
     return share_of
 
 
+def cost_with_share(waiting: WaitingStep, cost: float, share: float) -> float:
+    """Return a step's cost, as a negative rank, with its customer's share.
+
+    The cost is divided by the excess of the share; surplus comes last.
+    """
+    if cost > _WORTHLESS_COST:
+        cost = _WORTHLESS_COST
+    elif share > EXCESSIVE_SHARE:
+        cost += log(share / EXCESSIVE_SHARE)
+    return cost + _SURPLUS_COST if waiting.job.enqueued.surplus else cost
+
+
 def fair_key(
     waiting: WaitingStep, urgency: tuple[float, float], share: float
-) -> tuple:
+) -> tuple[float, float, float]:
     """Return a sort key that also counts a customer's share.
 
     ``urgency`` is the step's sort key without shares: what its delay costs, as
     a negative rank, and its latest useful start (s).
     """
     cost, due = urgency
-    if share > EXCESSIVE_SHARE:
-        cost += log(share / EXCESSIVE_SHARE)
-    interval = min(cost, _MAX_COST) // _COST_INTERVAL
-    return (is_surplus(waiting), interval, share, due)
+    cost = cost_with_share(waiting, cost, share)
+    return (cost // _COST_INTERVAL, share, due)
 
 
 def is_over_rate(lead: CellLeader, customer: str) -> bool:
@@ -124,12 +139,13 @@
 
 
 def note_shortage(
-    lead: CellLeader, free_capacity: FreeCapacity, considered: Iterable[StepKey]
+    lead: CellLeader,
+    free_capacity: FreeCapacity,
+    considered: Iterable[WaitingStep],
 ) -> None:
     """Note whether steps within the rates still wait for capacity."""
-    steps = (lead.waiting.get(key) for key in considered)
     lead.rates.in_rate_waits = bool(lead.cell.customers) and any(
         wait_cause(lead, free_capacity, waiting) == NO_CAPACITY
-        for waiting in steps
-        if waiting and not is_surplus(waiting)
+        for waiting in considered
+        if waiting.state.key in lead.waiting and not is_surplus(waiting)
     )
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -162,8 +162,8 @@
     what runs held it first, at ``held_since`` (s), and is logged again from
     ``held_report_due`` (s) on.
     ``rank`` is its place in the order, valid until ``rank_until`` (s).  It
-    follows from ``stake``, which was estimated for ``rank_basis``: the number
-    of tasks that wait and the version of ``CellLoad``.  These tasks need
+    follows from ``stake``, which was estimated when ``rank_tasks`` of its
+    tasks waited, and from ``rank_version`` of ``CellLoad``.  These tasks need
     ``work`` (share of the capacity times s).
     """
 
@@ -193,7 +193,8 @@
         self.stake: Stake | None = None
         self.rank = float('-inf')
         self.rank_until = float('-inf')
-        self.rank_basis = (0, 0)
+        self.rank_tasks = 0
+        self.rank_version = 0
         self.work = 0.0
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
-from heapq import heapify, heappop, heapreplace
+from heapq import heapify, heappop, heapreplace, nsmallest
 from operator import attrgetter
 from typing import Any
 
@@ -28,6 +28,7 @@
 )
 from daisygw.cell._cost import Stake, next_limit, rank
 from daisygw.cell._fairness import (
+    cost_with_share,
     fair_key,
     is_surplus,
     note_shortage,
@@ -61,6 +62,9 @@
 # Of the other steps this many are considered in a pass, in turn: those before
 # them may be unable to start for a long time.
 TURNS_PER_PASS = 16
+# Waiting steps that are sorted in each pass: a multiple of those considered, as
+# the limits of customers hold some of them.
+_STEPS_TO_SORT = 256
 # Tasks of a step that start in one pass; the others follow in the next ones.
 MAX_STARTS_PER_STEP = 256
 # Placed tasks that a log line names.
@@ -74,10 +78,11 @@
     """
     state = waiting.state
     tasks = state.step.count - len(state.done) - len(state.runs)
-    basis = (tasks, lead.load.version)
-    if basis != waiting.rank_basis:
+    outdated = waiting.rank_version != lead.load.version
+    if tasks != waiting.rank_tasks or outdated:
         waiting.stake = _estimate_stake(lead, waiting, tasks)
-        waiting.rank_basis = (tasks, lead.load.version)
+        waiting.rank_tasks = tasks
+        waiting.rank_version = lead.load.version
         _update_rank(lead, waiting)
     elif lead.now > waiting.rank_until:
         _update_rank(lead, waiting)
@@ -116,27 +121,48 @@
     considered = _place_steps(lead, free_capacity, in_order, MAX_STEPS_PER_PASS)
     note_shortage(lead, free_capacity, considered)
     others = _in_turn(lead, considered, open_calls)
-    for key in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
-        waiting = lead.waiting.get(key)
-        if waiting:
-            waiting.last_turn = lead.now
+    for waiting in _place_steps(lead, free_capacity, others, TURNS_PER_PASS):
+        waiting.last_turn = lead.now
 
 
 def _in_order(lead: CellLeader) -> Iterator[WaitingStep]:
     """Yield the waiting steps in placement order.
 
+    The first ones are chosen by cost alone, as few are considered in a pass.
+    """
+    share_of = reading_shares(lead)
+
+    def cost_of(waiting: WaitingStep) -> float:
+        share = share_of(waiting.job.enqueued.customer)
+        return cost_with_share(waiting, order_key(lead, waiting)[0], share)
+
+    steps = list(lead.waiting.values())
+    first = nsmallest(_STEPS_TO_SORT, steps, key=cost_of)
+    yield from _sorted_fairly(lead, first, share_of)
+    chosen = set(map(id, first))
+    others = [waiting for waiting in steps if id(waiting) not in chosen]
+    yield from _sorted_fairly(lead, others, share_of)
+
+
+def _sorted_fairly(
+    lead: CellLeader,
+    steps: list[WaitingStep],
+    share_of: Callable[[str], float],
+) -> Iterator[WaitingStep]:
+    """Yield steps by the cost of their delay and their customers' shares.
+
     A customer's share grows while its steps are placed, so a step that comes
     next is sorted again.
     """
-    share_of = reading_shares(lead)
 
     def sort_key(waiting: WaitingStep) -> tuple:
         urgency = order_key(lead, waiting)
-        return fair_key(waiting, urgency, share_of(waiting))
+        share = share_of(waiting.job.enqueued.customer)
+        return fair_key(waiting, urgency, share)
 
     heap = [
         (sort_key(waiting), number, waiting)
-        for number, waiting in enumerate(lead.waiting.values())
+        for number, waiting in enumerate(steps)
     ]
     heapify(heap)
     while heap:
@@ -170,16 +196,16 @@
     free_capacity: FreeCapacity,
     steps: Iterator[WaitingStep],
     most: int,
-) -> set[StepKey]:
-    """Place steps, ``most`` at most; return the keys of those considered.
+) -> list[WaitingStep]:
+    """Place steps, ``most`` at most; return those considered.
 
     Those that their customer's limit holds are left out.
     """
-    considered: set[StepKey] = set()
+    considered: list[WaitingStep] = []
     for waiting in steps:
         if may_start(lead, free_capacity, waiting):
             _place_step(lead, free_capacity, waiting)
-            considered.add(waiting.state.key)
+            considered.append(waiting)
         claim_limit(lead, free_capacity, waiting)
         if len(considered) == most:
             break
@@ -210,18 +236,21 @@
 
 
 def _in_turn(
-    lead: CellLeader, considered: set[StepKey], open_calls: Counter[str]
+    lead: CellLeader,
+    considered: list[WaitingStep],
+    open_calls: Counter[str],
 ) -> Iterator[WaitingStep]:
     """Yield the steps behind the most urgent ones, by their last turn.
 
-    Surplus comes last.
-    They must not delay the advisor's answers about the urgent steps, so those
-    of a queue with many open calls are left out.
+    Surplus comes last.  They must not delay the advisor's answers about the
+    urgent steps, so those of a queue with many open calls are left out.
     """
+    # Hashing the keys of all waiting steps would take a tenth of the pass.
+    first = set(map(id, considered))
     others = [
         waiting
-        for key, waiting in lead.waiting.items()
-        if key not in considered
+        for waiting in lead.waiting.values()
+        if id(waiting) not in first
         and open_calls[waiting.queue.name] < MAX_STEPS_PER_PASS
     ]
     others.sort(key=attrgetter('last_turn'))
