Simulated targets list the progress of their runs

The simulator of a cell listed every run with 0 percent, so that nothing that reads progress could be tried. A run now lists the share of its time that has passed, and 0 while a gang waits for its members. No decision reads it yet.

--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -72,6 +72,7 @@
 # The longest time (s) that a target delays its reply to a lease renewal.
 MAX_RENEWAL_WAIT_S = 1.0
 _MS_PER_S = 1000
+_ALL_PERCENT = 100
 _HOST = 'host'
 _SERVICE = 'svc'
 # Share of steps whose tasks save checkpoints; share of tasks that run much
@@ -84,6 +85,7 @@
 class _SimulatedTarget:
     """A simulated target: its running tasks and the ends it lists.
 
+    ``spans`` holds when a running task began and how long it takes (s).
     ``position`` is that of its newest end.  While a lease renewal is pending,
     ``reply_due`` is when its reply is delivered (s).
     """
@@ -92,6 +94,7 @@
         self.instance = instance
         self.speed = speed
         self.running: dict[tuple[StepKey, int], Run] = {}
+        self.spans: dict[Run, tuple[float, float]] = {}
         self.ends: list[EndedRun] = []
         self.position = 0
         self.renewal_pending = False
@@ -362,6 +365,7 @@
     slowest = min(world.targets[one.instance].speed for one in runs)
     for one in runs:
         took = work_of(world, one) / slowest
+        world.targets[one.instance].spans[one] = (world.now, took)
         _schedule(world, took, partial(_end_run, world, one, RunEnd.DONE))
 
 
@@ -371,6 +375,7 @@
     if target.running.get(key) != run:
         return
     target.running.pop(key)
+    target.spans.pop(run, None)
     target.position += 1
     end = EndedRun(target.position, *key, run.number, how, '')
     target.ends.append(end)
@@ -420,7 +425,9 @@
     world: World, target: _SimulatedTarget, state: Any
 ) -> None:
     active = tuple(
-        ActiveRun(run.step, run.index, run.number, '', 0)
+        ActiveRun(
+            run.step, run.index, run.number, '', _progress(world, target, run)
+        )
         for run in target.running.values()
     )
     clock = int(world.now * _MS_PER_S) - target.instance.born
@@ -431,6 +438,14 @@
     on_renewal_reply(world.lead, state, reply, world.now - ORDER_ROUND_TRIP_S)
 
 
+def _progress(world: World, target: _SimulatedTarget, run: Run) -> int:
+    """Return how much of a run is done (%); a gang waits for its members."""
+    if run not in target.spans:
+        return 0
+    began, took = target.spans[run]
+    return int(_ALL_PERCENT * min((world.now - began) / took, 1))
+
+
 def approves(step: StepKey, name: str, share: float) -> bool:
     """Return whether the advisor approves a target for a step."""
     return Random(f'{step}{name}').random() < share
