Continuous relative speeds from ends and progress, by target, rack and kind

The order of targets rounded the learned slowness to steps of 0.5, so that fast targets (0.7 to 0.8 of the mean run time) fell into two steps, and a speed never aged. A new leader also measured runs whose start it did not know.

A speed is now a geometric mean of measurements that lose weight with a time of 60 s, drawn to the mean of the rack and of the kind. A run counts at its end and once before it, from its listed progress. Only first runs that this leader has ordered count. Gangs choose the fastest targets that suffice, those of like speed with the most room first.

--- a/daisygw/cell/_advice_targets.py
+++ b/daisygw/cell/_advice_targets.py
@@ -7,12 +7,19 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from functools import partial
 from math import ceil, sqrt
 
 from daisygw.cell._approval import Approval
 from daisygw.cell._capacity import target_preference
 from daisygw.cell._leader import CellLeader, WaitingStep, approval_of
+from daisygw.cell._like_speed import (
+    INITIAL_APPROVAL_RATE,
+    LIKE_SPEED,
+    slowest_needed,
+)
+from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState
 
 # With this many targets a call takes little longer than its fixed cost; the
@@ -29,8 +36,6 @@
 _SAFETY_DEVIATIONS = 1.6
 # The queue's approval rate counts as much as answers about this many targets.
 _PRIOR_TARGETS = 20
-# Assumed approval rate of a queue before the first answer.
-INITIAL_APPROVAL_RATE = 0.3
 
 
 class _ExpectedCapacity:
@@ -103,11 +108,11 @@
     candidates: _CandidateTargets,
     needed: int,
 ) -> list[str]:
-    """Choose targets for tasks that start independently, fastest first.
+    """Choose targets for tasks that start independently.
 
     Approved targets come first: they only need a new ticket.
     """
-    by_speed = _task_preference(lead)
+    by_speed = partial(target_preference, lead)
     expired = sorted(candidates.expired(lead.now), key=by_speed)
     unknown = sorted(candidates.unknown, key=by_speed)
     fitting = {
@@ -139,8 +144,10 @@
     fitting = candidates.fitting
     if _total(candidates.approved, fitting) < needed:
         return _with_unknown(lead, waiting, candidates, needed)
-    by_capacity = gang_preference(lead, fitting)
-    approved = sorted(candidates.approved, key=by_capacity)
+    by_speed = gang_preference(
+        lead, candidates.approved, fitting, _CAPACITY_FACTOR * needed
+    )
+    approved = sorted(candidates.approved, key=by_speed)
     certain = _ExpectedCapacity(0, 1)
     return _select_until(certain, _CAPACITY_FACTOR * needed, approved, fitting)
 
@@ -157,18 +164,39 @@
     may wait for capacity.
     """
     approved, fitting = candidates.approved, candidates.fitting
-    unknown = _least_wanted_first(lead, waiting, candidates.unknown, fitting)
-    rate = _approval_rate(lead, waiting)
-    expected = _ExpectedCapacity(_total(approved, fitting), rate)
-    asked = _select_until(expected, _CAPACITY_FACTOR * needed, unknown, fitting)
+    expected = _ExpectedCapacity(
+        _total(approved, fitting), _approval_rate(lead, waiting)
+    )
+    enough = _CAPACITY_FACTOR * needed
+    missing = (enough - expected.mean) / expected.rate
+    unknown = _least_wanted_first(
+        lead, waiting, candidates.unknown, fitting, missing
+    )
+    asked = _select_until(expected, enough, unknown, fitting)
     if expected.mean >= needed:
         return [key for key in map(_key, approved) if fitting[key]] + asked
+    return _for_later(lead, waiting, candidates, needed)
+
+
+def _for_later(
+    lead: CellLeader,
+    waiting: WaitingStep,
+    candidates: _CandidateTargets,
+    needed: int,
+) -> list[str]:
+    """Choose the targets on which a gang may wait for capacity."""
     empty = waiting.max_tasks_by_target
-    if _total((*approved, *unknown), empty) < needed:
+    rate = _approval_rate(lead, waiting)
+    expected = _ExpectedCapacity(_total(candidates.approved, empty), rate)
+    if expected.mean + _total(candidates.unknown, empty) < needed:
         # A new leader knows few targets at first: a call now would be in vain.
         return []
-    later = _ExpectedCapacity(_total(approved, empty), rate)
-    return _select_until(later, _GANG_CAPACITY_FACTOR * needed, unknown, empty)
+    enough = _GANG_CAPACITY_FACTOR * needed
+    missing = (enough - expected.mean) / rate
+    unknown = _least_wanted_first(
+        lead, waiting, candidates.unknown, empty, missing
+    )
+    return _select_until(expected, enough, unknown, empty)
 
 
 def _key(target: TargetState) -> str:
@@ -180,6 +208,7 @@
     waiting: WaitingStep,
     targets: list[TargetState],
     fitting: Mapping[str, int],
+    needed: float,
 ) -> list[TargetState]:
     """Sort targets for a gang; those that others ask about come last.
 
@@ -191,11 +220,11 @@
         for approval in _open_requests(lead, waiting)
         for key in approval.chosen
     )
-    by_capacity = gang_preference(lead, fitting)
+    by_speed = gang_preference(lead, targets, fitting, needed)
 
-    def order(target: TargetState) -> tuple[float, int, float]:
-        slowness, used = by_capacity(target)
-        return slowness, wanted[target.key], used
+    def order(target: TargetState) -> tuple[bool, bool, int, int]:
+        slower, faster, used = by_speed(target)
+        return slower, faster, wanted[target.key], used
 
     return sorted(targets, key=order)
 
@@ -215,21 +244,31 @@
             yield approval
 
 
-def _task_preference(lead: CellLeader):
-    def order(target: TargetState) -> tuple[float, float]:
-        return target_preference(lead, target)
-
-    return order
-
-
-def gang_preference(lead: CellLeader, fitting: Mapping[str, int]):
+def gang_preference(
+    lead: CellLeader,
+    targets: Iterable[TargetState],
+    fitting: Mapping[str, int],
+    needed: float,
+) -> Callable[[TargetState], tuple[bool, bool, int]]:
     """Return a sort key for a gang, which is as slow as its slowest target.
 
-    Among equally fast targets, those with the most free capacity come first.
+    The fastest targets that hold ``needed`` tasks decide how fast it can be;
+    where all are too few, it waits for the fastest.
+    Those of like speed come first, with the most free capacity first; then
+    faster ones, which it would only slow down, and then slower ones.
     """
-
-    def order(target: TargetState) -> tuple[float, int]:
-        return target_preference(lead, target)[0], -fitting[target.key]
+    slowness = {target.key: slowness_of(lead, target) for target in targets}
+    slowest = slowest_needed(slowness, fitting, needed)
+    if slowest is None:
+        slowest = min(slowness.values(), default=1)
+
+    def order(target: TargetState) -> tuple[bool, bool, int]:
+        relative = slowness[target.key] / slowest
+        return (
+            relative > LIKE_SPEED,
+            relative < 1 / LIKE_SPEED,
+            -fitting[target.key],
+        )
 
     return order
 
--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 
-from daisygw.cell._leader import DEFAULT_SPEED, CellLeader, WaitingStep
+from daisygw.cell._leader import CellLeader, WaitingStep
+from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState, task_size
 from daisygw.contracts import Queue, Size, Step, dominant_share, minus
 from daisygw.machines import is_responsive
@@ -13,8 +14,9 @@
 # At most this share of a service's available targets is left out because jobs
 # fail there.
 MAX_QUARANTINED_SHARE = 0.3
-# The relative slowness of targets is rounded to multiples of this.
-_SLOWNESS_STEP = 0.5
+# A full target comes before an empty one that is faster by up to this share:
+# packing leaves room for wide tasks, and estimated speeds err by 5 percent.
+_FULLNESS_WEIGHT = 0.2
 
 
 class FreeCapacity:
@@ -156,13 +158,13 @@
     return max_tasks
 
 
-def target_preference(
-    lead: CellLeader, target: TargetState
-) -> tuple[float, float]:
-    """Return a sort key: fast targets first, then the fullest."""
-    slowness = lead.relative_speed.get(target.key, DEFAULT_SPEED).slowness
+def target_preference(lead: CellLeader, target: TargetState) -> float:
+    """Return a sort key for the targets of tasks that start independently.
+
+    Fast targets come first, and the fullest among those of like speed.
+    """
     fullness = dominant_share(target.used, target.instance.capacity)
-    return (round(slowness / _SLOWNESS_STEP), -fullness)
+    return slowness_of(lead, target) * (1 - _FULLNESS_WEIGHT * fullness)
 
 
 def is_mostly_free(lead: CellLeader) -> bool:
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -23,6 +23,7 @@
     queue_of,
     step_of,
 )
+from daisygw.cell._target_statistics import RelativeSpeed, TargetStatistics
 from daisygw.contracts import (
     AdviceRequest,
     CellResponse,
@@ -131,21 +132,6 @@
         self.stop_confirmed_at = float('inf')
 
 
-@dataclass(frozen=True, slots=True)
-class RelativeSpeed:
-    """How fast a target runs compared with others.
-
-    ``slowness`` is its run time relative to theirs (2: twice as long), a
-    moving average over the ``tasks`` that were measured.
-    """
-
-    slowness: float = 1.0
-    tasks: int = 0
-
-
-DEFAULT_SPEED = RelativeSpeed()
-
-
 class WaitingStep:
     """A step with tasks to start; ``due`` is the latest start in time (s).
 
@@ -228,8 +214,7 @@
         self.orders: dict[tuple[StepKey, int], OutstandingOrder] = {}
         self.estimate_factors: dict[str, float] = {}
         self.relative_speed: dict[str, RelativeSpeed] = {}
-        self.mean_slowness = 1.0
-        self.run_times: dict[StepKey, list[float]] = {}
+        self.statistics = TargetStatistics()
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
         self.seq_numbers = itertools.count(term << _SEQ_BITS)
@@ -458,7 +443,7 @@
     stop_runs(lead, job)
     for state in job.steps.values():
         lead.approvals.pop(state.key, None)
-        lead.run_times.pop(state.key, None)
+        lead.statistics.run_times.pop(state.key, None)
     lead.ended.append((lead.now, job.spec.id))
     if job.state is not JobState.CANCELLED:
         age = round(lead.wall - job.enqueued.at, 3)
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -215,7 +215,7 @@
         pending = pending[:MAX_STARTS_PER_STEP]
     fitting = _fitting_tasks(free_capacity, waiting, targets)
     targets = [target for target in targets if fitting[target.key]]
-    targets.sort(key=_preference(lead, waiting, fitting))
+    targets.sort(key=_preference(lead, waiting, targets, fitting))
     step = waiting.state.step
     if step.same_rack or step.data_rack:
         targets = _order_by_rack(waiting, targets, fitting, len(pending))
@@ -233,14 +233,26 @@
 
 
 def _preference(
-    lead: CellLeader, waiting: WaitingStep, fitting: dict[str, int]
+    lead: CellLeader,
+    waiting: WaitingStep,
+    targets: list[TargetState],
+    fitting: dict[str, int],
 ) -> Callable[[TargetState], Any]:
-    """Return a sort key; a gang prefers the targets that it has chosen."""
-    if not waiting.state.step.gang:
+    """Return a sort key; a gang prefers targets that it has chosen.
+
+    Their speed comes first: one slow target slows all of the gang down.
+    """
+    step = waiting.state.step
+    if not step.gang:
         return partial(target_preference, lead)
     chosen = approval_of(lead, waiting.state.key).chosen
-    by_capacity = gang_preference(lead, fitting)
-    return lambda target: (target.key not in chosen, by_capacity(target))
+    by_speed = gang_preference(lead, targets, fitting, step.count)
+
+    def order(target: TargetState) -> tuple[bool, bool, bool, int]:
+        slower, faster, free = by_speed(target)
+        return slower, faster, target.key not in chosen, free
+
+    return order
 
 
 def _targets_for_task(
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -12,6 +12,7 @@
 )
 from daisygw.cell._restarts import on_other_instance, settle_dispute
 from daisygw.cell._state import Run, TargetState
+from daisygw.cell._statistics import record_progress
 from daisygw.cell._targets import defer_work, finish
 from daisygw.contracts import (
     EndsAcknowledged,
@@ -228,11 +229,12 @@
             defer_work(lead, target.key)
             continue
         listed.add(key)
-        _record_progress(lead, run, row)
+        _record_listed(lead, run, row)
+        record_progress(lead, run, row.percent)
     return listed
 
 
-def _record_progress(lead: CellLeader, run: Run, row: ActiveRun) -> None:
+def _record_listed(lead: CellLeader, run: Run, row: ActiveRun) -> None:
     outstanding = lead.orders.get((run.step, run.index))
     if outstanding is None:
         outstanding = OutstandingOrder(run, lead.now)
--- a/daisygw/cell/_statistics.py
+++ b/daisygw/cell/_statistics.py
@@ -1,11 +1,7 @@
-"""Statistics from ended runs: run times, target speeds, failing targets."""
-
-from daisygw.cell._leader import (
-    DEFAULT_SPEED,
-    CellLeader,
-    OutstandingOrder,
-    RelativeSpeed,
-)
+"""Statistics from runs: run times, target speeds, failing targets."""
+
+from daisygw.cell._leader import CellLeader, OutstandingOrder
+from daisygw.cell._speeds import record_slowness, slowness_of
 from daisygw.cell._state import Run, queue_of, step_of
 from daisygw.contracts import RunEnd
 
@@ -13,17 +9,19 @@
 QUARANTINE_FAILED_JOBS = 3
 # A quarantined target gets work again after this time.
 QUARANTINE_S = 3.0
-# Weight of the newest value in the moving averages of run times and speeds.
+# Weight of the newest value in the moving average of run times.
 NEWEST_WEIGHT = 0.2
 # A run time counts at most as this multiple of the average, so that a
 # straggler changes it little.
 _MAX_OUTLIER_FACTOR = 2
-# One run may make a target appear at most this many times slower or faster, so
-# that a single outlier does not decide its relative speed.
-_MAX_SLOWNESS = 4
-# Weight of the newest value in the mean slowness of all targets, by which
-# relative speeds are divided so that they do not all rise together.
-_MEAN_SLOWNESS_WEIGHT = 0.01
+# Progress from which a run's time is projected; below it, the rounding to
+# whole percents and the delay of the reply weigh too much.
+MIN_PERCENT = 15
+# Weight of a projected run time; that of the run's end is 1.
+_PROGRESS_WEIGHT = 0.5
+_ALL_PERCENT = 100
+# Percents are rounded down; the mean of what is lost by that.
+_PERCENT_ROUNDING = 0.5
 
 
 def record_result(
@@ -39,10 +37,9 @@
         _quarantine_if_failing(lead, run.instance, len(failed_jobs))
         return
     failed_jobs.clear()
-    if outstanding and run.number == 1:
-        took = lead.now - outstanding.at
-        _update_estimate_factor(lead, run, took)
-        _update_speed(lead, run, took)
+    if _is_measured(run, outstanding):
+        _update_estimate_factor(lead, run, lead.now - outstanding.at)
+        _update_speed(lead, run, lead.now - outstanding.answered, 1)
 
 
 def _quarantine_if_failing(lead: CellLeader, key: str, jobs: int) -> None:
@@ -66,36 +63,53 @@
     )
 
 
-def _update_speed(lead: CellLeader, run: Run, took: float) -> None:
+def record_progress(lead: CellLeader, run: Run, percent: int) -> None:
+    """Estimate a target's speed from the progress (%) of a run that it lists.
+
+    Each run counts once before its end, so that a slow target is known before
+    its first runs end.
+    """
+    outstanding = lead.orders.get((run.step, run.index))
+    if not MIN_PERCENT <= percent < _ALL_PERCENT or outstanding is None:
+        return
+    if run.index in lead.statistics.run_times.get(run.step, {}):
+        return
+    if _is_measured(run, outstanding):
+        done = (percent + _PERCENT_ROUNDING) / _ALL_PERCENT
+        elapsed = lead.now - outstanding.answered
+        _update_speed(lead, run, elapsed / done, _PROGRESS_WEIGHT)
+
+
+def _is_measured(run: Run, outstanding: OutstandingOrder | None) -> bool:
+    """Tell whether it is known how long a run has been at work.
+
+    That of a run of an earlier leader is not, and a repeated run may have
+    begun at a checkpoint.
+    """
+    if outstanding is None or outstanding.start is None:
+        return False
+    return run.number == 1 and outstanding.answered < float('inf')
+
+
+def _update_speed(
+    lead: CellLeader, run: Run, took: float, weight: float
+) -> None:
     """Update a target's relative speed from tasks of the step run elsewhere.
 
     The comparison is independent of estimates.  Gangs are left out: all
     members take as long as the slowest, which says nothing about the others.
     """
-    if step_of(lead.cell, run.step).step.gang:
+    state = step_of(lead.cell, run.step)
+    target = lead.cell.targets.get(run.instance)
+    if state is None or state.step.gang or target is None or took <= 0:
         return
-    relative_speed = lead.relative_speed.get(run.instance, DEFAULT_SPEED)
-    others = lead.run_times.setdefault(run.step, [])
+    slowness = slowness_of(lead, target)
+    times = lead.statistics.run_times.setdefault(run.step, {})
+    others = [time for index, time in times.items() if index != run.index]
     if others:
-        newest = _normalized(lead, took / _median(others))
-        weight = max(NEWEST_WEIGHT, 1 / (relative_speed.tasks + 1))
-        slowness = relative_speed.slowness + weight * (
-            newest - relative_speed.slowness
-        )
-        lead.relative_speed[run.instance] = RelativeSpeed(
-            slowness, relative_speed.tasks + 1
-        )
-    others.append(took / relative_speed.slowness)
+        record_slowness(lead, target, took / _median(others), weight)
+    times[run.index] = took / slowness
 
 
 def _median(times: list[float]) -> float:
     return sorted(times)[len(times) // 2]
-
-
-def _normalized(lead: CellLeader, slowness: float) -> float:
-    """Return a slowness, clamped and divided by the mean of all targets."""
-    slowness = min(max(slowness, 1 / _MAX_SLOWNESS), _MAX_SLOWNESS)
-    lead.mean_slowness += _MEAN_SLOWNESS_WEIGHT * (
-        slowness - lead.mean_slowness
-    )
-    return slowness / lead.mean_slowness
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -73,6 +73,22 @@
     When jobs whose estimates are far off run for 20 seconds
     Then the slow targets are distinguished from the fast ones
 
+  Scenario: Relative speeds are learned within 5 s, from progress too, whatever the estimates
+    Given a cell of 60 targets of which every fourth is slow
+    When jobs whose estimates are far off run for 5 seconds
+    Then the slow targets are distinguished from the fast ones
+    And after 300 seconds without runs all are expected to be equally fast
+
+  Scenario Outline: Slow targets are used last, but are not idle while delay-tolerant work waits, <count> tasks
+    Given a cell of 60 targets of which every fourth is known to be slow
+    When <count> tasks of the same size that are less urgent are submitted
+    Then after 1 seconds <slow> of its tasks run on slow targets, and <fast> on fast ones
+
+    Examples:
+      | count | slow | fast |
+      | 120   | 0    | 120  |
+      | 190   | 45   | 135  |
+
   Scenario: The heaviest load of Latas Vivas, seed 2
     When the load "latas-grown" is replayed for 14 s from seed 2
     Then "ok" jobs are in time in at least 95 of 100 cases
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -1,11 +1,14 @@
 """Steps that replay a user's load through a cell's decisions."""
 
+from collections import Counter
 from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
 
 from daisygw.cell import _admission, on_job_request
+from daisygw.cell._speeds import slowness_of
+from daisygw.cell._target_statistics import RelativeSpeed
 from daisygw.contracts import (
     Advisor,
     CellResponse,
@@ -403,10 +406,10 @@
         target.speed = 0.55 if number % 4 == 0 else 1.2
 
 
-@when('jobs whose estimates are far off run for 20 seconds')
-def run_jobs(context):
-    """Run for 20 s."""
-    _run_for(context.world, 20)
+@when('jobs whose estimates are far off run for {seconds:d} seconds')
+def run_jobs(context, seconds):
+    """Run the leader."""
+    _run_for(context.world, seconds)
 
 
 @then('the slow targets are distinguished from the fast ones')
@@ -426,6 +429,41 @@
     assert misjudged <= 0.2 * len(fast), (sorted(slow), sorted(fast))
 
 
+@then(
+    'after {seconds:d} seconds without runs all are expected to be equally fast'
+)
+def check_decayed(context, seconds):
+    """Compare with the mean; the measured speeds differ by a factor of 2."""
+    lead = context.world.lead
+    lead.now += seconds
+    found = [slowness_of(lead, one) for one in lead.cell.targets.values()]
+    assert max(found) < 1.1 * min(found), sorted(found)
+
+
+@given('a cell of 60 targets of which every fourth is known to be slow')
+def known_uneven_cell(context):
+    """Start an idle cell whose leader has learned the speeds."""
+    _start_cell(context, _job_kind('gang'))
+    for number, (key, target) in enumerate(context.world.targets.items()):
+        target.speed = 0.55 if number % 4 == 0 else 1.2
+        speed = RelativeSpeed(1 / target.speed, 8, context.world.now)
+        context.world.lead.relative_speed[key] = speed
+
+
+@then(
+    'after {seconds:d} seconds {slow:d} of its tasks run on slow targets, and '
+    '{fast:d} on fast ones'
+)
+def check_speeds_used(context, seconds, slow, fast):
+    """Look at the runs of the one job; a target has room for three tasks."""
+    world = context.world
+    _run_for(world, seconds)
+    job = _GANG_JOB if _GANG_JOB in world.jobs else _PATIENT_JOB
+    runs = _step_state(world, job).runs.values()
+    found = Counter(world.targets[run.instance].speed < 1 for run in runs)
+    assert (found[True], found[False]) == (slow, fast), found
+
+
 @when('the load "{name}" is replayed for {seconds:d} s from seed {seed:d}')
 def replay(context, name, seconds, seed):
     """Replay the first seconds of a load."""
