Gangs wait for the fastest targets that could hold them

A gang now asks about, reserves and uses only the fastest targets that could hold 1.2 times its tasks while empty, and those up to 1.3 times slower. It may use all when it is too wide, prefers a rack, is worthless by now, or has waited for 2 s in a cell that is mostly free.

--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from daisygw.cell._leader import CellLeader, WaitingStep
+from daisygw.cell._like_speed import of_like_speed
 from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState, task_size
 from daisygw.contracts import Queue, Size, Step, dominant_share, minus
@@ -14,6 +15,8 @@
 # At most this share of a service's available targets is left out because jobs
 # fail there.
 MAX_QUARANTINED_SHARE = 0.3
+# In a cell that is mostly free a gang waits this long (s) for fast targets.
+_MAX_WAIT_S = 2.0
 # A full target comes before an empty one that is faster by up to this share:
 # packing leaves room for wide tasks, and estimated speeds err by 5 percent.
 _FULLNESS_WEIGHT = 0.2
@@ -37,6 +40,7 @@
         }
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
+        self.mostly_free = is_mostly_free(lead)
 
 
 def is_available(lead: CellLeader, target: TargetState) -> bool:
@@ -136,17 +140,49 @@
     """Return the targets that a step may use, unless the advisor denied them.
 
     Targets reserved for a gang, and those that could not hold even one task,
-    are left out.
+    are left out, and for a gang those that are slower than it needs.
     """
     approval = lead.approvals.get(waiting.state.key)
     denied = approval.denied if approval else frozenset()
-    return [
+    targets = [
         target
         for key, target in free_capacity.targets.items()
         if key not in denied
         and key not in free_capacity.reserved
         and _cached_max_tasks(waiting, target) > 0
     ]
+    if _needs_like_speed(lead, free_capacity, waiting):
+        return of_like_speed(lead, waiting, targets)
+    return targets
+
+
+def _needs_like_speed(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> bool:
+    """Tell whether a step is a gang that waits for fast targets.
+
+    It does not wait for long where most of the cell is free: then nobody else
+    needs the capacity.
+    """
+    step = waiting.state.step
+    if not step.gang or step.same_rack or lead.now > waiting.worthless_at:
+        return False
+    waited = lead.now - waiting.since
+    return waited <= _MAX_WAIT_S or not free_capacity.mostly_free
+
+
+def still_suitable(
+    lead: CellLeader,
+    free_capacity: FreeCapacity,
+    waiting: WaitingStep,
+    targets: list[TargetState],
+) -> list[TargetState]:
+    """Return those of the approved targets that a gang should still use.
+
+    It may have asked about others before their speeds were known.
+    """
+    suitable = set(suitable_targets(lead, free_capacity, waiting))
+    return [target for target in targets if target in suitable]
 
 
 def _cached_max_tasks(waiting: WaitingStep, target: TargetState) -> int:
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -23,6 +23,7 @@
     FreeCapacity,
     fitting_tasks,
     hold_capacity,
+    still_suitable,
     suitable_targets,
     target_preference,
 )
@@ -211,7 +212,9 @@
 ) -> list[tuple[int, str]]:
     """Return (task index, target key) for the pending tasks that fit."""
     pending = pending_indexes(waiting.state)
-    if not waiting.state.step.gang:
+    if waiting.state.step.gang:
+        targets = still_suitable(lead, free_capacity, waiting, targets)
+    else:
         pending = pending[:MAX_STARTS_PER_STEP]
     fitting = _fitting_tasks(free_capacity, waiting, targets)
     targets = [target for target in targets if fitting[target.key]]
--- a/daisygw/cell/_target_statistics.py
+++ b/daisygw/cell/_target_statistics.py
@@ -30,7 +30,8 @@
     rack of targets (the rack empty: of the whole kind), ``mean_slowness`` the
     moving average by which measurements are divided.  ``run_times`` holds, by
     step and task index, the time (s) that a task takes on a target of mean
-    speed.
+    speed.  ``lasting`` holds the keys of targets with work that lasts, read at
+    ``lasting_read_at`` (s).
     """
 
     def __init__(self) -> None:
@@ -40,3 +41,5 @@
         self.group_speed: dict[tuple[str, str], RelativeSpeed] = {}
         self.mean_slowness = 1.0
         self.run_times: dict[StepKey, dict[int, float]] = {}
+        self.lasting: frozenset[str] = frozenset()
+        self.lasting_read_at = float('-inf')
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -450,6 +450,18 @@
         context.world.lead.relative_speed[key] = speed
 
 
+@given(
+    '{part:d} thirds of every target are in use, but the slow ones have become '
+    'free'
+)
+def fill_fast(context, part):
+    """End the filler job's tasks on the slow targets."""
+    fill(context, part)
+    for run in list(_step_state(context.world, _FILLER_JOB).runs.values()):
+        if context.world.targets[run.instance].speed < 1:
+            cell_load.finish(context.world, run)
+
+
 @then(
     'after {seconds:d} seconds {slow:d} of its tasks run on slow targets, and '
     '{fast:d} on fast ones'
