Targets that have just returned are trusted step by step

A target that had restarted, or answered again after a long silence, got as much work as any other at once; one that flaps lost it again each time, and a gang with it.

It now runs 2 tasks at first, of work that can be repeated and is no gang, and twice as many after each run that ends well; after three doublings or 5 s there is no limit. Returns within 30 s of each other make this up to 4 times longer. Where over 0.3 of a service's targets return at once, none is limited, as a network or a leader was at fault.

Measured: in a cell of 60 targets the returned one runs 2 tasks, and 3 (its room) once one has ended; before, 3 at once.

--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -6,6 +6,7 @@
 from daisygw.cell._like_speed import of_like_speed
 from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState, task_size
+from daisygw.cell._trust import is_repeatable, task_limit
 from daisygw.contracts import Queue, Size, Step, dominant_share, minus
 from daisygw.machines import is_responsive
 
@@ -15,6 +16,9 @@
 # At most this share of a service's available targets is left out because jobs
 # fail there.
 MAX_QUARANTINED_SHARE = 0.3
+# Targets that have just returned are limited if they are at most this share of
+# the available ones of their service.
+MAX_PROBATION_SHARE = 0.3
 # In a cell that is mostly free a gang waits this long (s) for fast targets.
 _MAX_WAIT_S = 2.0
 # A full target comes before an empty one that is faster by up to this share:
@@ -23,7 +27,10 @@
 
 
 class FreeCapacity:
-    """The usable targets, their free capacity and those reserved for gangs."""
+    """The usable targets, their free capacity and those reserved for gangs.
+
+    ``task_limits`` holds how many tasks those may run that have returned.
+    """
 
     def __init__(self, lead: CellLeader) -> None:
         """Read the free capacity of every usable target."""
@@ -40,6 +47,7 @@
         }
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
+        self.task_limits = _task_limits(lead, available)
         self.mostly_free = is_mostly_free(lead)
 
 
@@ -83,6 +91,28 @@
     return keys
 
 
+def _task_limits(
+    lead: CellLeader, available: list[TargetState]
+) -> dict[str, int]:
+    """Return how many tasks targets may run that have returned.
+
+    There is no limit where many of a service returned at the same time: then
+    the network or the leader was at fault, and the work needs them.
+    """
+    services = Counter(target.instance.service for target in available)
+    returned = {
+        target.key: (target.instance.service, limit)
+        for target in available
+        if (limit := task_limit(lead, target)) is not None
+    }
+    limited = Counter(service for service, _ in returned.values())
+    return {
+        key: limit
+        for key, (service, limit) in returned.items()
+        if limited[service] <= int(services[service] * MAX_PROBATION_SHARE)
+    }
+
+
 def fit_count(need: Size, free: Size, limit: int) -> int:
     """Return how many times ``need`` fits into ``free``, up to ``limit``.
 
@@ -115,6 +145,11 @@
     """Return how many more tasks of a step fit on a target now."""
     step = waiting.state.step
     limit = step.count
+    most_runs = free_capacity.task_limits.get(key)
+    if most_runs is not None:
+        if not is_repeatable(waiting):
+            return 0
+        limit = min(limit, most_runs - len(free_capacity.targets[key].runs))
     if step.spread:
         held = sum(run.instance == key for run in waiting.state.runs.values())
         limit = min(limit, step.spread - held)
@@ -139,16 +174,23 @@
 ) -> list[TargetState]:
     """Return the targets that a step may use, unless the advisor denied them.
 
-    Targets reserved for a gang, and those that could not hold even one task,
-    are left out, and for a gang those that are slower than it needs.
+    Targets reserved for a gang, those that could not hold even one task, and
+    those not trusted with the step are left out, and for a gang those that are
+    slower than it needs.
     """
     approval = lead.approvals.get(waiting.state.key)
     denied = approval.denied if approval else frozenset()
+    untrusted = (
+        frozenset()
+        if is_repeatable(waiting)
+        else free_capacity.task_limits.keys()
+    )
     targets = [
         target
         for key, target in free_capacity.targets.items()
         if key not in denied
         and key not in free_capacity.reserved
+        and key not in untrusted
         and _cached_max_tasks(waiting, target) > 0
     ]
     if _needs_like_speed(lead, free_capacity, waiting):
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -14,6 +14,7 @@
 from daisygw.cell._state import Run, TargetState
 from daisygw.cell._statistics import record_progress
 from daisygw.cell._targets import defer_work, finish
+from daisygw.cell._trust import is_long_silence, record_return
 from daisygw.contracts import (
     EndsAcknowledged,
     RunEnd,
@@ -115,6 +116,8 @@
     regained = lease_state.failures or not lease_state.has_answered
     if not lease_state.has_answered:
         assume_longest_lease(lease_state, reply.clock, lead.longest_lease)
+    if is_long_silence(lead, lease_state):
+        record_return(lead, target.instance.name)
     lease_state.failures = 0
     lease_state.has_answered = True
     record_clock(lease_state, lead.now, reply.clock)
--- a/daisygw/cell/_statistics.py
+++ b/daisygw/cell/_statistics.py
@@ -3,6 +3,7 @@
 from daisygw.cell._leader import CellLeader, OutstandingOrder
 from daisygw.cell._speeds import record_slowness, slowness_of
 from daisygw.cell._state import Run, queue_of, step_of
+from daisygw.cell._trust import record_end
 from daisygw.contracts import RunEnd
 
 # A target on which this many jobs failed in succession is quarantined.
@@ -31,6 +32,7 @@
     outstanding: OutstandingOrder | None,
 ) -> None:
     """Update the statistics from a run that succeeded or failed."""
+    record_end(lead, run, succeeded=how is RunEnd.DONE)
     failed_jobs = lead.failed_jobs.setdefault(run.instance, set())
     if how is RunEnd.FAILED:
         failed_jobs.add(run.step.job)
--- a/daisygw/cell/_target_statistics.py
+++ b/daisygw/cell/_target_statistics.py
@@ -22,6 +22,18 @@
     at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Probation:
+    """A target that returned at ``since`` (s), ``returns`` times lately.
+
+    ``ends`` is the number of runs that have ended well on it since.
+    """
+
+    since: float
+    returns: int
+    ends: int = 0
+
+
 class TargetStatistics:
     """What runs have told about targets, in this term.
 
@@ -30,7 +42,8 @@
     rack of targets (the rack empty: of the whole kind), ``mean_slowness`` the
     moving average by which measurements are divided.  ``run_times`` holds, by
     step and task index, the time (s) that a task takes on a target of mean
-    speed.  ``lasting`` holds the keys of targets with work that lasts, read at
+    speed, ``probations`` the targets that have returned, by name.  ``lasting``
+    holds the keys of targets with work that lasts, read at
     ``lasting_read_at`` (s).
     """
 
@@ -41,5 +54,6 @@
         self.group_speed: dict[tuple[str, str], RelativeSpeed] = {}
         self.mean_slowness = 1.0
         self.run_times: dict[StepKey, dict[int, float]] = {}
+        self.probations: dict[str, Probation] = {}
         self.lasting: frozenset[str] = frozenset()
         self.lasting_read_at = float('-inf')
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -17,6 +17,7 @@
 )
 from daisygw.cell._state import CellJob, Run, StepState, TargetState, step_of
 from daisygw.cell._statistics import record_result
+from daisygw.cell._trust import record_return, restart_probation
 from daisygw.contracts import (
     CellResponse,
     ContractError,
@@ -153,6 +154,7 @@
     lead.record(InstanceListed(instance))
     generation = next_generation(lead)
     lead.lease_states[key] = LeaseState(lead.now, lead.now, generation)
+    restart_probation(lead, instance.name)
     lead.log_event(
         'target up', target=key, domain=instance.domain, disputes=len(others)
     )
@@ -186,6 +188,8 @@
     lead.lease_states.pop(target.key, None)
     lead.relative_speed.pop(target.key, None)
     lead.failed_jobs.pop(target.key, None)
+    if target.open:
+        record_return(lead, target.instance.name)
     lead.log_event('target gone', target=target.key, why=why)
 
 
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -96,6 +96,18 @@
       | 120   | 0    | 120  |
       | 190   | 45   | 135  |
 
+  Scenario: A target that has returned gets few tasks at first, and more after one has ended
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    When 1 targets answer again after a silence of 5 s
+    And 190 tasks of the same size that are less urgent are submitted
+    Then after 1 seconds the target runs 2 tasks, and 3 after one of them has ended
+
+  Scenario: Targets that return all at the same time are used at once
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    When 60 targets answer again after a silence of 5 s
+    And 190 tasks of the same size that are less urgent are submitted
+    Then after 1 seconds the target runs 3 tasks, and 3 after one of them has ended
+
   Scenario: The heaviest load of Latas Vivas, seed 2
     When the load "latas-grown" is replayed for 14 s from seed 2
     Then "ok" jobs are in time in at least 95 of 100 cases
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -476,6 +476,29 @@
     assert (found[True], found[False]) == (slow, fast), found
 
 
+@when('{count:d} targets answer again after a silence of 5 s')
+def end_silence(context, count):
+    """Let the last answers of some targets be 5 s old until their next ones."""
+    world = context.world
+    for lease_state in list(world.lead.lease_states.values())[:count]:
+        lease_state.last_answer_at = world.now - 5
+    _run_for(world, 1.1)
+
+
+@then(
+    'after {seconds:d} seconds the target runs {first:d} tasks, and {then:d} '
+    'after one of them has ended'
+)
+def check_trust(context, seconds, first, then):
+    """Count the runs of the first target, which has room for three."""
+    world = context.world
+    runs = next(iter(world.cell.targets.values())).runs
+    for expected in (first, then):
+        _run_for(world, seconds)
+        assert len(runs) == expected, runs
+        cell_load.finish(world, next(iter(runs.values())))
+
+
 @when('the load "{name}" is replayed for {seconds:d} s from seed {seed:d}')
 def replay(context, name, seconds, seed):
     """Replay the first seconds of a load."""
