A gang without enough room does not look for targets of like speed

Each turn every waiting gang compared the speeds of all targets, also where its approved ones had too little room for it, so that nothing could start.

--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -212,12 +212,14 @@
 ) -> list[tuple[int, str]]:
     """Return (task index, target key) for the pending tasks that fit."""
     pending = pending_indexes(waiting.state)
+    fitting = _fitting_tasks(free_capacity, waiting, targets)
+    targets = [target for target in targets if fitting[target.key]]
     if waiting.state.step.gang:
+        if sum(fitting.values()) < len(pending):
+            return []
         targets = still_suitable(lead, free_capacity, waiting, targets)
     else:
         pending = pending[:MAX_STARTS_PER_STEP]
-    fitting = _fitting_tasks(free_capacity, waiting, targets)
-    targets = [target for target in targets if fitting[target.key]]
     targets.sort(key=_preference(lead, waiting, targets, fitting))
     step = waiting.state.step
     if step.same_rack or step.data_rack:
