--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -3,8 +3,11 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from daisygw.cell._leader import DEFAULT_SPEED, CellLeader, WaitingStep
+from daisygw.cell._leader import CellLeader, WaitingStep
+from daisygw.cell._like_speed import of_like_speed
+from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState
+from daisygw.cell._trust import is_repeatable, task_limit
 from daisygw.cell._usage import task_size
 from daisygw.contracts import (
     ZERO_SIZE,
@@ -24,8 +27,14 @@
 # At most this share of a service's available targets is left out because jobs
 # fail there.
 MAX_QUARANTINED_SHARE = 0.3
-# The relative slowness of targets is rounded to multiples of this.
-_SLOWNESS_STEP = 0.5
+# Targets that have just returned are limited if they are at most this share of
+# the available ones of their service.
+MAX_PROBATION_SHARE = 0.3
+# In a cell that is mostly free a gang waits this long (s) for fast targets.
+_MAX_WAIT_S = 2.0
+# A full target comes before an empty one that is faster by up to this share:
+# packing leaves room for wide tasks, and estimated speeds err by 5 percent.
+_FULLNESS_WEIGHT = 0.2
 
 
 class FreeCapacity:
@@ -33,6 +42,7 @@
 
     ``claims`` holds by customer what its steps that were considered and still
     wait keep of its limit from its later ones.
+    ``task_limits`` holds how many tasks those may run that have returned.
     """
 
     def __init__(self, lead: CellLeader) -> None:
@@ -51,6 +61,8 @@
         self.free = {key: target.free for key, target in self.targets.items()}
         self.reserved: set[str] = set()
         self.claims: dict[str, Size] = {}
+        self.task_limits = _task_limits(lead, available)
+        self.mostly_free = is_mostly_free(lead)
         lead.load.capacity = _total(
             target.instance.capacity for target in available
         )
@@ -103,6 +115,28 @@
     return keys
 
 
+def _task_limits(
+    lead: CellLeader, available: list[TargetState]
+) -> dict[str, int]:
+    """Return how many tasks targets may run that have returned.
+
+    There is no limit where many of a service returned at the same time: then
+    the network or the leader was at fault, and the work needs them.
+    """
+    services = Counter(target.instance.service for target in available)
+    returned = {
+        target.key: (target.instance.service, limit)
+        for target in available
+        if (limit := task_limit(lead, target)) is not None
+    }
+    limited = Counter(service for service, _ in returned.values())
+    return {
+        key: limit
+        for key, (service, limit) in returned.items()
+        if limited[service] <= int(services[service] * MAX_PROBATION_SHARE)
+    }
+
+
 def max_tasks_on(target: TargetState, step: Step, queue: Queue) -> int:
     """Return how many tasks of a step fit on the target while it is empty."""
     instance = target.instance
@@ -128,18 +162,29 @@
         if free.cpus < need.cpus or free.memory < need.memory:
             fitting[target.key] = 0
         else:
-            limit = _limit_on(waiting, target.key)
+            limit = _limit_on(free_capacity, waiting, target.key)
             fitting[target.key] = fit_count(need, free, limit)
     return fitting
 
 
-def _limit_on(waiting: WaitingStep, key: str) -> int:
-    """Return how many more tasks a step's ``spread`` allows on a target."""
+def _limit_on(
+    free_capacity: FreeCapacity, waiting: WaitingStep, key: str
+) -> int:
+    """Return how many more tasks of a step a target may run, if they fit.
+
+    The step's ``spread`` limits them, and the trust in a returned target.
+    """
     step = waiting.state.step
-    if not step.spread:
-        return step.count
-    held = sum(run.instance == key for run in waiting.state.runs.values())
-    return min(step.count, step.spread - held)
+    limit = step.count
+    if step.spread:
+        held = sum(run.instance == key for run in waiting.state.runs.values())
+        limit = min(limit, step.spread - held)
+    most_runs = free_capacity.task_limits.get(key)
+    if most_runs is None:
+        return limit
+    if not is_repeatable(waiting):
+        return 0
+    return min(limit, most_runs - len(free_capacity.targets[key].runs))
 
 
 def hold_capacity(
@@ -160,19 +205,54 @@
 ) -> list[TargetState]:
     """Return the targets that a step may use, unless the advisor denied them.
 
-    Targets reserved for a gang, and those that could not hold even one task,
-    are left out.
+    Targets reserved for a gang, those that could not hold even one task, and
+    those not trusted with the step are left out, and for a gang those that are
+    slower than it needs.
     """
     approval = lead.approvals.get(waiting.state.key)
     excluded = free_capacity.reserved
     if approval and approval.denied:
         excluded = excluded | approval.denied
+    if free_capacity.task_limits and not is_repeatable(waiting):
+        excluded = excluded | free_capacity.task_limits.keys()
     max_tasks = _cached_max_tasks(free_capacity, waiting)
-    return [
+    targets = [
         target
         for key, target in free_capacity.targets.items()
         if max_tasks[key] > 0 and key not in excluded
     ]
+    if _needs_like_speed(lead, free_capacity, waiting):
+        return of_like_speed(lead, waiting, targets)
+    return targets
+
+
+def _needs_like_speed(
+    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
+) -> bool:
+    """Tell whether a step is a gang that waits for fast targets.
+
+    It does not wait for long where most of the cell is free: then nobody else
+    needs the capacity.
+    """
+    step = waiting.state.step
+    if not step.gang or step.same_rack or lead.now > waiting.worthless_at:
+        return False
+    waited = lead.now - waiting.since
+    return waited <= _MAX_WAIT_S or not free_capacity.mostly_free
+
+
+def still_suitable(
+    lead: CellLeader,
+    free_capacity: FreeCapacity,
+    waiting: WaitingStep,
+    targets: list[TargetState],
+) -> list[TargetState]:
+    """Return those of the approved targets that a gang should still use.
+
+    It may have asked about others before their speeds were known.
+    """
+    suitable = set(suitable_targets(lead, free_capacity, waiting))
+    return [target for target in targets if target in suitable]
 
 
 def _cached_max_tasks(
@@ -186,13 +266,13 @@
     return cached
 
 
-def target_preference(
-    lead: CellLeader, target: TargetState
-) -> tuple[float, float]:
-    """Return a sort key: fast targets first, then the fullest."""
-    slowness = lead.relative_speed.get(target.key, DEFAULT_SPEED).slowness
+def target_preference(lead: CellLeader, target: TargetState) -> float:
+    """Return a sort key for the targets of tasks that start independently.
+
+    Fast targets come first, and the fullest among those of like speed.
+    """
     fullness = dominant_share(target.used, target.instance.capacity)
-    return (round(slowness / _SLOWNESS_STEP), -fullness)
+    return slowness_of(lead, target) * (1 - _FULLNESS_WEIGHT * fullness)
 
 
 def is_mostly_free(lead: CellLeader) -> bool:
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -73,6 +73,41 @@
     When jobs whose estimates are far off run for 20 seconds
     Then the slow targets are distinguished from the fast ones
 
+  Scenario: Relative speeds are learned within 5 s, from progress too, whatever the estimates
+    Given a cell of 60 targets of which every fourth is slow
+    When jobs whose estimates are far off run for 5 seconds
+    Then the slow targets are distinguished from the fast ones
+    And after 300 seconds without runs all are expected to be equally fast
+
+  Scenario: A gang waits for fast targets rather than starting on a slow one too
+    Given a cell of 60 targets of which every fourth is known to be slow
+    And 3 thirds of every target are in use, but the slow ones have become free
+    When a gang of 20 tasks that fill a third of a target is submitted
+    And the capacity is freed 6 seconds later
+    Then after 3 seconds 0 of its tasks run on slow targets, and 20 on fast ones
+
+  Scenario Outline: Slow targets are used last, but are not idle while delay-tolerant work waits, <count> tasks
+    Given a cell of 60 targets of which every fourth is known to be slow
+    When <count> tasks of the same size that are less urgent are submitted
+    Then after 1 seconds <slow> of its tasks run on slow targets, and <fast> on fast ones
+
+    Examples:
+      | count | slow | fast |
+      | 120   | 0    | 120  |
+      | 190   | 45   | 135  |
+
+  Scenario: A target that has returned gets few tasks at first, and more after one has ended
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    When 1 targets answer again after a silence of 5 s
+    And 190 tasks of the same size that are less urgent are submitted
+    Then after 1 seconds the target runs 2 tasks, and 3 after one of them has ended
+
+  Scenario: Targets that return all at the same time are used at once
+    Given a cell of 60 targets whose advisor approves 3 of 10
+    When 60 targets answer again after a silence of 5 s
+    And 190 tasks of the same size that are less urgent are submitted
+    Then after 1 seconds the target runs 3 tasks, and 3 after one of them has ended
+
   Scenario: The heaviest load of Latas Vivas, seed 2
     When the load "latas-grown" is replayed for 14 s from seed 2
     Then "ok" jobs are in time in at least 95 of 100 cases
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -1,11 +1,14 @@
 """Steps that replay a user's load through a cell's decisions."""
 
+from collections import Counter
 from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
 
 from daisygw.cell import _admission, on_job_request
+from daisygw.cell._speeds import slowness_of
+from daisygw.cell._target_statistics import RelativeSpeed
 from daisygw.contracts import (
     Advisor,
     CellResponse,
@@ -51,7 +54,12 @@
     world.jobs[name] = (kind, job, world.now)
     world.work_by_step[name] = [work]
     request = JobRequest(
-        1, JobVerb.SUBMIT, 'host', f'/{kind.name}/{name}', job, owner.encode()
+        1,
+        JobVerb.SUBMIT,
+        'host',
+        f'/{kind.name}/{name}',
+        job,
+        cell_load.key_of(owner),
     )
     on_job_request(world.lead, request, 'entry')
 
@@ -452,10 +460,10 @@
         target.speed = 0.55 if number % 4 == 0 else 1.2
 
 
-@when('jobs whose estimates are far off run for 20 seconds')
-def run_jobs(context):
-    """Run for 20 s."""
-    _run_for(context.world, 20)
+@when('jobs whose estimates are far off run for {seconds:d} seconds')
+def run_jobs(context, seconds):
+    """Run the leader."""
+    _run_for(context.world, seconds)
 
 
 @then('the slow targets are distinguished from the fast ones')
@@ -475,6 +483,76 @@
     assert misjudged <= 0.2 * len(fast), (sorted(slow), sorted(fast))
 
 
+@then(
+    'after {seconds:d} seconds without runs all are expected to be equally fast'
+)
+def check_decayed(context, seconds):
+    """Compare with the mean; the measured speeds differ by a factor of 2."""
+    lead = context.world.lead
+    lead.now += seconds
+    found = [slowness_of(lead, one) for one in lead.cell.targets.values()]
+    assert max(found) < 1.1 * min(found), sorted(found)
+
+
+@given('a cell of 60 targets of which every fourth is known to be slow')
+def known_uneven_cell(context):
+    """Start an idle cell whose leader has learned the speeds."""
+    _start_cell(context, _job_kind('gang'))
+    for number, (key, target) in enumerate(context.world.targets.items()):
+        target.speed = 0.55 if number % 4 == 0 else 1.2
+        speed = RelativeSpeed(1 / target.speed, 8, context.world.now)
+        context.world.lead.relative_speed[key] = speed
+
+
+@given(
+    '{part:d} thirds of every target are in use, but the slow ones have become '
+    'free'
+)
+def fill_fast(context, part):
+    """End the filler job's tasks on the slow targets."""
+    fill(context, part)
+    for run in list(_step_state(context.world, _FILLER_JOB).runs.values()):
+        if context.world.targets[run.instance].speed < 1:
+            cell_load.finish(context.world, run)
+
+
+@then(
+    'after {seconds:d} seconds {slow:d} of its tasks run on slow targets, and '
+    '{fast:d} on fast ones'
+)
+def check_speeds_used(context, seconds, slow, fast):
+    """Look at the runs of the one job; a target has room for three tasks."""
+    world = context.world
+    _run_for(world, seconds)
+    job = _GANG_JOB if _GANG_JOB in world.jobs else _PATIENT_JOB
+    runs = _step_state(world, job).runs.values()
+    found = Counter(world.targets[run.instance].speed < 1 for run in runs)
+    assert (found[True], found[False]) == (slow, fast), found
+
+
+@when('{count:d} targets answer again after a silence of 5 s')
+def end_silence(context, count):
+    """Let the last answers of some targets be 5 s old until their next ones."""
+    world = context.world
+    for lease_state in list(world.lead.lease_states.values())[:count]:
+        lease_state.last_answer_at = world.now - 5
+    _run_for(world, 1.1)
+
+
+@then(
+    'after {seconds:d} seconds the target runs {first:d} tasks, and {then:d} '
+    'after one of them has ended'
+)
+def check_trust(context, seconds, first, then):
+    """Count the runs of the first target, which has room for three."""
+    world = context.world
+    runs = next(iter(world.cell.targets.values())).runs
+    for expected in (first, then):
+        _run_for(world, seconds)
+        assert len(runs) == expected, runs
+        cell_load.finish(world, next(iter(runs.values())))
+
+
 @when('the load "{name}" is replayed for {seconds:d} s from seed {seed:d}')
 def replay(context, name, seconds, seed):
     """Replay the first seconds of a load."""
