--- a/standins/cell_load.py
+++ b/standins/cell_load.py
@@ -265,6 +265,7 @@
 
 
 def key_of(customer: str) -> bytes:
+    """Return the digest of a customer's only key; empty: no customer."""
     return sha256(customer.encode()).digest() if customer else b''
 
 
