--- a/daisygw/cell/_fairness.py
+++ b/daisygw/cell/_fairness.py
@@ -16,10 +16,9 @@
 from daisygw.cell._cost import HORIZON_S
 from daisygw.cell._leader import CellLeader, WaitingStep
 from daisygw.cell._rates import (
-    count_accepted,
-    exceeds_rate,
-    forget_old,
+    is_bucket_empty,
     return_delay,
+    take_token,
 )
 from daisygw.cell._waits import NO_CAPACITY, wait_cause
 from daisygw.contracts import (
@@ -113,15 +112,14 @@
     known = lead.cell.customers.get(customer)
     if known is None:
         return False
-    forget_old(lead.rates, customer, known.weight, lead.now)
-    accepted = lead.rates.accepted[customer]
-    return exceeds_rate(accepted, known.weight, lead.now)
+    return is_bucket_empty(lead.rates, customer, known.weight, lead.now)
 
 
 def count_in_rate(lead: CellLeader, customer: str) -> None:
     """Count a job that was accepted now, within its customer's rate."""
-    if customer in lead.cell.customers:
-        count_accepted(lead.rates, customer, lead.now)
+    known = lead.cell.customers.get(customer)
+    if known is not None:
+        take_token(lead.rates, customer, known.weight, lead.now)
 
 
 def surplus_refusal(lead: CellLeader, customer: str) -> Refusal | None:
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -10,12 +10,13 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import Any
 
 from daisygw.cell._approval import Approval, PendingAdvice
 from daisygw.cell._cost import Stake
 from daisygw.cell._load import CellLoad
-from daisygw.cell._rates import CustomerRates, count_accepted
+from daisygw.cell._rates import CustomerRates, take_token
 from daisygw.cell._state import (
     Cell,
     CellJob,
@@ -197,7 +198,7 @@
     ``pending_advice`` has the open requests to the advisor by correlation id;
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
-    they take (s).  ``rates`` has the customers' jobs of the last seconds.
+    they take (s).  ``rates`` has the customers' rates.
     ``ended`` lists ended jobs and since when they are kept, ``repeating``
     names the unfinished repeating jobs, and ``changed`` requests a placement
     pass.  ``check_record`` raises ``ContractError`` for a record that the log
@@ -419,6 +420,18 @@
             enqueue_job(lead, job)
 
 
+def _count_known_jobs(lead: CellLeader) -> None:
+    """Take a token for each known job within its customer's rate."""
+    in_rate = [
+        (accepted_at(lead, job), customer)
+        for job in lead.cell.jobs.values()
+        if not job.enqueued.surplus
+        and (customer := lead.cell.customers.get(job.enqueued.customer))
+    ]
+    for at, customer in sorted(in_rate, key=itemgetter(0)):
+        take_token(lead.rates, customer.name, customer.weight, at)
+
+
 def start_leading(lead: CellLeader) -> None:
     """Queue the unfinished jobs of the log and stop runs of ended ones."""
     for target in lead.cell.targets.values():
@@ -428,11 +441,8 @@
     instances = [target.instance for target in lead.cell.targets.values()]
     for key in keys_in_dispute(instances):
         lead.lease_states[key].disputed_at = lead.now
+    _count_known_jobs(lead)
     for job in lead.cell.jobs.values():
-        enqueued = job.enqueued
-        if enqueued.customer and not enqueued.surplus:
-            at = accepted_at(lead, job)
-            count_accepted(lead.rates, enqueued.customer, at)
         if job.over:
             lead.ended.append((lead.now, job.spec.id))
             stop_runs(lead, job)
--- a/daisygw/cell/_rates.py
+++ b/daisygw/cell/_rates.py
@@ -1,33 +1,35 @@
 """Customers' rates: which of their jobs are surplus, and when to return.
 
 A customer's weight is the number of its jobs per second that are within its
-rate.  Jobs beyond it do not count towards the rate, so that a customer which
-sends too many still gets its rate.
+rate.  They are counted as by a token bucket, which allows some jobs at once.
+Jobs beyond the rate take no token, so that a customer which sends too many
+still gets its rate in each second.
 """
 
-from collections import defaultdict, deque
-from collections.abc import Iterable
-
-# Length of the sliding window: a customer may send its jobs of this time (s) at
-# once.
-RATE_WINDOW_S = 5.0
+# Time (s) whose jobs a customer may send at once, and the least number of them:
+# the customers of small weights do not send at even intervals.
+BURST_S = 1.0
+BURST_JOBS = 5
 # Lower bound of the rate (1/s) in divisions.
 _LEAST_RATE = 0.001
+# Part of a token that rounding may take away.
+_ROUNDING = 0.001
 # Longest time until a refused caller is to return: a surge is over by then.
 MAX_RETURN_S = 10.0
 
 
 class CustomerRates:
-    """When customers' jobs within their rates were accepted, by customer (s).
+    """The token buckets of all customers.
 
-    ``return_at`` is when the newest refused caller of each is to return.
+    ``full_at`` is when each bucket is full again if nothing more is sent (s),
+    and ``return_at`` when the newest refused caller of each is to return.
     ``in_rate_waits`` tells whether work within the rates waited for capacity
     at the end of the latest placement pass.
     """
 
     def __init__(self) -> None:
-        """Begin without any job."""
-        self.accepted: dict[str, deque[float]] = defaultdict(deque)
+        """Begin with full buckets."""
+        self.full_at: dict[str, float] = {}
         self.return_at: dict[str, float] = {}
         self.in_rate_waits = False
 
@@ -37,32 +39,36 @@
     return 1 / max(weight, _LEAST_RATE)
 
 
-def window_of(weight: float) -> float:
-    """Return the length of a customer's window (s), one interval at least."""
-    return max(RATE_WINDOW_S, interval_of(weight))
+def burst_of(weight: float) -> float:
+    """Return in which time (s) an empty bucket is full."""
+    return max(BURST_S, BURST_JOBS * interval_of(weight))
 
 
-def exceeds_rate(accepted: Iterable[float], weight: float, now: float) -> bool:
-    """Tell whether one more job exceeds a rate of ``weight`` jobs per second.
+def is_bucket_empty(
+    rates: CustomerRates, customer: str, weight: float, now: float
+) -> bool:
+    """Tell whether one more job exceeds a rate of ``weight`` (1/s)."""
+    tolerance = _ROUNDING * interval_of(weight)
+    return _wait(rates, customer, weight, now) > tolerance
 
-    ``accepted`` has the times of earlier jobs within the rate.
-    """
-    window = window_of(weight)
-    return sum(now - at < window for at in accepted) >= weight * window
 
+def take_token(
+    rates: CustomerRates, customer: str, weight: float, at: float
+) -> None:
+    """Count a job within its customer's rate that was accepted at ``at`` (s).
 
-def count_accepted(rates: CustomerRates, customer: str, at: float) -> None:
-    """Count an accepted job that was within its customer's rate."""
-    rates.accepted[customer].append(at)
+    The jobs of each customer are counted in order.
+    """
+    full_at = max(rates.full_at.get(customer, at), at)
+    rates.full_at[customer] = full_at + interval_of(weight)
 
 
-def forget_old(
+def _wait(
     rates: CustomerRates, customer: str, weight: float, now: float
-) -> None:
-    """Drop the times before a customer's window."""
-    accepted = rates.accepted[customer]
-    while accepted and now - accepted[0] >= window_of(weight):
-        accepted.popleft()
+) -> float:
+    """Return after which time (s) the bucket has a token, 0 or less if now."""
+    full_at = max(rates.full_at.get(customer, now), now)
+    return full_at + interval_of(weight) - burst_of(weight) - now
 
 
 def return_delay(
@@ -70,13 +76,11 @@
 ) -> float:
     """Return after which time (s) a refused caller is to return.
 
-    The first one returns when the rate allows another job, the next ones at
-    the rate after it, all of them within ``MAX_RETURN_S``.
+    The first one returns when the bucket has a token, the next ones at the
+    rate after it, all of them within ``MAX_RETURN_S``.
     """
-    accepted = rates.accepted[customer]
-    oldest = accepted[0] if accepted else now
     return_at = max(
-        oldest + window_of(weight),
+        now + _wait(rates, customer, weight, now),
         rates.return_at.get(customer, now) + interval_of(weight),
     )
     rates.return_at[customer] = min(return_at, now + MAX_RETURN_S)
