--- a/daisygw/cell/_cost.py
+++ b/daisygw/cell/_cost.py
@@ -14,10 +14,6 @@
 # Shares of a job's value that are lost at ``due`` and at ``worthless_at``.
 LOSS_WHEN_LATE = 0.8
 LOSS_WHEN_WORTHLESS = 0.2
-# The value of a job: a part for the caller that waits, relative to a typical
-# job of its queue, and a part that grows with the job's work.
-CALLER_PART = 0.3
-WORK_PART = 0.7
 # Each priority level divides the value by this.
 PRIORITY_FACTOR = 2.0
 # Time (s) in which about the whole capacity of a busy cell is freed once: a
@@ -47,14 +43,15 @@
     worthless_at: float
 
 
-def job_value(work: float, typical_work: float, priority: int) -> float:
-    """Return a job's value, in the unit of ``work``.
+def job_value(work: float, priority: int) -> float:
+    """Return a job's value, in the unit of ``work``; priority 0 is the highest.
 
-    ``typical_work`` is that of a typical job of its queue; ``priority`` 0 is
-    the highest.
+    A part that does not grow with the work would place small jobs before large
+    ones of the same urgency, and wide gangs would end late.
     """
-    own = CALLER_PART * _bounded(typical_work) + WORK_PART * _bounded(work)
-    return own / PRIORITY_FACTOR ** min(max(priority, 0), _MAX_PRIORITY)
+    return _bounded(work) / PRIORITY_FACTOR ** min(
+        max(priority, 0), _MAX_PRIORITY
+    )
 
 
 def _bounded(amount: float) -> float:
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -150,8 +150,7 @@
     ``held_report_due`` (s) on.
     ``rank`` is its place in the order, valid until ``rank_until`` (s).  It
     follows from ``stake``, which was estimated when ``rank_tasks`` of its
-    tasks waited, and from ``rank_version`` of ``CellLoad``.  These tasks need
-    ``work`` (share of the capacity times s).
+    tasks waited.  These tasks need ``work`` (share of the capacity times s).
     """
 
     def __init__(
@@ -181,7 +180,6 @@
         self.rank = float('-inf')
         self.rank_until = float('-inf')
         self.rank_tasks = 0
-        self.rank_version = 0
         self.work = 0.0
         self.avoid: dict[int, set[str]] = {}
         self.max_tasks_by_target: dict[str, int] = {}
--- a/daisygw/cell/_load.py
+++ b/daisygw/cell/_load.py
@@ -8,22 +8,16 @@
 class CellLoad:
     """The capacity of a leader's cell and the work that is sent to it.
 
-    ``capacity`` is that of the usable targets, ``mean_work`` by queue the
-    moving average of a job's work (share of the capacity times s), and
-    ``typical_work`` the value of it that ranks use; ``version`` rises when one
-    of these changes.  The next caller that is refused for the advisor's
-    time is to return at ``next_return_at`` (s), and one that is refused for
-    want of room at ``next_room_at``.  ``backlog`` holds the work that waited
-    at ``backlog_at`` (s), and that of the jobs since then, by steps of the
-    rank.
+    ``capacity`` is that of the usable targets.  The next caller that is
+    refused for the advisor's time is to return at ``next_return_at`` (s), and
+    one that is refused for want of room at ``next_room_at``.  ``backlog`` holds
+    the work that waited at ``backlog_at`` (s), and that of the jobs since then,
+    by steps of the rank.
     """
 
     def __init__(self) -> None:
         """Begin without knowledge."""
         self.capacity = ZERO_SIZE
-        self.mean_work: dict[str, float] = {}
-        self.typical_work: dict[str, float] = {}
-        self.version = 0
         self.next_return_at = float('-inf')
         self.next_room_at = float('-inf')
         self.backlog_at = float('-inf')
--- a/daisygw/cell/_placement.py
+++ b/daisygw/cell/_placement.py
@@ -79,11 +79,9 @@
     """
     state = waiting.state
     tasks = state.step.count - len(state.done) - len(state.runs)
-    outdated = waiting.rank_version != lead.load.version
-    if tasks != waiting.rank_tasks or outdated:
+    if tasks != waiting.rank_tasks:
         waiting.stake = _estimate_stake(lead, waiting, tasks)
         waiting.rank_tasks = tasks
-        waiting.rank_version = lead.load.version
         _update_rank(lead, waiting)
     elif lead.now > waiting.rank_until:
         _update_rank(lead, waiting)
--- a/daisygw/cell/_stakes.py
+++ b/daisygw/cell/_stakes.py
@@ -23,11 +23,6 @@
 _BACKLOG_AGE_S = 0.1
 # The waiting work is summed up by rank, in steps of this.
 _BUCKET = 0.25
-# Weight of the newest job in the moving average of a queue's work.
-_NEWEST_WEIGHT = 0.05
-# The ranks of all waiting steps use the same typical work, which follows the
-# average when it has changed by this part.
-_TYPICAL_CHANGE = 0.1
 
 
 def step_work(lead: CellLeader, step: Step, tasks: int) -> float:
@@ -44,12 +39,11 @@
 def stake_of_job(lead: CellLeader, job: JobSpec, queue: Queue) -> Stake:
     """Return what delaying a job costs that is submitted now."""
     work = job_work(lead, job)
-    typical = lead.load.typical_work.get(queue.name, work)
     path = critical_path(job.steps)
     remaining = path * lead.estimate_factors.get(queue.name, 1.0)
     objective = queue.slack * path + queue.latency
     return Stake(
-        job_value(work, typical, queue.priority),
+        job_value(work, queue.priority),
         work,
         lead.now + objective - remaining,
         lead.now + WORTHLESS_FACTOR * objective - remaining,
@@ -95,10 +89,7 @@
 def stake_of(lead: CellLeader, waiting: WaitingStep, tasks: int) -> Stake:
     """Return what delaying a step costs, of which ``tasks`` tasks wait."""
     job, step = waiting.job, waiting.state.step
-    work = job_work(lead, job.spec)
-    value = job_value(
-        work, _typical(lead, waiting, work), waiting.queue.priority
-    )
+    value = job_value(job_work(lead, job.spec), waiting.queue.priority)
     left = step_work(lead, step, tasks) + _later_work(lead, job, waiting)
     return Stake(value, left, waiting.due, waiting.worthless_at)
 
@@ -113,17 +104,3 @@
         and number != key.step
         and not state.numbers
     )
-
-
-def _typical(lead: CellLeader, waiting: WaitingStep, work: float) -> float:
-    """Return the mean work of a queue's jobs; learn it from a new step."""
-    name, load = waiting.queue.name, lead.load
-    if waiting.stake is None:
-        average = load.mean_work.get(name, work)
-        average += _NEWEST_WEIGHT * (work - average)
-        load.mean_work[name] = average
-        typical = load.typical_work.get(name, 0)
-        if abs(average - typical) > _TYPICAL_CHANGE * typical:
-            load.typical_work[name] = average
-            load.version += 1
-    return load.typical_work.get(name, work)
--- a/tests/steps/cost_steps.py
+++ b/tests/steps/cost_steps.py
@@ -63,10 +63,10 @@
 def check_priority(context):
     """Compare the ranks of a step whose job has one of two priorities."""
 
-    @drawn(_stakes(), _WORK, st.integers(0, 99), st.integers(0, 99))
-    def check(stake, typical, priority, lower):
+    @drawn(_stakes(), st.integers(0, 99), st.integers(0, 99))
+    def check(stake, priority, lower):
         high, low = (
-            replace(stake, value=job_value(stake.work, typical, level))
+            replace(stake, value=job_value(stake.work, level))
             for level in (priority, priority + lower)
         )
         assert rank(low, stake.due) <= rank(high, stake.due)
@@ -78,10 +78,10 @@
 def check_any(context):
     """Guards against a turn that is stopped by an odd estimate."""
 
-    @drawn(st.lists(_ANY, min_size=7, max_size=7), st.integers())
+    @drawn(st.lists(_ANY, min_size=6, max_size=6), st.integers())
     def check(figures, priority):
-        work, typical, *times, now, horizon = figures
-        value = job_value(work, typical, priority)
+        work, *times, now, horizon = figures
+        value = job_value(work, priority)
         stake = Stake(value, work, *times[:2])
         assert delay_cost(stake, now, horizon) >= 0
 
@@ -94,8 +94,8 @@
 )
 def late_urgent_work(context):
     """The urgent and the delay-tolerant kind of job of the load lakeshore."""
-    context.urgent = Stake(job_value(1, 1, 0), 1, 0, 3.5)
-    context.patient = Stake(job_value(1, 1, 2), 1, 11.5, 30)
+    context.urgent = Stake(job_value(1, 0), 1, 0, 3.5)
+    context.patient = Stake(job_value(1, 2), 1, 11.5, 30)
 
 
 @then('the cost of delaying the urgent work is at least 5 times higher')
