--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -74,6 +74,7 @@
     ``link_ports`` holds the own link port of each host whose links are
     relayed; it is empty if links are direct.  ``keys`` holds the keys of all
     customers, by version of the acknowledged configurations that have some.
+    ``settings`` holds further lines of all settings files.
     """
 
     ports: Ports
@@ -82,6 +83,7 @@
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     link_ports: dict[str, int] = field(default_factory=dict)
     keys: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    settings: tuple[str, ...] = ()
 
 
 def link_name(host: str, other: str) -> str:
@@ -129,6 +131,7 @@
         f'placementAdvisor={ADVISOR_HOST}:{ports.workers}',
         # Unknown fields must be ignored.
         'a.field.of.later=7',
+        *cell.settings,
     ]
     if host in SCHEDULERS:
         assignments.append(f'dataDir={cell.folder / host}')
@@ -513,14 +516,16 @@
     *,
     relayed: bool = False,
     max_lease_s: float = DEFAULT_MAX_LEASE_S,
+    settings: tuple[str, ...] = (),
 ) -> Generator[PlatformCell, None, None]:
     """Run a cell with workers; kill all its processes at the end.
 
     ``relayed`` puts a relay into every link between its own processes.
-    Workers accept no lease longer than ``max_lease_s``.
+    Workers accept no lease longer than ``max_lease_s``.  ``settings`` are
+    further lines of the hosts' settings files.
     """
     ports = Ports(*free_ports(_PORT_COUNT, SCHEDULERS[0]))
-    cell = PlatformCell(ports, folder, max_lease_s)
+    cell = PlatformCell(ports, folder, max_lease_s, settings=settings)
     if relayed:
         hosts = (*SCHEDULERS, *ENTRIES)
         ports = free_ports(len(hosts), SCHEDULERS[0])
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -50,6 +50,18 @@
         yield cell
 
 
+@fixture
+def limited_cell(context: Any) -> Iterator[Any]:
+    """Run a cell as the platform does, whose hosts are small."""
+    settings = ('limits.memoryMb=128', 'limits.maxFds=512')
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_cell(Path(folder), settings=settings) as cell,
+    ):
+        context.cell = cell
+        yield cell
+
+
 def before_all(context: Any) -> None:
     """Reset the counts and read the list of known failures."""
     context.counts = Counter()
@@ -65,6 +77,8 @@
         use_fixture(platform_cell, context)
     elif tag == 'fixture.restarting_workers':
         use_fixture(restarting_workers, context)
+    elif tag == 'fixture.limited_cell':
+        use_fixture(limited_cell, context)
 
 
 def before_scenario(context: Any, scenario: Scenario) -> None:
