Bound what HTTP clients can make a process hold

Requests reach the application once they are complete; header sections, trailers, chunk extensions, empty lines and bodies are limited as they are received, and a budget for all clients of a server evicts connections without progress first. Entries learn the limits of the configuration from the schedulers.

--- a/daisygw/contracts/_cell_messages.py
+++ b/daisygw/contracts/_cell_messages.py
@@ -6,7 +6,13 @@
 
 from dataclasses import dataclass
 
-from daisygw.contracts._jobs import CellConfig, JobSpec, JobVerb, StepKey
+from daisygw.contracts._jobs import (
+    CellConfig,
+    JobSpec,
+    JobVerb,
+    RequestLimits,
+    StepKey,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +85,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulerList:
-    """The known schedulers, and the current leader ('' if unknown)."""
+    """The known schedulers, and the current leader ('' if unknown).
+
+    ``limits`` are those of the newest configuration that the sender has.
+    """
 
     hosts: tuple[str, ...]
     leader: str
     term: int
+    limits: RequestLimits | None = None
--- a/daisygw/contracts/_codes.py
+++ b/daisygw/contracts/_codes.py
@@ -35,6 +35,7 @@
     UNKNOWN_SERVICE = 212
     OTHER_REPORT = 213
     UNKNOWN_KEY = 214
+    HEADER_TOO_LARGE = 215
     NEVER_FITS = 301
     QUOTA_EXCEEDED = 302
     OVERLOADED = 303
@@ -48,6 +49,8 @@
     NO_WORKERS = 311
     NOT_CONFIGURED = 312
     NEVER_IN_TIME = 313
+    REQUEST_TIMEOUT = 314
+    BUFFERS_FULL = 315
     TASK_FAILED = 401
     WORKER_LOST = 402
     CANCELLED_RUNNING = 403
@@ -93,6 +96,8 @@
 _HTTP_BY_CODE = MappingProxyType({
     ResultCode.ACCEPTED: 202,
     ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.HEADER_TOO_LARGE: 431,
+    ResultCode.REQUEST_TIMEOUT: 408,
     ResultCode.NEVER_FITS: 422,
     ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.OVERLOADED: 429,
--- a/daisygw/contracts/_jobs.py
+++ b/daisygw/contracts/_jobs.py
@@ -105,12 +105,30 @@
     priority: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits on a request, from the configuration of ``version``.
+
+    ``header`` and ``body`` are the longest header section and body (bytes).
+    ``header_timeout`` is the longest time until a header section is complete,
+    ``idle_timeout`` that in which a client may be silent (s).
+    """
+
+    header: int
+    body: int
+    header_timeout: float
+    idle_timeout: float
+    version: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class CellConfig:
     """A configuration of the cell and its source ``document``.
 
-    ``max_body`` is the longest request body (bytes).  Without ``customers``
-    (None) no caller needs a key, and no job belongs to a customer.
+    ``max_body`` is the longest request body (bytes), ``max_header`` the
+    longest header section.  A limit of 0 is that of the process; for the
+    times (s) see ``RequestLimits``.  Without ``customers`` (None) no caller
+    needs a key, and no job belongs to a customer.
     """
 
     version: int
@@ -119,6 +137,9 @@
     max_body: int
     document: bytes
     customers: tuple[Customer, ...] | None = None
+    max_header: int = 0
+    header_timeout: float = 0
+    idle_timeout: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/contracts/_ranges.py
+++ b/daisygw/contracts/_ranges.py
@@ -119,7 +119,13 @@
     """Check the ranges of a configuration's values."""
     invalid = ResultCode.CONFIG_INVALID
     check_range('version', cfg.version, 0, MAX_INTEGER, invalid)
-    check_range('body limit', cfg.max_body, 0, MAX_INTEGER, invalid)
+    for name, amount, most in (
+        ('body limit', cfg.max_body, MAX_INTEGER),
+        ('header limit', cfg.max_header, MAX_INTEGER),
+        ('header timeout', cfg.header_timeout, MAX_DURATION_S),
+        ('idle timeout', cfg.idle_timeout, MAX_DURATION_S),
+    ):
+        check_range(name, amount, 0, most, invalid)
     check_range('queues', len(cfg.queues), 0, MAX_QUEUES, invalid)
     check_range('services', len(cfg.services), 0, MAX_QUEUES, invalid)
     for service in cfg.services:
--- a/daisygw/entries/_process.py
+++ b/daisygw/entries/_process.py
@@ -42,6 +42,7 @@
 from daisygw.entries._target_client import open_session
 from daisygw.links import log
 from daisygw.links.processes import (
+    HttpService,
     Link,
     keep_connected,
     listen,
@@ -203,7 +204,7 @@
     _install_signal_handlers(entry)
     grace = entry.boot_settings.process.grace
     serving = serving_http(
-        ((make_app(entry), sock),), grace, lambda: entry.stopping
+        (HttpService(make_app(entry), sock),), grace, lambda: entry.stopping
     )
     async with _connected_to_hosts(entry), serving:
         log('entry up', host=host, address=address)
--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -4,21 +4,33 @@
 import socket
 from collections.abc import AsyncGenerator, Callable, Generator, Iterable
 from contextlib import asynccontextmanager, contextmanager, suppress
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from daisygw.contracts import LinkError, ResultCode
+from daisygw.contracts import LinkError, RequestLimits, ResultCode
+from daisygw.links._http_budget import HttpBudget, log_refusals
+from daisygw.links._http_connection import Connection
 from daisygw.links._logs import log
 
 # Connections that can wait to be accepted: more than callers open at once.
 _LISTEN_BACKLOG = 2048
+# Connections accepted in one turn of the loop, so that too many of them are
+# closed before the process has no descriptors left.
+_ACCEPTED_PER_TURN = 16
+# Receive buffer of a connection (bytes): what a client sends beyond it waits
+# at the client.
+_RECEIVE_BUFFER_BYTES = 65_536
 # Turns of the loop until an accepted connection has joined its server.
 _ACCEPT_TURNS = 2
-# How long an idle connection of a caller is kept open.
-_KEEP_ALIVE_S = 60
+# Limits on a request without a configuration: no client that respects the
+# usual ones (16 KiB of header section, 256 KiB of body) meets them.
+_MAX_HEADER_BYTES = 65_536
+_MAX_BODY_BYTES = 8_388_608
+_HEADER_TIMEOUT_S = 30.0
+_IDLE_TIMEOUT_S = 60.0
 # How long a server that stops still reads from idle connections: requests may
 # be on their way on them.
 _LINGER_S = 0.2
@@ -26,48 +38,47 @@
 _DATE_INTERVAL_S = 1.0
 
 
-class _Connection(HttpToolsProtocol):
-    """A connection that is closed after its last request while draining.
+def default_request_limits() -> RequestLimits:
+    """Return the limits on a request without a configuration."""
+    return RequestLimits(
+        _MAX_HEADER_BYTES, _MAX_BODY_BYTES, _HEADER_TIMEOUT_S, _IDLE_TIMEOUT_S
+    )
+
+
+def tighter_limits(
+    limits: RequestLimits, configured: RequestLimits | None
+) -> RequestLimits:
+    """Return the tighter of two limits each; a configured 0 is none."""
+    if configured is None:
+        return limits
+    return RequestLimits(
+        min(limits.header, configured.header or limits.header),
+        min(limits.body, configured.body or limits.body),
+        min(
+            limits.header_timeout,
+            configured.header_timeout or limits.header_timeout,
+        ),
+        min(
+            limits.idle_timeout,
+            configured.idle_timeout or limits.idle_timeout,
+        ),
+        configured.version,
+    )
+
 
-    A response that announces the close ends the connection, so only the last
-    of the requests received may have it (RFC 9112, 9.6).  ``reusable`` tells
-    whether the client allows further requests after the newest one, and
-    ``unanswered`` counts the requests received without a complete response.
+@dataclass(frozen=True, slots=True)
+class HttpService:
+    """An application with its listening socket.
+
+    ``limits`` returns the limits on a request that are in force; ``budget``
+    is what its clients may make the process hold.
     """
 
-    def __init__(self, is_draining: Callable[[], bool], **server: Any) -> None:
-        """Create the state of a new connection of a server."""
-        super().__init__(**server)
-        self.is_draining = is_draining
-        self.reusable = True
-        self.unanswered = 0
-        self.peer_closed = False
-
-    def on_headers_complete(self) -> None:
-        """Start a request, after which a draining server closes."""
-        earlier = self.cycle
-        super().on_headers_complete()
-        self.unanswered += 1
-        if earlier is not None and not earlier.response_started:
-            earlier.keep_alive = self.reusable
-        self.reusable = self.cycle.keep_alive
-        if self.is_draining():
-            self.cycle.keep_alive = False
-
-    def on_response_complete(self) -> None:
-        """Count the response, and start the next request if there is one."""
-        self.unanswered -= 1
-        super().on_response_complete()
-
-    def eof_received(self) -> None:
-        """Note that the peer closes the connection."""
-        self.peer_closed = True
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Log requests that this process leaves without a response."""
-        if self.unanswered and exc is None and not self.peer_closed:
-            log('requests cut off', requests=self.unanswered)
-        super().connection_lost(exc)
+    app: Any
+    sock: socket.socket
+    name: str = 'http'
+    limits: Callable[[], RequestLimits] = default_request_limits
+    budget: HttpBudget = field(default_factory=HttpBudget)
 
 
 def _accept_all(sock: socket.socket) -> list[socket.socket]:
@@ -86,13 +97,16 @@
 class _Server(uvicorn.Server):
     """A uvicorn server that installs no signal handlers.
 
+    Each second it closes the connections of its budget that are too slow.
+
     uvicorn resets connections that it has not accepted when it stops, and
     closes idle ones at once; this server answers the requests on them first.
     """
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: uvicorn.Config, budget: HttpBudget) -> None:
         """Create a server that has not been told to stop."""
         super().__init__(config)
+        self.budget = budget
         self.stopping = asyncio.Event()
 
     def stop(self) -> None:
@@ -100,12 +114,22 @@
         self.should_exit = True
         self.stopping.set()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen; asyncio's backlog is also how many it accepts in a turn."""
+        await super().startup(sockets)
+        for sock in sockets or ():
+            sock.listen(_LISTEN_BACKLOG)
+
     async def main_loop(self) -> None:
         """Update the date of responses each second until told to stop.
 
         uvicorn wakes up ten times a second.
         """
+        loop = asyncio.get_running_loop()
         while not await self.on_tick(0):
+            for conn in tuple(self.budget.connections):
+                conn.check_times(loop.time())
+            log_refusals(self.budget)
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.stopping.wait(), _DATE_INTERVAL_S)
 
@@ -148,6 +172,7 @@
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
     try:
         sock.bind((host, int(port)))
     except OSError as exc:
@@ -165,34 +190,36 @@
 
 
 def _make_server(
-    app: Any, grace: float, is_draining: Callable[[], bool]
+    service: HttpService, grace: float, is_draining: Callable[[], bool]
 ) -> _Server:
     def closes_connections() -> bool:
         return server.should_exit or is_draining()
 
     config = uvicorn.Config(
-        app,
+        service.app,
         loop='asyncio',
-        http=partial(_Connection, closes_connections),
+        http=partial(
+            Connection, closes_connections, service.limits, service.budget
+        ),
         ws='none',
         lifespan='off',
         log_config=None,
         access_log=False,
-        backlog=_LISTEN_BACKLOG,
-        timeout_keep_alive=_KEEP_ALIVE_S,
+        backlog=_ACCEPTED_PER_TURN,
+        timeout_keep_alive=int(_IDLE_TIMEOUT_S),
         timeout_graceful_shutdown=grace,
     )
-    server = _Server(config)
+    server = _Server(config, service.budget)
     return server
 
 
 @asynccontextmanager
 async def serving_http(
-    apps: Iterable[tuple[Any, socket.socket]],
+    services: Iterable[HttpService],
     grace: float,
     is_draining: Callable[[], bool] = _never,
 ) -> AsyncGenerator[None, None]:
-    """Serve each of ``apps`` on its socket while the body runs.
+    """Serve each of ``services`` on its socket while the body runs.
 
     While ``is_draining``, connections are closed after their last response.
     At the end all servers stop at the same time, and wait up to ``grace``
@@ -200,10 +227,11 @@
     """
     servers: list[_Server] = []
     tasks: list[asyncio.Task] = []
-    for app, sock in apps:
-        server = _make_server(app, grace, is_draining)
+    for service in services:
+        server = _make_server(service, grace, is_draining)
         servers.append(server)
-        tasks.append(asyncio.ensure_future(server.serve(sockets=[sock])))
+        serving = server.serve(sockets=[service.sock])
+        tasks.append(asyncio.ensure_future(serving))
     try:
         yield
     finally:
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -11,6 +11,13 @@
     leads,
     resign,
 )
+from daisygw.links._http_budget import (
+    DEFAULT_MEMORY_MIB,
+    BudgetLimits,
+    HttpBudget,
+    budget_limits,
+    descriptor_limit,
+)
 from daisygw.links._journal import (
     Journal,
     close,
@@ -18,7 +25,13 @@
     describe_journal,
     load,
 )
-from daisygw.links._serving import listen, serving_http
+from daisygw.links._serving import (
+    HttpService,
+    default_request_limits,
+    listen,
+    serving_http,
+    tighter_limits,
+)
 from daisygw.links._stream import (
     Link,
     LinkTiming,
@@ -30,6 +43,14 @@
 )
 
 __all__ = (
+    'BudgetLimits',
+    'HttpBudget',
+    'HttpService',
+    'budget_limits',
+    'descriptor_limit',
+    'DEFAULT_MEMORY_MIB',
+    'default_request_limits',
+    'tighter_limits',
     'Group',
     'Journal',
     'Link',
--- a/daisygw/nodes/__init__.py
+++ b/daisygw/nodes/__init__.py
@@ -2,7 +2,7 @@
 
 from daisygw.nodes._effects import executing_effects
 from daisygw.nodes._entry import EntryNode, is_ready, running_entry
-from daisygw.nodes._meters import Meters, count, show
+from daisygw.nodes._meters import Meters, add_labelled_gauge, count, show
 from daisygw.nodes._peers import Peers, call_leader, connect_to_hosts
 from daisygw.nodes._scheduler import (
     SchedulerNode,
@@ -18,6 +18,7 @@
     'Peers',
     'SchedulerNode',
     'TargetCalls',
+    'add_labelled_gauge',
     'call_leader',
     'connect_to_hosts',
     'count',
--- a/daisygw/nodes/_peers.py
+++ b/daisygw/nodes/_peers.py
@@ -11,7 +11,12 @@
 from functools import partial
 from typing import Any
 
-from daisygw.contracts import CellResponse, ResultCode, SchedulerList
+from daisygw.contracts import (
+    CellResponse,
+    RequestLimits,
+    ResultCode,
+    SchedulerList,
+)
 from daisygw.links import codec, log
 from daisygw.links.processes import (
     Link,
@@ -80,7 +85,8 @@
     ``handle_locally``, which handles requests while this process leads.
     ``leader_left_at`` is the loop time (s) when a leader last said that it no
     longer leads.  ``answer_by`` is the loop time (s) at which all pending
-    requests are given up, because this process ends soon.
+    requests are given up, because this process ends soon.  ``limits`` are those
+    of the newest configuration that a scheduler has reported.
     """
 
     def __init__(self, own_name: str, host: str, port: int) -> None:
@@ -94,6 +100,7 @@
         self.port = port
         self.links: dict[str, Link] = {}
         self.leader = ''
+        self.limits: RequestLimits | None = None
         self.term = 0
         self.leader_left_at = float('-inf')
         self.answer_by = float('inf')
@@ -146,6 +153,7 @@
     are sent to a new leader at once.
     """
     connect_to_hosts(peers, scheduler_list.hosts)
+    _apply_limits(peers, scheduler_list.limits)
     if source == peers.leader and scheduler_list.leader != source:
         peers.leader_left_at = asyncio.get_running_loop().time()
         peers.leader = ''
@@ -161,6 +169,14 @@
         _send_pending(peers)
 
 
+def _apply_limits(peers: Peers, limits: RequestLimits | None) -> None:
+    """Apply limits, unless they are of an older configuration."""
+    if limits is None:
+        return
+    if peers.limits is None or limits.version > peers.limits.version:
+        peers.limits = limits
+
+
 def _update_idle_links(peers: Peers) -> None:
     """Keep only the leader's link busy, if this process has no replica."""
     if peers.handle_locally is None:
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -24,11 +24,13 @@
 from daisygw.contracts import (
     AdviceRequest,
     AdviceResponse,
+    CellConfig,
     CellResponse,
     ConfigRequest,
     ContractError,
     JobRequest,
     JournalError,
+    RequestLimits,
     ResultCode,
     SchedulerList,
 )
@@ -285,7 +287,8 @@
     hosts = member_hosts(replica.members)
     connect_to_hosts(node.peers, hosts)
     replica.contacts.update(hosts)
-    scheduler_list = SchedulerList(hosts, leader, replica.term)
+    limits = _request_limits(node.state.cell.cfg)
+    scheduler_list = SchedulerList(hosts, leader, replica.term, limits)
     if scheduler_list == node.scheduler_list:
         return
     node.scheduler_list = scheduler_list
@@ -294,6 +297,18 @@
         post(link, scheduler_list)
 
 
+def _request_limits(cfg: CellConfig | None) -> RequestLimits | None:
+    if cfg is None:
+        return None
+    return RequestLimits(
+        cfg.max_header,
+        cfg.max_body,
+        cfg.header_timeout,
+        cfg.idle_timeout,
+        cfg.version,
+    )
+
+
 def run_turn(node: SchedulerNode) -> None:
     """Advance the leader's clocks, and carry out all pending effects."""
     now = _clock.now()
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -180,6 +180,9 @@
         wire.limits.max_body_bytes,
         raw,
         customers,
+        wire.limits.max_header_bytes,
+        wire.limits.header_timeout_ms / _MS_PER_S,
+        wire.limits.idle_timeout_ms / _MS_PER_S,
     )
     check_cell_config(cfg)
     return cfg
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -41,7 +41,7 @@
 # Workers and operators wait one second for a response.
 _CONTROL_TIMEOUT_S = 0.9
 # Upper bound on a job's body, whatever the configuration allows.
-_MAX_JOB_BYTES = 262_144
+MAX_JOB_BYTES = 262_144
 # Upper bound on the body of a heartbeat or configuration.
 _MAX_CONTROL_BYTES = 8_388_608
 _MS_PER_S = 1000
@@ -87,12 +87,10 @@
 
 
 async def _read_body(req: falcon.asgi.Request, max_bytes: int) -> bytes:
-    raw = b''
-    async for chunk in req.stream:
-        raw += chunk
-        if len(raw) > max_bytes:
-            reason = f'body: more than {max_bytes} bytes'
-            raise ContractError(ResultCode.BODY_TOO_LARGE, reason)
+    raw = await req.stream.readall()
+    if len(raw) > max_bytes:
+        reason = f'body: more than {max_bytes} bytes'
+        raise ContractError(ResultCode.BODY_TOO_LARGE, reason)
     return raw
 
 
@@ -209,7 +207,7 @@
     The leader is asked in both cases: a caller with an unknown key gets 401,
     also for an invalid job.
     """
-    raw = await _read_body(req, _MAX_JOB_BYTES)
+    raw = await _read_body(req, MAX_JOB_BYTES)
     try:
         return _codec.decode_job(raw, req.path.rpartition('/')[2]), None
     except ContractError as exc:
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -24,12 +24,7 @@
     stop_leading,
 )
 from daisygw.platform._calls import open_calls
-from daisygw.platform._http import (
-    callers_app,
-    control_app,
-    metrics_app,
-    readiness_app,
-)
+from daisygw.platform._services import entry_services, scheduler_services
 from daisygw.platform._settings import (
     BOOT_VARIABLE,
     PlatformSettings,
@@ -88,11 +83,7 @@
         running_entry(cfg.node, calls) as node,
         _handling_signals(node, path),
         serving_http(
-            (
-                (readiness_app(node), listen(cfg.readiness)),
-                (callers_app(node), listen(cfg.callers)),
-                (metrics_app(node.meters), listen(cfg.metrics)),
-            ),
+            entry_services(node, cfg),
             grace * _SHUTDOWN_GRACE_FRACTION,
             partial(_is_stopping, node),
         ),
@@ -121,10 +112,7 @@
         executing_effects(node),
         _handling_signals(node, path),
         serving_http(
-            (
-                (control_app(node), sock),
-                (metrics_app(node.meters), listen(cfg.metrics)),
-            ),
+            scheduler_services(node, cfg, sock),
             cfg.node.grace * _SHUTDOWN_GRACE_FRACTION,
             partial(_is_stopping, node),
         ),
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -6,6 +6,12 @@
 
 from daisygw.contracts import ContractError, ResultCode, SettingsError
 from daisygw.links import log
+from daisygw.links.processes import (
+    DEFAULT_MEMORY_MIB,
+    BudgetLimits,
+    budget_limits,
+    descriptor_limit,
+)
 from daisygw.machines import check_address
 from daisygw.nodes import NodeSettings
 
@@ -25,7 +31,8 @@
 
     ``callers``, ``readiness``, ``control`` and ``metrics`` are addresses to
     listen on; the first three are empty if the process does not serve them.
-    ``advisor`` is the address of the placement advisor.
+    ``advisor`` is the address of the placement advisor, ``clients`` what
+    HTTP clients may make the process hold.
     """
 
     node: NodeSettings
@@ -34,6 +41,7 @@
     control: str
     advisor: str
     metrics: str
+    clients: BudgetLimits
 
 
 def _settings_error(key: str, reason: str) -> SettingsError:
@@ -98,6 +106,21 @@
         raise SettingsError(ResultCode.SETTINGS_INVALID, exc.reason) from exc
 
 
+def _clients(raw: Mapping[str, str]) -> BudgetLimits:
+    """Derive what clients may use from the limits of the host, if it has any.
+
+    A limit of 0 is none.
+    """
+    names = ('limits.memoryMb', 'limits.maxFds')
+    memory, descriptors = (
+        _positive(raw, name, '') if raw.get(name, '0') != '0' else 0
+        for name in names
+    )
+    return budget_limits(
+        memory or DEFAULT_MEMORY_MIB, int(descriptors) or descriptor_limit()
+    )
+
+
 def _seeds(raw: Mapping[str, str]) -> tuple[str, ...]:
     """Return the seed hosts, without the ports, which links do not use.
 
@@ -141,4 +164,5 @@
         control=_address(raw, 'listenAddrs.controlPlane'),
         advisor=_address(raw, 'placementAdvisor'),
         metrics=f'{node.host}:{metrics_port}',
+        clients=_clients(raw),
     )
--- a/daisygw/platform/_wire.py
+++ b/daisygw/platform/_wire.py
@@ -87,6 +87,9 @@
 
 class WireLimits(Wire):
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 0
+    header_timeout_ms: float = 0
+    idle_timeout_ms: float = 0
 
 
 class WireMaxCount(Wire):
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -10,7 +10,7 @@
 from absl import logging
 from behave import then, when
 
-from daisygw.links.processes import listen, serving_http
+from daisygw.links.processes import HttpService, listen, serving_http
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 _OK = b'HTTP/1.1 200 '
@@ -82,7 +82,7 @@
     sock = listen('127.0.0.1:0')
     address = sock.getsockname()
     sent = []
-    async with serving_http(((app, sock),), _GRACE_S):
+    async with serving_http((HttpService(app, sock),), _GRACE_S):
         await asyncio.sleep(_SETTLE_S)
         idle = [await _connect(address) for _ in range(_IDLE_CONNECTIONS)]
         sending = asyncio.ensure_future(
@@ -123,7 +123,7 @@
     app = falcon.asgi.App()
     app.add_route('/', _Hanging())
     sock = listen('127.0.0.1:0')
-    async with serving_http(((app, sock),), 0):
+    async with serving_http((HttpService(app, sock),), 0):
         await asyncio.sleep(_SETTLE_S)
         conn = socket.create_connection(sock.getsockname(), _READ_TIMEOUT_S)
         conn.sendall(_REQUEST * requests)
