--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -39,6 +39,8 @@
 _REQUEST_LINE_BYTES = 8192
 # Empty lines that a client may send after a request.
 _EMPTY_LINES_BYTES = 4
+# The colon, the space and the end of a header line.
+_LINE_BYTES = 4
 # Memory of one header line beside its bytes.
 _HEADER_LINE_BYTES = 160
 # Requests of one connection that wait for their turn; more are not parsed yet.
@@ -92,9 +94,11 @@
         self.unparsed = b''
         self.unsent = 0
         self.counted = 0
-        # Bytes since the parser's last event, and of the whole request.
+        # Bytes since the parser's last event, of the whole request, and of
+        # header lines or trailers.
         self.structure_bytes = 0
         self.wire_bytes = 0
+        self.header_bytes = 0
         self.in_header = True
         self.begun = False
         self.incomplete: tuple[RequestResponseCycle, Any] | None = None
@@ -178,16 +182,19 @@
         self.begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header line; trailers are ignored."""
-        if not self.in_header:
-            return
-        super().on_header(name, value)
-        self.size += _HEADER_LINE_BYTES
+        """Count a header line, and keep it if it is no trailer."""
+        self.header_bytes += len(name) + len(value) + _LINE_BYTES
+        if self.header_bytes > self.limits().header:
+            raise header_refusal(self.limits())
+        if self.in_header:
+            super().on_header(name, value)
+            self.size += _HEADER_LINE_BYTES
 
     def on_headers_complete(self) -> None:
         """Start a request, after which a draining server closes."""
         self._check_declared_length()
         self.in_header = False
+        self.header_bytes = 0
         earlier = self.cycle
         self.size += self.structure_bytes
         self.structure_bytes = 0
@@ -220,6 +227,7 @@
         self.size = 0
         self.structure_bytes = 0
         self.wire_bytes = 0
+        self.header_bytes = 0
         self.request_since = 0.0
         self.in_header = True
         self.begun = False
