--- a/daisygw/links/_http_budget.py
+++ b/daisygw/links/_http_budget.py
@@ -18,9 +18,9 @@
 _MEMORY_PART = 0.25
 # Part of the remaining descriptors for connections of clients.
 _DESCRIPTOR_PART = 0.6
-# Bounds of the budget: two configurations of 8 MiB and two heartbeats of 4 MiB
-# at least.
-_MIN_BYTES = 25_165_824
+# Bounds of the budget: a configuration of 8 MiB and a heartbeat of 4 MiB at
+# least.
+_MIN_BYTES = 16_777_216
 _MAX_BYTES = 134_217_728
 _MIN_CONNECTIONS = 32
 # Memory of a connection without any request (bytes).
