--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -1,6 +1,19 @@
 """A cell: its replicated state, and the scheduling decisions of its leader."""
 
 from daisygw.cell._advice import LONG_CALL_S, on_advice
+from daisygw.cell._config_check import (
+    ConfigPart,
+    ConfigPlace,
+    Finding,
+    Severity,
+    check_consistency,
+)
+from daisygw.cell._config_difference import (
+    ChangeKind,
+    ConfigChange,
+    check_change,
+    compare_configs,
+)
 from daisygw.cell._fences import order_fence
 from daisygw.cell._jobs import on_config_request, on_job_request, purge_old_jobs
 from daisygw.cell._leader import (
@@ -48,12 +61,18 @@
     'LONG_CALL_S',
     'Cell',
     'CellLeader',
+    'ChangeKind',
+    'ConfigChange',
+    'ConfigPart',
+    'ConfigPlace',
     'EndsCommitted',
+    'Finding',
     'LeaseRenewal',
     'LogEvent',
     'OrderOutcome',
     'Probe',
     'Run',
+    'Severity',
     'StartOrder',
     'StartResult',
     'StepState',
@@ -61,6 +80,9 @@
     'TargetState',
     'acknowledge_ends',
     'apply',
+    'check_change',
+    'check_consistency',
+    'compare_configs',
     'enqueue_job',
     'purge_old_jobs',
     'lease_for',
--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -105,8 +105,10 @@
 )
 from daisygw.contracts._ranges import (
     MAX_AMOUNT,
+    MAX_CUSTOMERS,
     MAX_INTEGER,
     MAX_KEYS,
+    MAX_QUEUES,
     MAX_TASKS,
     check_cell_config,
     check_job,
@@ -197,8 +199,10 @@
     'Limits',
     'LinkError',
     'MAX_AMOUNT',
+    'MAX_CUSTOMERS',
     'MAX_INTEGER',
     'MAX_KEYS',
+    'MAX_QUEUES',
     'MAX_TASKS',
     'ZERO_SIZE',
     'ORDERINGS',
--- a/daisygw/platform/_calls.py
+++ b/daisygw/platform/_calls.py
@@ -37,7 +37,7 @@
     'old': OrderOutcome.UNSURE,
     'room': OrderOutcome.UNAVAILABLE,
 })
-_CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
+CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
 
 async def _post(
@@ -54,19 +54,21 @@
         async with session.post(
             url, data=body, headers=headers, timeout=timeout
         ) as resp:
-            return resp.status, await _read_reply(resp)
-    except _CONNECTION_ERRORS as exc:
+            return resp.status, await read_reply(resp)
+    except CONNECTION_ERRORS as exc:
         reason = f'{url}: {exc!r}'
         raise LinkError(ResultCode.OUTCOME_UNKNOWN, reason) from exc
 
 
-async def _read_reply(resp: aiohttp.ClientResponse) -> bytes:
+async def read_reply(
+    resp: aiohttp.ClientResponse, max_bytes: int = _MAX_REPLY_BYTES
+) -> bytes:
     """Return the body; raises ``LinkError`` where it is too long."""
     raw = b''
     async for chunk in resp.content.iter_any():
         raw += chunk
-        if len(raw) > _MAX_REPLY_BYTES:
-            reason = f'{resp.url}: more than {_MAX_REPLY_BYTES} bytes'
+        if len(raw) > max_bytes:
+            reason = f'{resp.url}: more than {max_bytes} bytes'
             raise LinkError(ResultCode.MALFORMED, reason)
     return raw
 
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -74,7 +74,7 @@
 _ENDS_PAGE = 500
 
 # msgspec raises RecursionError for input that is nested too deeply.
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 _decode_wire_job = msgspec.json.Decoder(WireJob).decode
 _decode_wire_config = msgspec.json.Decoder(WireConfig).decode
 _decode_wire_report = msgspec.json.Decoder(WireReport).decode
@@ -97,7 +97,7 @@
     """Turn the errors of a decoder into ``ContractError`` with ``code``."""
     try:
         yield
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise ContractError(code, str(exc)) from exc
 
 
@@ -106,7 +106,7 @@
     """Turn the errors of a decoder into ``LinkError`` (MALFORMED)."""
     try:
         yield
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         reason = f'invalid reply of the {sender}: {exc}'
         raise LinkError(ResultCode.MALFORMED, reason) from exc
 
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -43,7 +43,7 @@
 # Upper bound on a job's body, whatever the configuration allows.
 MAX_JOB_BYTES = 262_144
 # Upper bound on the body of a heartbeat or configuration.
-_MAX_CONTROL_BYTES = 8_388_608
+MAX_CONTROL_BYTES = 8_388_608
 _MS_PER_S = 1000
 _HTTP_OK = 200
 _HTTP_BAD_REQUEST = 400
@@ -287,7 +287,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, name: str
     ) -> None:
         """Accept a heartbeat; acknowledge it once its changes are durable."""
-        raw = await _read_body(req, _MAX_CONTROL_BYTES)
+        raw = await _read_body(req, MAX_CONTROL_BYTES)
         report = _codec.decode_report(raw, name)
         if _changes_state(self.node, report):
             answer = await _forward_report(self.node, resp, report)
@@ -367,7 +367,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
         """Store a configuration; acknowledge it once it is durable."""
-        cfg = _codec.decode_config(await _read_body(req, _MAX_CONTROL_BYTES))
+        cfg = _codec.decode_config(await _read_body(req, MAX_CONTROL_BYTES))
         answer = await call_leader(
             self.node.peers,
             lambda seq: ConfigRequest(seq, cfg),
--- a/daisygw/platform/_wire.py
+++ b/daisygw/platform/_wire.py
@@ -116,6 +116,68 @@
     tenants: tuple[WireTenant, ...] | None = None
 
 
+class WireRouteKey(Wire):
+    """What tells a route from others; read where the rest may be invalid."""
+
+    host: str
+    path_prefix: str
+
+
+class WireRouteService(Wire):
+    """The service of a route; read where the rest may be invalid."""
+
+    service: str
+
+
+class WireTenantKey(Wire):
+    """What tells a tenant from others; read where the rest may be invalid."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+
+
+class WireFinding(Wire):
+    """A fault that the check of a configuration found.
+
+    ``place`` is a path in the document, ``name`` that of the entry there.
+    """
+
+    severity: str
+    place: str
+    name: str
+    reason: str
+    hint: str
+    code: int | None
+    code_name: str
+
+
+class WireChange(Wire):
+    """A difference from the configuration in force.
+
+    For the keys of a tenant, ``before`` and ``after`` are counts; ``added``
+    and ``removed`` have the first digits of the keys' SHA-256 digests.
+    """
+
+    kind: str
+    place: str
+    name: str
+    before: str | float | None
+    after: str | float | None
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+class WireCheck(Wire):
+    """The result of checking a configuration; a version is None if unknown."""
+
+    version: int | None
+    in_force: int | None
+    errors: int
+    warnings: int
+    findings: tuple[WireFinding, ...]
+    changes: tuple[WireChange, ...]
+
+
 class WireCapacity(Wire):
     cpu: int
     mem_mb: int
--- a/daisygw/status.py
+++ b/daisygw/status.py
@@ -15,3 +15,16 @@
     UNKNOWN = 5
     SETTINGS = 6
     UNREACHABLE = 7
+
+
+@enum.unique
+class CheckStatus(enum.IntEnum):
+    """Exit code of ``platform check-config``.
+
+    ``UNREADABLE`` means that the file or the version in force was not read.
+    """
+
+    SOUND = 0
+    WARNINGS = 1
+    ERRORS = 2
+    UNREADABLE = 3
