Exit status 2 for wrong usage, as docs/RESULT_CODES.md says

The command line ended with 1, the status of a process error, when an argument was missing or an option unknown. A script could not tell a misspelt option of the coming check from its warnings (status 1).

--- a/daisygw/cli/_app.py
+++ b/daisygw/cli/_app.py
@@ -6,6 +6,7 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.exceptions import CleoError
 from cleo.helpers import argument, option
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.loaders.factory_command_loader import FactoryCommandLoader
@@ -76,7 +77,15 @@
 def run_application(
     app: Application,
     args: Sequence[str] | None,
-) -> ExitStatus:
+) -> int:
     """Run a command line; ``args`` None stands for that of the process."""
     argv = sys.argv if args is None else ['daisygw', *args]
-    return ExitStatus(app.run(ArgvInput(list(argv))))
+    app.catch_exceptions(catch_exceptions=False)
+    try:
+        return app.run(ArgvInput(list(argv)))
+    except CleoError as exc:
+        app.render_error(exc, app.create_io())
+        return ExitStatus.USAGE
+    except Exception as exc:
+        app.render_error(exc, app.create_io())
+        return ExitStatus.ERROR
--- a/daisygw/core.py
+++ b/daisygw/core.py
@@ -4,13 +4,12 @@
 
 from daisygw.cli import make_application, run_application
 from daisygw.context import Context
-from daisygw.status import ExitStatus
 
 
 def main(
     args: Sequence[str] | None = None,
     ctx: Context | None = None,
-) -> ExitStatus:
+) -> int:
     """Run one command; ``args`` exclude the program's name."""
     ctx = ctx or Context()
     return run_application(make_application(ctx), args)
