daisygw platform check-config: check a configuration before it is sent

Operators learn what the server refuses only from its first error after PUT /config, and nothing about entries without effect. 'daisygw platform check-config' blocks no SIGHUP and keeps the collector: it is no server.

--- a/daisygw/__main__.py
+++ b/daisygw/__main__.py
@@ -7,9 +7,10 @@
 
 # The servers among the commands, which reload their settings on SIGHUP.
 _SERVERS = 'platform'
+_NO_SERVER = 'check-config'
 
 if __name__ == '__main__':
-    if sys.argv[1:2] == [_SERVERS]:
+    if sys.argv[1:2] == [_SERVERS] and _NO_SERVER not in sys.argv:
         # Ends a process that has no handler yet: loading takes a while.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         # What is loaded stays; the process enables the collector when it runs.
--- a/daisygw/cli/_configuration.py
+++ b/daisygw/cli/_configuration.py
@@ -4,11 +4,11 @@
 
 from daisygw.cli._client import Call, fetch_json, finish, show
 from daisygw.cli._execution import ParsedArgs
-from daisygw.cli._processes import load_settings
+from daisygw.cli._processes import import_attribute, load_settings
 from daisygw.context import Context, write_line
 from daisygw.contracts import ResultCode, SettingsError
 from daisygw.settings import read_text
-from daisygw.status import ExitStatus
+from daisygw.status import CheckStatus, ExitStatus
 
 
 def check(parsed: ParsedArgs, ctx: Context) -> ExitStatus:
@@ -22,6 +22,13 @@
     return ExitStatus.SUCCESS
 
 
+def check_platform(parsed: ParsedArgs, ctx: Context) -> CheckStatus:
+    """Check a configuration of the users' platform."""
+    run = import_attribute('daisygw.platform', 'check_config')
+    output = parsed['format'] or 'text'
+    return run(parsed['file'], parsed['against'] or '', output, ctx)
+
+
 def _read_overlays(parsed: ParsedArgs) -> dict[str, str]:
     overlays = {}
     for pair in parsed['overlay']:
--- a/daisygw/cli/_definitions.py
+++ b/daisygw/cli/_definitions.py
@@ -71,6 +71,19 @@
         'daisygw.cli._processes:platform_scheduler',
         options=(_METRICS_OPTION,),
     ),
+    CommandDefinition(
+        'platform check-config',
+        'Check a configuration before it is sent',
+        'daisygw.cli._configuration:check_platform',
+        arguments=(Argument('file', 'File with the JSON document'),),
+        options=(
+            Option(
+                'against',
+                'Version in force: control address of a scheduler, or a file',
+            ),
+            Option('format', 'text (the default) or json'),
+        ),
+    ),
     CommandDefinition(
         'submit',
         'Submit a request and print its whole answer',
--- a/daisygw/cli/_execution.py
+++ b/daisygw/cli/_execution.py
@@ -8,7 +8,7 @@
 from daisygw.cli._definitions import CommandDefinition
 from daisygw.context import Context, write_error
 from daisygw.contracts import CodeClass, DaisygwError, ResultCode, code_class
-from daisygw.status import ExitStatus
+from daisygw.status import CheckStatus, ExitStatus
 
 ParsedArgs = Mapping[str, Any]
 
@@ -37,7 +37,7 @@
     definition: CommandDefinition,
     parsed: ParsedArgs,
     ctx: Context,
-) -> ExitStatus:
+) -> ExitStatus | CheckStatus:
     """Run a command; print a ``DaisygwError`` instead of raising it."""
     module, _, name = definition.run.partition(':')
     run = getattr(import_module(module), name)
--- a/daisygw/cli/_processes.py
+++ b/daisygw/cli/_processes.py
@@ -64,26 +64,27 @@
     gc.set_threshold(*_GC_THRESHOLDS)
 
 
-def _import_attribute(module: str, name: str) -> Any:
+def import_attribute(module: str, name: str) -> Any:
+    """Import what only some commands need: other ones start faster."""
     return getattr(import_module(module), name)
 
 
 def entry(parsed: ParsedArgs, ctx: Context) -> ExitStatus:
     """Run an entry."""
-    run = _import_attribute('daisygw.entries', 'run_entry')
+    run = import_attribute('daisygw.entries', 'run_entry')
     return _run_process(parsed, 'entry', run)
 
 
 def scheduler(parsed: ParsedArgs, ctx: Context) -> ExitStatus:
     """Run a scheduler."""
-    run = _import_attribute('daisygw.schedulers', 'run_scheduler')
+    run = import_attribute('daisygw.schedulers', 'run_scheduler')
     return _run_process(parsed, 'scheduler', run)
 
 
 def _run_on_platform(role: str, parsed: ParsedArgs, ctx: Context) -> ExitStatus:
     # Ends a process that has no handler for it yet.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    run = _import_attribute('daisygw.platform', 'run')
+    run = import_attribute('daisygw.platform', 'run')
     tune_garbage_collector()
     return run(role, ctx, parsed['metrics'] or METRICS_PORT)
 
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -50,7 +50,7 @@
     WireTenant,
 )
 
-_MS_PER_S = 1000
+MS_PER_S = 1000
 _MAX_PAYLOAD_BYTES = 4000
 _ID_DIGITS = frozenset('0123456789abcdef')
 _ID_LENGTH = 16
@@ -131,8 +131,8 @@
         wire.spec,
         tuple(map(_to_step, wire.steps)),
         wire.repeat_count,
-        wire.start_at_ms / _MS_PER_S,
-        wire.interval_ms / _MS_PER_S,
+        wire.start_at_ms / MS_PER_S,
+        wire.interval_ms / MS_PER_S,
     )
     check_job(job)
     return job
@@ -142,7 +142,7 @@
     return Step(
         count=wire.count,
         size=Size(wire.cpu, wire.mem_mb, wire.gpu, 0),
-        estimate=wire.estimate_ms / _MS_PER_S,
+        estimate=wire.estimate_ms / MS_PER_S,
         after=wire.depends_on,
         gang=wire.gang,
         same_rack=wire.same_rack,
@@ -181,29 +181,35 @@
         raw,
         customers,
         wire.limits.max_header_bytes,
-        wire.limits.header_timeout_ms / _MS_PER_S,
-        wire.limits.idle_timeout_ms / _MS_PER_S,
+        wire.limits.header_timeout_ms / MS_PER_S,
+        wire.limits.idle_timeout_ms / MS_PER_S,
     )
     check_cell_config(cfg)
     return cfg
 
 
+def service_positions(raw: bytes) -> dict[str, int]:
+    """Return the positions of services in a valid document, by name."""
+    services = _decode_wire_config(raw).services
+    return {service.name: at for at, service in enumerate(services)}
+
+
 def _to_queue(route: WireRoute) -> Queue:
     wire = route.placement_advisor
     advisor = None
     if wire:
         advisor = Advisor(
-            wire.decision_ms / _MS_PER_S,
-            wire.per_worker_ms / _MS_PER_S,
-            wire.validity_ms / _MS_PER_S,
+            wire.decision_ms / MS_PER_S,
+            wire.per_worker_ms / MS_PER_S,
+            wire.validity_ms / MS_PER_S,
         )
     return Queue(
         route.name,
         route.host,
         route.path_prefix,
         route.service,
-        route.timeout_ms / _MS_PER_S,
-        route.target_latency_ms / _MS_PER_S,
+        route.timeout_ms / MS_PER_S,
+        route.target_latency_ms / MS_PER_S,
         route.priority,
         route.max_attempts,
         route.slack_factor,
@@ -342,7 +348,7 @@
     body = {
         'fencingToken': fence,
         'ackCursor': renewal.noted,
-        'waitMs': int(renewal.wait * _MS_PER_S),
+        'waitMs': int(renewal.wait * MS_PER_S),
     }
     if renewal.deadline is not None:
         body['deadlineMs'] = renewal.deadline
