--- a/daisygw/__main__.py
+++ b/daisygw/__main__.py
@@ -6,11 +6,10 @@
 from importlib import import_module
 
 # The servers among the commands, which reload their settings on SIGHUP.
-_SERVERS = 'platform'
-_NO_SERVER = 'check-config'
+_SERVERS = (['platform', 'entry'], ['platform', 'scheduler'])
 
 if __name__ == '__main__':
-    if sys.argv[1:2] == [_SERVERS] and sys.argv[2:3] != [_NO_SERVER]:
+    if sys.argv[1:3] in _SERVERS:
         # Ends a process that has no handler yet: loading takes a while.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         # What is loaded stays; the process enables the collector when it runs.
