--- a/tests/steps/http_budget_steps.py
+++ b/tests/steps/http_budget_steps.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import re
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, contextmanager
 from itertools import repeat
 
-import falcon.asgi
 from behave import given, then, when
 from hypothesis import HealthCheck, seed, settings
 from hypothesis import given as given_values
@@ -16,20 +15,14 @@
 from daisygw.links.processes import (
     BudgetLimits,
     HttpBudget,
-    HttpService,
-    listen,
-    serving_http,
     tighter_limits,
 )
 from daisygw.nodes import Peers
 from daisygw.nodes._peers import apply_scheduler_list
+from tests.http_server import OK_REQUEST, exchange, serving
 
 _NOW = 100.0
-# Time for a server to start (s).
-_SETTLE_S = 0.05
-_LIMITS = RequestLimits(header=500, body=3000, header_timeout=9, idle_timeout=9)
 _LONG_HEADER = f'X-Filler: {"a" * 9500}'
-_OK = b'POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok'
 _HEAD = 'POST /bad HTTP/1.1\r\nHost: a\r\n'
 _CHUNKED = f'{_HEAD}Transfer-Encoding: chunked\r\n\r\n'
 _FAULTS = {
@@ -100,49 +93,10 @@
     assert chosen == names.split(', '), chosen
 
 
-@asynccontextmanager
-async def _server(limits=_LIMITS, budget=None):
-    """Serve in this process; yields the address, requests and the budget."""
-    ran = []
-    app = falcon.asgi.App()
-
-    async def serve(req, resp):
-        body = await req.stream.readall()
-        ran.append((req.path, body))
-        resp.data = body or b'-'
-
-    app.add_sink(serve, '/')
-    sock = listen('127.0.0.1:0')
-    budget = budget or HttpBudget(BudgetLimits(1_000_000, 100))
-    service = HttpService(app, sock, 'test', lambda: limits, budget)
-    async with serving_http((service,), 1):
-        await asyncio.sleep(_SETTLE_S)
-        yield sock.getsockname(), ran, budget
-
-
-async def _exchange(address, pieces, *, ends=False):
-    """Send pieces; return all that comes back until the server closes.
-
-    ``ends`` tells whether the client then closes its side.
-    """
-    reader, writer = await asyncio.open_connection(*address)
-    try:
-        for piece in pieces:
-            writer.write(piece)
-            await asyncio.sleep(0)
-        if ends:
-            writer.write_eof()
-        return await asyncio.wait_for(reader.read(), 10)
-    except ConnectionError:
-        return b''
-    finally:
-        writer.close()
-
-
 async def _send_fault(fault):
-    async with _server() as (address, ran, _):
-        sent = _OK + _FAULTS[fault].encode() + _OK
-        return await _exchange(address, [sent]), ran
+    async with serving() as (address, ran, _):
+        sent = OK_REQUEST + _FAULTS[fault].encode() + OK_REQUEST
+        return await exchange(address, [sent]), ran
 
 
 @when('a request, one with {fault} and a third are sent on one connection')
@@ -191,7 +145,7 @@
     """Run one server for many examples; yields it and a runner."""
     with asyncio.Runner() as runner:
         stack = AsyncExitStack()
-        server = runner.run(stack.enter_async_context(_server()))
+        server = runner.run(stack.enter_async_context(serving()))
         yield server, runner
         runner.run(stack.aclose())
 
@@ -204,7 +158,7 @@
     )
     address, ran, budget = server
     ran.clear()
-    answer = await _exchange(address, _cut(raw, cuts))
+    answer = await exchange(address, _cut(raw, cuts))
     expected = [(f'/{number}', body) for number, body in enumerate(bodies)]
     assert ran == expected, (ran, expected)
     statuses = _STATUS.findall(answer)
@@ -236,12 +190,12 @@
 
 
 async def _check_variation(server, fault, place, noise, line_end, cuts):
-    raw = _OK + _FAULTS[fault].encode()
-    place += len(_OK)
+    raw = OK_REQUEST + _FAULTS[fault].encode()
+    place += len(OK_REQUEST)
     raw = raw[:place] + noise + line_end + raw[place:]
     address, ran, budget = server
     ran.clear()
-    answer = await _exchange(address, _cut(raw, cuts), ends=True)
+    answer = await exchange(address, _cut(raw, cuts), ends=True)
     answered = _STATUS.findall(answer).count(b'200')
     # A client that has closed its side may miss the answer to its last one.
     assert answered <= len(ran) <= answered + 1, (raw, answer, ran)
@@ -270,9 +224,9 @@
         b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf',
         b'',
     )
-    async with _server(limits) as (address, _, _):
+    async with serving(limits) as (address, _, _):
         return await asyncio.gather(
-            *(_exchange(address, [one] if one else []) for one in sent)
+            *(exchange(address, [one] if one else []) for one in sent)
         )
 
 
@@ -296,7 +250,7 @@
     budget = HttpBudget(BudgetLimits(held, 1000))
     head = f'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {size + 1}\r\n\r\n'
     most = 0
-    async with _server(budget=budget) as (address, _, _):
+    async with serving(budget=budget) as (address, _, _):
         conns = []
         for _ in range(count):
             reader, writer = await asyncio.open_connection(*address)
@@ -304,8 +258,8 @@
             await asyncio.sleep(0.01)
             most = max(most, budget.held)
             conns.append((reader, writer))
-        small = await _exchange(
-            address, [_OK.replace(b'Host: a', b'Connection: close')]
+        small = await exchange(
+            address, [OK_REQUEST.replace(b'Host: a', b'Connection: close')]
         )
         answers = []
         for reader, writer in conns:
