Time a header section from its first byte, not from an earlier packet

A request that began in the packet of the one before had no start time, so the next check of timeouts (each second) refused it with 408. Empty lines sent in between counted as well. The new scenario got 200, 408 before and gets 200, 200.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -180,6 +180,7 @@
         """Begin with the header section of a request."""
         super().on_message_begin()
         self.begun = True
+        self.request_since = self.active_at
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count a header line, and keep it if it is no trailer."""
--- /dev/null
+++ b/tests/features/http_connections.feature
@@ -0,0 +1,5 @@
+Feature: What one connection of an HTTP server holds, and for how long
+
+  Scenario: Time between requests does not count as time of a header section
+    When a client pauses for 1.2 seconds within a header section that follows a request in its packet
+    Then all 2 requests are answered
