Give a request no timeout while the server itself does not read it

Reading pauses while a request waits behind one that is being served, but the timeouts ran on, so a client within the limits got 408 for a request that was cut in its header section. The timeouts now start again with each response, and a client that does not read its responses is still disconnected. The new scenario got 200, 200, 408 before and gets 200 three times.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -170,11 +170,11 @@
         self._check_unsent(now)
         is_silent = now - self.active_at >= limits.idle_timeout
         header_age = now - self.request_since if self.in_header else 0
-        if self._is_receiving():
-            if is_silent or header_age >= limits.header_timeout:
-                self._refuse(time_refusal())
-        elif is_silent:
-            self._close_silent()
+        if _is_processing(self) or not self._is_receiving():
+            if is_silent:
+                self._close_silent()
+        elif is_silent or header_age >= limits.header_timeout:
+            self._refuse(time_refusal())
 
     def on_message_begin(self) -> None:
         """Begin with the header section of a request."""
@@ -243,6 +243,9 @@
         self.unanswered -= 1
         self.served = True
         self.active_at = now
+        # The server reads no further while requests wait for their turn.
+        if self.request_since:
+            self.request_since = now
         self.sizes.popleft()
         self.timeout_keep_alive = self.limits().idle_timeout
         super().on_response_complete()
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -3,3 +3,7 @@
   Scenario: Time between requests does not count as time of a header section
     When a client pauses for 1.2 seconds within a header section that follows a request in its packet
     Then all 2 requests are answered
+
+  Scenario: Time in which the server does not read does not count either
+    When a client has two requests behind a slow one, the last one cut in its header section
+    Then all 3 requests are answered
