Count whole requests before a refused one until they are answered

A refusal released all bytes of its connection, also those of up to 16 whole requests that still waited or ran. A client could so make a process hold any number of bodies by sending something malformed after them.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -247,6 +247,7 @@
         if self.request_since:
             self.request_since = now
         self.sizes.popleft()
+        self._count_held()
         self.timeout_keep_alive = self.limits().idle_timeout
         super().on_response_complete()
         if self.transport.is_closing():
@@ -314,6 +315,8 @@
         return header + self.size + waiting
 
     def _count_held(self) -> None:
+        if self not in self.budget.connections:
+            return
         held = self._held()
         self.budget.held += held - self.counted
         self.counted = held
@@ -347,7 +350,10 @@
             self._drop_incomplete()
         self.headers = []
         self.url = b''
-        self._release()
+        self.size = 0
+        self.structure_bytes = 0
+        self.unparsed = b''
+        self._count_held()
         if self.unanswered:
             self.refused = refused
         else:
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -7,3 +7,8 @@
   Scenario: Time in which the server does not read does not count either
     When a client has two requests behind a slow one, the last one cut in its header section
     Then all 3 requests are answered
+
+  Scenario: Whole requests before a refused one count until they are answered
+    When a client sends two slow requests of 2000 bytes and a malformed one
+    Then the budget held at least 4000 bytes, then none
+    And the answers are 200, 200, 400
