Count a request whose client has gone until it has run

The bytes of a connection were released when it closed, though the application may hold the body of a request for seconds. Clients that send a whole body, reset the connection and come again were not limited. The new scenario counted 0 bytes for five bodies of 2,000 that still ran.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import httptools
@@ -94,6 +95,8 @@
         self.unparsed = b''
         self.unsent = 0
         self.counted = 0
+        # Requests that the application runs, also once the client has gone.
+        self.running = 0
         # Bytes since the parser's last event, of the whole request, and of
         # header lines or trailers.
         self.structure_bytes = 0
@@ -338,10 +341,21 @@
             raise memory_refusal()
 
     def _release(self) -> None:
-        self.budget.held -= self.counted
-        self.counted = 0
+        """Release all but the request that the application still runs."""
+        kept = self.sizes[0] if self.running and self.sizes else 0
+        self.budget.held += kept - self.counted
+        self.counted = kept
         self.unparsed = b''
 
+    async def _run(self, app: Any, *arguments: Any) -> None:
+        """Run a request; release its bytes if its client has gone."""
+        try:
+            await app(*arguments)
+        finally:
+            self.running -= 1
+            if not self.running and self not in self.budget.connections:
+                self._release()
+
     def _refuse(self, refused: Refused) -> None:
         """Answer after the requests before, then close the connection."""
         self.budget.refused[refused.cause] += 1
@@ -423,7 +437,8 @@
                 cycle.waiting_for_100_continue = False
                 self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             return
-        super()._start_asgi_task(cycle, app)
+        self.running += 1
+        super()._start_asgi_task(cycle, partial(self._run, app))
 
 
 def holding_of(conn: Connection) -> Holding:
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -12,3 +12,7 @@
     When a client sends two slow requests of 2000 bytes and a malformed one
     Then the budget held at least 4000 bytes, then none
     And the answers are 200, 200, 400
+
+  Scenario: A request whose client has gone counts until it has run
+    When 5 clients send a slow request of 2000 bytes and reset the connection
+    Then the budget held at least 10000 bytes, then none
