Disconnect clients that do not read their responses, also refused ones

Connections that had been refused, or had asked for another protocol, were no longer checked. While a response before waited for a client that read nothing, they stayed open for good.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -167,8 +167,6 @@
 
     def check_times(self, now: float) -> None:
         """Close the connection, or refuse its request, if it is too slow."""
-        if self.discarding:
-            return
         limits = self.limits()
         self._check_unsent(now)
         is_silent = now - self.active_at >= limits.idle_timeout
@@ -404,13 +402,14 @@
 
     def _is_receiving(self) -> bool:
         """Return whether a request has begun; an empty line may precede it."""
-        return self.begun or self.structure_bytes > _EMPTY_LINES_BYTES
+        has_begun = self.begun or self.structure_bytes > _EMPTY_LINES_BYTES
+        return has_begun and not self.discarding
 
     def _close_silent(self) -> None:
         if self.unsent:
             self.budget.refused[CAUSE_TIMEOUT] += 1
             self.abort()
-        elif not self.unanswered:
+        elif not self.unanswered and not self.discarding:
             self.budget.refused[CAUSE_IDLE] += 1
             self.transport.close()
 
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -16,3 +16,13 @@
   Scenario: A request whose client has gone counts until it has run
     When 5 clients send a slow request of 2000 bytes and reset the connection
     Then the budget held at least 10000 bytes, then none
+
+  Scenario Outline: A client that does not read its answers is disconnected after <what>
+    When a client reads none of its two large answers and sends <what>
+    Then the server closes the connection
+
+    Examples:
+      | what                |
+      | a part of a request |
+      | a malformed request |
+      | an upgrade          |
--- a/tests/steps/http_connection_steps.py
+++ b/tests/steps/http_connection_steps.py
@@ -132,11 +132,17 @@
     assert afterwards == 0, afterwards
 
 
-@when(
-    'a client reads none of its two large answers and stops within a third '
-    'request'
-)
-def read_nothing(context):
+_AFTER_LARGE = {
+    'a part of a request': _HALF_BODY,
+    'a malformed request': b'no request\r\n\r\n',
+    'an upgrade': _LARGE.replace(
+        b'Host: a', b'Connection: upgrade\r\nUpgrade: websocket'
+    ),
+}
+
+
+@when('a client reads none of its two large answers and sends {what}')
+def read_nothing(context, what):
     """Note whether the server has closed the connection."""
 
     async def send():
@@ -144,7 +150,7 @@
         budget = HttpBudget(BudgetLimits(100_000_000, 100))
         async with serving(limits, budget) as (address, _, _):
             with socket.create_connection(address) as conn:
-                conn.sendall(_LARGE * 2 + _HALF_BODY)
+                conn.sendall(b''.join((_LARGE, _LARGE, _AFTER_LARGE[what])))
                 await _wait_until(lambda: budget.connections)
                 return await _wait_until(lambda: not budget.connections)
 
