Responses that clients do not read are bounded by the budget

They were counted, but only received bytes led to evictions, and an evicted connection kept them for another second behind its refusal. A client that had sent a further request could not be evicted at all. Clients that do not read are now disconnected at once when the budget is used up.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -22,6 +22,7 @@
 from daisygw.links._http_refusals import (
     CAUSE_CONNECTIONS,
     CAUSE_IDLE,
+    CAUSE_MEMORY,
     CAUSE_TIMEOUT,
     Refused,
     body_refusal,
@@ -158,8 +159,13 @@
         self._parse()
 
     def evict(self) -> None:
-        """Give up an unfinished request to make room."""
-        self._refuse(memory_refusal())
+        """Give up an unfinished request, or unread responses, to make room."""
+        if self.unsent:
+            # A refusal would wait behind the responses.
+            self.budget.refused[CAUSE_MEMORY] += 1
+            self.abort()
+        else:
+            self._refuse(memory_refusal())
 
     def pipeline_has_incomplete(self) -> bool:
         """Return whether the newest waiting request is being received."""
@@ -171,7 +177,7 @@
         self._check_unsent(now)
         is_silent = now - self.active_at >= limits.idle_timeout
         header_age = now - self.request_since if self.in_header else 0
-        if _is_processing(self) or not self._is_receiving():
+        if _is_serving(self) or not self._is_receiving():
             if is_silent:
                 self._close_silent()
         elif is_silent or header_age >= limits.header_timeout:
@@ -248,13 +254,12 @@
         if self.request_since:
             self.request_since = now
         self.sizes.popleft()
-        self._count_held()
+        self._check_unsent(now)
         self.timeout_keep_alive = self.limits().idle_timeout
         super().on_response_complete()
         if self.transport.is_closing():
             return
         if not self.discarding:
-            self._check_unsent(now)
             self._parse()
         elif self.refused and not self.unanswered:
             refused, self.refused = self.refused, None
@@ -304,6 +309,10 @@
             raise header_refusal(limits)
         if self.wire_bytes > longest_header + _WIRE_FACTOR * limits.body:
             raise body_refusal(limits)
+        self._check_room()
+
+    def _check_room(self) -> None:
+        """Count what is held; evict or raise if it is too much."""
         added = self._held() - self.counted
         if added > 0 and not has_room(self.budget, self.counted, added):
             self._make_room(added)
@@ -327,7 +336,7 @@
         holdings = [
             holding_of(one)
             for one in self.budget.connections
-            if not one.discarding
+            if one.unsent or not one.discarding
         ]
         victims = victims_for_bytes(
             self.budget, holdings, self.counted, added, self.loop.time()
@@ -419,7 +428,10 @@
         self.unsent = self.transport.get_write_buffer_size()
         if self.unsent < before:
             self.active_at = now
-        self._count_held()
+        try:
+            self._check_room()
+        except Refused:
+            self.evict()
 
     def _check_declared_length(self) -> None:
         for name, value in self.headers:
@@ -441,17 +453,21 @@
 
 
 def holding_of(conn: Connection) -> Holding:
-    """Return what a connection holds, for decisions on evictions."""
+    """Return what a connection holds, for decisions on evictions.
+
+    A whole request is no reason to keep a client that does not read its
+    responses.
+    """
     return Holding(
         conn,
         conn.counted,
         conn.active_at,
         conn.served,
-        processing=_is_processing(conn),
+        processing=_is_serving(conn) and not conn.flow.write_paused,
     )
 
 
-def _is_processing(conn: Connection) -> bool:
+def _is_serving(conn: Connection) -> bool:
     """Return whether a whole request of a connection is being served."""
     unfinished = bool(conn.incomplete) or conn.pipeline_has_incomplete()
     return conn.unanswered > unfinished
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -26,3 +26,12 @@
       | a part of a request |
       | a malformed request |
       | an upgrade          |
+
+  Scenario Outline: Answers that clients do not read count as held
+    When 6 clients read none of their <count> large answers at a server with a budget of 20000000 bytes
+    Then the server never kept more than 20000000 bytes of answers
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
