Clients that send a byte now and then do not keep others out

A connection with a request in progress was never closed for a new one, so as many as a server accepts, each sending a byte each second, had all others refused for as long as they went on. When no connection is idle or stalled, the one that has been silent for longest now goes.

--- a/daisygw/links/_eviction.py
+++ b/daisygw/links/_eviction.py
@@ -57,16 +57,16 @@
     """Return connections to close so that new ones have descriptors.
 
     Connections that were never answered go first, then those that have been
-    silent for longest; none that has a whole request.
+    silent for longest; none that has a whole request.  Where all others make
+    progress with a request, the one that has been silent for longest goes:
+    clients that send a byte now and then would keep all others out.
     """
-    candidates = [
-        one
-        for one in holdings
-        if not one.processing and (not one.size or _is_stalled(one, now))
-    ]
-    candidates.sort(key=lambda one: (one.served, one.active_at))
+    candidates = [one for one in holdings if not one.processing]
+    idle = [one for one in candidates if not one.size or _is_stalled(one, now)]
+    idle.sort(key=lambda one: (one.served, one.active_at))
     count = max(1, int(most * _FREED_PART))
-    return [one.conn for one in candidates[:count]]
+    slowest = sorted(candidates, key=lambda one: one.active_at)[:1]
+    return [one.conn for one in idle[:count] or slowest]
 
 
 def _is_stalled(holding: Holding, now: float) -> bool:
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -35,3 +35,7 @@
       | count |
       | 1     |
       | 2     |
+
+  Scenario: Clients that send a byte now and then do not keep others out
+    When as many clients as a server accepts send their bodies byte by byte
+    Then an ordinary client is answered
