--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import httptools
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
@@ -57,6 +58,23 @@
 _MAX_DISCARDED_BYTES = 1_048_576
 
 
+class _Flow(FlowControl):
+    """Flow control that reads nothing while received bytes wait."""
+
+    def __init__(self, transport: Any, is_full: Callable[[], bool]) -> None:
+        """Create the state of a connection that is read."""
+        super().__init__(transport)
+        self.is_full = is_full
+
+    def resume_reading(self) -> None:
+        """Read again, unless received bytes have not been parsed yet.
+
+        uvicorn resumes whenever a request asks for its body.
+        """
+        if not self.is_full():
+            super().resume_reading()
+
+
 class Connection(HttpToolsProtocol):
     """A connection whose requests are passed on once they are complete.
 
@@ -113,6 +131,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register the connection; evict idle ones if there are too many."""
         super().connection_made(transport)
+        self.flow = _Flow(transport, lambda: bool(self.unparsed))
         self.budget.connections.add(self)
         excess = len(self.budget.connections) - self.budget.limits.connections
         if excess > 0:
@@ -261,6 +280,7 @@
             return
         if not self.discarding:
             self._parse()
+            self.flow.resume_reading()
         elif self.refused and not self.unanswered:
             refused, self.refused = self.refused, None
             self._answer_refusal(refused)
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -39,3 +39,7 @@
   Scenario: Clients that send a byte now and then do not keep others out
     When as many clients as a server accepts send their bodies byte by byte
     Then an ordinary client is answered
+
+  Scenario: Received requests are not read faster than they are served
+    When a client sends 1500 requests at once
+    Then the budget held at most 600000 bytes, and all 1500 requests are answered
--- a/tests/http_server.py
+++ b/tests/http_server.py
@@ -18,6 +18,8 @@
     header=500, body=3000, header_timeout=9, idle_timeout=9
 )
 OK_REQUEST = b'POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok'
+# Time that ``/brief`` takes (s): some turns of the loop.
+_BRIEF_S = 0.001
 # Time that ``/slow`` takes (s), and bytes of ``/large``: more than the kernel
 # buffers for a client that does not read.
 SLOW_S = 1.5
@@ -37,6 +39,8 @@
         ran.append((req.path, body))
         if req.path == '/slow':
             await asyncio.sleep(SLOW_S)
+        if req.path == '/brief':
+            await asyncio.sleep(_BRIEF_S)
         large = bytes(LARGE_BYTES) if req.path == '/large' else b''
         resp.data = large or body or b'-'
 
--- a/tests/steps/http_connection_steps.py
+++ b/tests/steps/http_connection_steps.py
@@ -25,11 +25,15 @@
 _CLOSING_S = 4.0
 
 
-def _slow(size):
-    head = f'POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n'
+def _post(path, size):
+    head = f'POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n'
     return head.encode() + bytes(size)
 
 
+def _slow(size):
+    return _post('/slow', size)
+
+
 async def _wait_until(check, seconds=_CLOSING_S):
     until = time.monotonic() + seconds
     while not check() and time.monotonic() < until:
@@ -232,8 +236,7 @@
     async def send():
         budget = HttpBudget(BudgetLimits(10_000_000, 100))
         most = 0
-        filler = f'X-Filler: {"a" * 200}'.encode()
-        request = OK_REQUEST.replace(b'Host: a', filler)
+        request = _post('/brief', 1000)
         async with serving(budget=budget) as (address, _, _):
             raw = request * (count - 1) + _LAST
             reading = asyncio.ensure_future(exchange(address, [raw]))
