Evicting a connection does not log its unfinished request as cut off

Each connection with an unfinished body that made way for another wrote a line, so clients set the rate of lines. Refusals are counted and logged once a second by cause. 20 evictions logged 20 lines before, and none now.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -160,6 +160,8 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
+        if self.incomplete or self.pipeline_has_incomplete():
+            self._drop_incomplete()
         self._release()
         self.budget.connections.discard(self)
         self.discarding = True
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -43,3 +43,7 @@
   Scenario: Received requests are not read faster than they are served
     When a client sends 1500 requests at once
     Then the budget held at most 600000 bytes, and all 1500 requests are answered
+
+  Scenario: Evicting connections logs no line each
+    When 20 connections with unfinished bodies make way for others
+    Then no line tells of requests that were cut off
