A stopping server accepts only as many connections as it has room for

It took up to 2,048 from the queue of its socket at once, so waiting clients could use up the descriptors that the process needs to stop. Accepting in several turns was tried: it goes on for as long as new clients arrive (serving.feature).

--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -81,11 +81,11 @@
     budget: HttpBudget = field(default_factory=HttpBudget)
 
 
-def _accept_all(sock: socket.socket) -> list[socket.socket]:
-    """Return the connections that wait in the queue of a listening socket."""
+def _accept_waiting(sock: socket.socket, most: int) -> list[socket.socket]:
+    """Return connections that wait in the queue of a listening socket."""
     accepted: list[socket.socket] = []
     try:
-        for _ in range(_LISTEN_BACKLOG):
+        for _ in range(most):
             accepted.append(sock.accept()[0])
     except BlockingIOError:
         return accepted
@@ -149,8 +149,13 @@
         # drops them once the listening socket is closed.
         for _ in range(_ACCEPT_TURNS):
             await asyncio.sleep(0)
+        # More would take the descriptors that the process needs to stop.
+        free = self.budget.limits.connections - len(self.budget.connections)
+        most = max(free, _ACCEPTED_PER_TURN)
         accepted = [
-            conn for sock in sockets or () for conn in _accept_all(sock)
+            conn
+            for sock in sockets or ()
+            for conn in _accept_waiting(sock, most)
         ]
         for server in self.servers:
             server.close()
--- a/tests/features/http_connections.feature
+++ b/tests/features/http_connections.feature
@@ -47,3 +47,7 @@
   Scenario: Evicting connections logs no line each
     When 20 connections with unfinished bodies make way for others
     Then no line tells of requests that were cut off
+
+  Scenario: A server that stops accepts no more connections than it has descriptors for
+    When a server with a budget of 20 connections stops while 300 clients wait to be accepted
+    Then it had at most 60 connections open
