Soak: crowds of clients that respect no limits, as a further fault

No process may end by itself or hold more than its host has; the check is the one of uncontrolled_clients.feature. Received bytes are now counted by address, as all hosts of a cell have the same ports.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,7 +14,10 @@
 undone.  The placement advisor of some jobs, all gangs, is slow.  In some runs
 all schedulers are killed at once in the end, right after they acknowledged
 something, and lose what they did not sync, or one of them its data folder.
-With ``--customers`` all callers send the key of a customer.
+With ``--customers`` all callers send the key of a customer.  With
+``--hostile-clients`` crowds of clients that respect no limits send to ports for
+callers and to control ports, beside the other faults; then no process may end
+by itself, or exceed the memory and descriptors of its host.
 
 No request may be cut off without a response while its entry is not disturbed.
 Every accepted job must be completed, and shown in between.  While there are no
@@ -49,6 +52,12 @@
     repeats,
     stalled_jobs,
 )
+from bench.soak_clients import (
+    HOST_SETTINGS,
+    HostileClients,
+    check_ended,
+    send_crowd,
+)
 from bench.soak_faults import (
     WORKERS,
     SoakRun,
@@ -98,7 +107,8 @@
 
     ``repeated`` counts tasks that ran again after they were done.  This is
     allowed where the worker's lease lapsed before the leader acknowledged
-    the end of the first run.
+    the end of the first run.  ``held`` is the most memory (bytes) and
+    descriptors of a process while hostile clients sent to it.
     """
 
     seed: int
@@ -106,6 +116,7 @@
     faults: dict[str, int]
     repeated: int
     broken: tuple[str, ...]
+    held: tuple[int, int] = (0, 0)
 
 
 def _inject_faults(
@@ -183,11 +194,19 @@
     (saved_logs / 'faults.json').write_text(undone)
 
 
-def _run_phases(soak: SoakRun, seconds: float) -> Fault:
+def _run_phases(
+    soak: SoakRun, seconds: float, hostile: HostileClients | None
+) -> Fault:
     """Inject all faults, then wait; return the whole as one fault."""
+
+    def inject(_: SoakRun) -> None:
+        inject_fault(soak)
+        if hostile:
+            send_crowd(hostile)
+
     began_at = time.monotonic()
     cells.start_callers(soak.cell, soak.seed)
-    _inject_faults(soak, inject_fault, seconds)
+    _inject_faults(soak, inject, seconds)
     _work_as_planned(soak)
     inject_last_fault(soak)
     cells.wait_until_started(soak.cell)
@@ -218,24 +237,33 @@
 
 
 def run(
-    seed: int, seconds: float, *, with_customers: bool = False
+    seed: int,
+    seconds: float,
+    *,
+    with_customers: bool = False,
+    with_hostile_clients: bool = False,
 ) -> SoakResult:
     """Run one seed, wait until all jobs are completed, and check the run.
 
-    ``with_customers`` lets all callers send the key of a customer.
+    ``with_customers`` lets all callers send the key of a customer,
+    ``with_hostile_clients`` adds clients that respect no limits.
     """
+    settings = HOST_SETTINGS if with_hostile_clients else ()
     with (
         tempfile.TemporaryDirectory() as folder,
-        cells.running_cell(Path(folder), WORKERS, relayed=True) as cell,
+        cells.running_cell(
+            Path(folder), WORKERS, relayed=True, settings=settings
+        ) as cell,
     ):
         soak = SoakRun(cell, seed, with_customers=with_customers)
+        hostile = HostileClients(soak) if with_hostile_clients else None
         cfg = configuration(soak, soak.version)
         cells.wait_until(
             lambda: cells.put_config(cell, cfg) == cells.HTTP_OK,
             'the cell to accept a configuration',
         )
         try:
-            all_faults = _run_phases(soak, seconds)
+            all_faults = _run_phases(soak, seconds, hostile)
         except AssertionError:
             _save_failed_run(cell, seed, cells.run_history(cell), soak.undone)
             raise
@@ -249,6 +277,9 @@
         ]
         rows = cells.run_history(cell)
         workers = cells.worker_names(WORKERS)
+        if hostile:
+            check_ended(hostile)
+            broken += hostile.broken
         broken += [
             *_check_config(soak),
             *soak.accepted_odd,
@@ -264,8 +295,9 @@
             _save_failed_run(cell, seed, rows, [*soak.undone, *stalls])
     repeated = sum(one[2] == 'done' for _, one, _ in repeats(rows))
     accepted = len(accepted_jobs(jobs))
+    held = hostile.held if hostile else (0, 0)
     return SoakResult(
-        seed, accepted, dict(soak.faults), repeated, tuple(broken)
+        seed, accepted, dict(soak.faults), repeated, tuple(broken), held
     )
 
 
@@ -279,16 +311,23 @@
     parser.add_argument('--rounds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--customers', action='store_true')
+    parser.add_argument('--hostile-clients', action='store_true')
     args = parser.parse_args()
     status = 0
     for seed in range(args.seed, args.seed + args.rounds):
-        result = run(seed, args.seconds, with_customers=args.customers)
+        result = run(
+            seed,
+            args.seconds,
+            with_customers=args.customers,
+            with_hostile_clients=args.hostile_clients,
+        )
         status = status or int(bool(result.broken))
         line = {
             'seed': result.seed,
             'jobs': result.jobs,
             'faults': result.faults,
             'repeated': result.repeated,
+            'held': result.held,
             'broken': result.broken[:5],
         }
         sys.stdout.write(f'{json.dumps(line)}\n')
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -175,7 +175,7 @@
         for name in names:
             soak.links.pop(name, None)
         _set_links(soak)
-        _record_fault(soak, '', began_at)
+        record_fault(soak, '', began_at)
 
     _schedule_repair(soak, restore)
 
@@ -205,7 +205,7 @@
 def _reset(soak: SoakRun) -> None:
     names = cells.link_names(_pick_host(soak))
     cells.call(cells.relay_control_address(soak.cell), 'PUT', '/reset', names)
-    _record_fault(soak, '', time.monotonic())
+    record_fault(soak, '', time.monotonic())
 
 
 def _cut_off_workers(soak: SoakRun) -> None:
@@ -386,14 +386,15 @@
     def undo() -> None:
         repair()
         soak.down_hosts.discard(host)
-        _record_fault(soak, host, began_at, planned=kind == 'stop')
+        record_fault(soak, host, began_at, planned=kind == 'stop')
 
     soak.pending_repairs.append((due, undo))
 
 
-def _record_fault(
+def record_fault(
     soak: SoakRun, host: str, began_at: float, *, planned: bool = False
 ) -> None:
+    """Note that a fault, of a host unless empty, ended now."""
     now = time.monotonic()
     soak.undone.append(Fault(host, began_at, now, planned))
     soak.faults_changed_at = now
--- a/standins/hostile_clients.py
+++ b/standins/hostile_clients.py
@@ -1,16 +1,21 @@
 """Clients that respect no limits: what they send, and what a process holds.
 
-A crowd of connections sends to one address as fast as it is read, and stays
-open.  Meanwhile the memory and the descriptors of the process are sampled;
-received bytes that the process has not read count as its memory.
+A crowd of connections sends to one address as fast as it is read, or a byte
+now and then, and stays open.  Meanwhile the memory and the descriptors of the
+process are sampled; received bytes that the process has not read count as its
+memory.  ``python -m standins.hostile_clients`` runs a crowd for some time, and
+writes what the process held to a file (see ``main``).
 """
 
+import json
 import os
 import selectors
 import socket
+import sys
 import time
 from collections.abc import Callable, Generator, Iterator
 from contextlib import contextmanager, suppress
+from dataclasses import dataclass
 from functools import partial
 from itertools import chain, islice, repeat
 from pathlib import Path
@@ -26,6 +31,10 @@
 # Longest time for which a crowd sends (s).
 _SENDING_S = 60.0
 _SAMPLE_INTERVAL_S = 0.05
+# Interval between the bytes of a slow client (s): less than the time after
+# which a connection counts as stalled.
+_SLOW_INTERVAL_S = 0.5
+_MIB = 2**20
 _CONNECT_TIMEOUT_S = 5.0
 _HEX = 16
 # Columns of /proc/net/tcp: local address, and the queues sent:received.
@@ -36,25 +45,39 @@
 class Watch:
     """The most that a process held: memory (bytes) and descriptors.
 
-    Received bytes that it has not read from the connections at ``port`` count
-    as its memory.
+    Received bytes that it has not read from the connections at ``address``
+    count as its memory.
     """
 
-    def __init__(self, pid: int, port: int) -> None:
+    def __init__(self, pid: int, address: str) -> None:
         """Take no sample yet."""
         self.pid = pid
-        self.port = port
+        self.local = _local_column(address)
         self.memory = 0
         self.descriptors = 0
 
     def sample(self) -> None:
-        """Read what the process holds now."""
+        """Read what the process holds now, unless it has ended."""
         folder = Path(f'/proc/{self.pid}')
-        resident = int((folder / 'statm').read_text().split()[1])
-        memory = resident * _PAGE_BYTES + _unread_bytes(self.port)
-        self.memory = max(self.memory, memory)
-        descriptors = len(os.listdir(folder / 'fd'))
-        self.descriptors = max(self.descriptors, descriptors)
+        with suppress(OSError):
+            resident = int((folder / 'statm').read_text().split()[1])
+            memory = resident * _PAGE_BYTES + _unread_bytes(self.local)
+            self.memory = max(self.memory, memory)
+            descriptors = len(os.listdir(folder / 'fd'))
+            self.descriptors = max(self.descriptors, descriptors)
+
+
+def excess(memory: int, descriptors: int, mib: int, most: int) -> list[str]:
+    """Return what was held beyond ``mib`` MiB and ``most`` descriptors.
+
+    ``memory`` is in bytes.
+    """
+    found = []
+    if memory > mib * _MIB:
+        found.append(f'{memory / _MIB:.0f} MiB of {mib}')
+    if descriptors > most:
+        found.append(f'{descriptors} descriptors of {most}')
+    return found
 
 
 def _head(method: str, path: str, *lines: str) -> bytes:
@@ -127,13 +150,20 @@
 })
 
 
-def _unread_bytes(port: int) -> int:
-    """Return the bytes that connections at a local port have not read."""
+def _local_column(address: str) -> str:
+    """Return a local address as /proc/net/tcp has it, in the host's order."""
+    host, _, port = address.rpartition(':')
+    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    return f'{number:08X}:{int(port):04X}'
+
+
+def _unread_bytes(local: str) -> int:
+    """Return the bytes that connections at a local address have not read."""
     total = 0
     lines = Path('/proc/net/tcp').read_text().splitlines()
     for line in islice(lines, 1, None):
         columns = line.split()
-        if int(columns[_LOCAL_COLUMN].partition(':')[2], _HEX) == port:
+        if columns[_LOCAL_COLUMN] == local:
             total += int(columns[_QUEUES_COLUMN].partition(':')[2], _HEX)
     return total
 
@@ -146,13 +176,16 @@
         self.pieces = pieces
         self.rest = b''
 
-    def advance(self) -> int:
-        """Send what the socket takes; return its bytes, or -1 at the end."""
+    def advance(self, most: int | None = None) -> int:
+        """Send what the socket takes; return its bytes, or -1 at the end.
+
+        ``most`` limits the bytes.
+        """
         self.rest = self.rest or next(self.pieces, b'')
         if not self.rest:
             return -1
         try:
-            sent = self.conn.send(self.rest)
+            sent = self.conn.send(self.rest[:most])
         except BlockingIOError:
             return 0
         except OSError:
@@ -170,29 +203,47 @@
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """``count`` clients of the process ``pid``, which listens at ``address``.
+
+    Each sends what the shape ``what`` says: to ``path``, about ``amount``
+    bytes, for at most ``seconds``, and a byte now and then if it is ``slow``.
+    """
+
+    address: str
+    pid: int
+    count: int
+    what: str
+    path: str
+    amount: int
+    seconds: float = _SENDING_S
+    slow: bool = False
+
+
 @contextmanager
-def crowd(
-    address: str, pid: int, count: int, shape: Shape, path: str, amount: int
-) -> Generator[Watch, None, None]:
-    """Keep ``count`` connections open that have sent what ``shape`` says.
+def sending(crowd: Crowd) -> Generator[Watch, None, None]:
+    """Keep the connections of a crowd open that have sent what they can.
 
-    Yields what the process ``pid`` held meanwhile.
+    Yields what the process held meanwhile.
     """
-    connections = [_connect(address) for _ in range(count)]
+    connections = [_connect(crowd.address) for _ in range(crowd.count)]
     opened = [conn for conn in connections if conn is not None]
+    shape = SHAPES[crowd.what]
+    clients = [
+        _Client(conn, shape(crowd.path, crowd.amount)) for conn in opened
+    ]
+    send = _send_slowly if crowd.slow else _send
     try:
-        yield _send(
-            [_Client(conn, shape(path, amount)) for conn in opened],
-            Watch(pid, int(address.rpartition(':')[2])),
-        )
+        yield send(clients, Watch(crowd.pid, crowd.address), crowd.seconds)
     finally:
         for conn in opened:
             conn.close()
 
 
-def _send(clients: list[_Client], watch: Watch) -> Watch:
+def _send(clients: list[_Client], watch: Watch, seconds: float) -> Watch:
     """Send until all clients have ended or none of them makes progress."""
-    until = time.monotonic() + _SENDING_S
+    until = time.monotonic() + seconds
     stalled_at = time.monotonic() + _STALLED_S
     with selectors.DefaultSelector() as selector:
         for client in clients:
@@ -207,3 +258,32 @@
             watch.sample()
     watch.sample()
     return watch
+
+
+def _send_slowly(clients: list[_Client], watch: Watch, seconds: float) -> Watch:
+    """Send one byte of each client at each interval."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for client in clients:
+            client.advance(1)
+        watch.sample()
+        time.sleep(_SLOW_INTERVAL_S)
+    return watch
+
+
+def main(out: str, crowd: str) -> None:
+    """Run a crowd, a JSON object with the fields of ``Crowd``.
+
+    Writes memory (bytes) and descriptors that the process held to ``out``.
+    """
+    plan = Crowd(**json.loads(crowd))
+    until = time.monotonic() + plan.seconds
+    with sending(plan) as watch:
+        while time.monotonic() < until:
+            watch.sample()
+            time.sleep(_SAMPLE_INTERVAL_S)
+    Path(out).write_text(json.dumps((watch.memory, watch.descriptors)))
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -205,6 +205,15 @@
     cell.running[host].send_signal(signal.SIGHUP)
 
 
+def ended_hosts(cell: PlatformCell) -> list[str]:
+    """Return the hosts whose processes have ended without being reaped."""
+    return [
+        host
+        for host in (*SCHEDULERS, *ENTRIES)
+        if host in cell.running and cell.running[host].poll() is not None
+    ]
+
+
 def is_serving(cell: PlatformCell, host: str) -> bool:
     """Return whether a host's process accepts connections."""
     ports = cell.ports
--- a/tests/steps/uncontrolled_client_steps.py
+++ b/tests/steps/uncontrolled_client_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from standins import platform_cell as cells
-from standins.hostile_clients import SHAPES, crowd
+from standins.hostile_clients import Crowd, excess, sending
 from standins.platform_cell import (
     ENTRIES,
     QUEUE_HOST,
@@ -53,7 +53,7 @@
     stack = ExitStack()
     context.add_cleanup(stack.close)
     context.watch = stack.enter_context(
-        crowd(address, pid, clients, SHAPES[what], path, amount),
+        sending(Crowd(address, pid, clients, what, path, amount)),
     )
 
 
@@ -62,8 +62,9 @@
     """Check the most that was held while the crowd sent."""
     watch = context.watch
     watch.sample()
-    assert watch.memory <= mib * _MIB, f'{watch.memory / _MIB:.0f} MiB'
-    assert watch.descriptors <= descriptors, watch.descriptors
+    assert watch.memory, 'no sample'
+    found = excess(watch.memory, watch.descriptors, mib, descriptors)
+    assert not found, found
 
 
 @then('an ordinary job is accepted by the entry beside them')
@@ -83,8 +84,8 @@
 @then('no process of the cell has ended')
 def check_alive(context):
     """Check the processes that the cell was started with."""
-    for host in (*SCHEDULERS, *ENTRIES):
-        assert context.cell.running[host].poll() is None, host
+    ended = cells.ended_hosts(context.cell)
+    assert not ended, ended
 
 
 @then('a job of {size:d} bytes is accepted')
