--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -61,17 +61,21 @@
 class _Flow(FlowControl):
     """Flow control that reads nothing while received bytes wait."""
 
-    def __init__(self, transport: Any, is_full: Callable[[], bool]) -> None:
-        """Create the state of a connection that is read."""
+    def __init__(self, transport: Any) -> None:
+        """Create the state of a connection that is read.
+
+        It has no reference to the connection: a cycle of them would keep the
+        memory of closed connections until the next garbage collection.
+        """
         super().__init__(transport)
-        self.is_full = is_full
+        self.is_full = False
 
     def resume_reading(self) -> None:
         """Read again, unless received bytes have not been parsed yet.
 
         uvicorn resumes whenever a request asks for its body.
         """
-        if not self.is_full():
+        if not self.is_full:
             super().resume_reading()
 
 
@@ -131,7 +135,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register the connection; evict idle ones if there are too many."""
         super().connection_made(transport)
-        self.flow = _Flow(transport, lambda: bool(self.unparsed))
+        self.flow = _Flow(transport)
         self.budget.connections.add(self)
         excess = len(self.budget.connections) - self.budget.limits.connections
         if excess > 0:
@@ -290,11 +294,13 @@
     def _parse(self) -> None:
         """Parse until the requests that wait are too many."""
         received, self.unparsed = memoryview(self.unparsed), b''
+        self.flow.is_full = False
         start = 0
         while start < len(received) and not self.discarding:
             if len(self.pipeline) >= _MAX_PIPELINED:
                 self.unparsed = bytes(received[start:])
                 self.flow.pause_reading()
+                self.flow.is_full = True
                 self._parse_piece(memoryview(b''))
                 return
             piece = received[start : start + _PIECE_BYTES]
@@ -421,6 +427,7 @@
     def _close_after_linger(self) -> None:
         """Send the end of the stream, and read until the peer closes."""
         self._unset_keepalive_if_required()
+        self.flow.is_full = False
         self.flow.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
