--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -2,9 +2,11 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import httptools
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
@@ -21,6 +23,7 @@
 from daisygw.links._http_refusals import (
     CAUSE_CONNECTIONS,
     CAUSE_IDLE,
+    CAUSE_MEMORY,
     CAUSE_TIMEOUT,
     Refused,
     body_refusal,
@@ -55,6 +58,27 @@
 _MAX_DISCARDED_BYTES = 1_048_576
 
 
+class _Flow(FlowControl):
+    """Flow control that reads nothing while received bytes wait."""
+
+    def __init__(self, transport: Any) -> None:
+        """Create the state of a connection that is read.
+
+        It has no reference to the connection: a cycle of them would keep the
+        memory of closed connections until the next garbage collection.
+        """
+        super().__init__(transport)
+        self.is_full = False
+
+    def resume_reading(self) -> None:
+        """Read again, unless received bytes have not been parsed yet.
+
+        uvicorn resumes whenever a request asks for its body.
+        """
+        if not self.is_full:
+            super().resume_reading()
+
+
 class Connection(HttpToolsProtocol):
     """A connection whose requests are passed on once they are complete.
 
@@ -94,6 +118,8 @@
         self.unparsed = b''
         self.unsent = 0
         self.counted = 0
+        # Requests that the application runs, also once the client has gone.
+        self.running = 0
         # Bytes since the parser's last event, of the whole request, and of
         # header lines or trailers.
         self.structure_bytes = 0
@@ -109,6 +135,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register the connection; evict idle ones if there are too many."""
         super().connection_made(transport)
+        self.flow = _Flow(transport)
         self.budget.connections.add(self)
         excess = len(self.budget.connections) - self.budget.limits.connections
         if excess > 0:
@@ -137,6 +164,8 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
+        if self.incomplete or self.pipeline_has_incomplete():
+            self._drop_incomplete()
         self._release()
         self.budget.connections.discard(self)
         self.discarding = True
@@ -155,8 +184,13 @@
         self._parse()
 
     def evict(self) -> None:
-        """Give up an unfinished request to make room."""
-        self._refuse(memory_refusal())
+        """Give up an unfinished request, or unread responses, to make room."""
+        if self.unsent:
+            # A refusal would wait behind the responses.
+            self.budget.refused[CAUSE_MEMORY] += 1
+            self.abort()
+        else:
+            self._refuse(memory_refusal())
 
     def pipeline_has_incomplete(self) -> bool:
         """Return whether the newest waiting request is being received."""
@@ -164,22 +198,21 @@
 
     def check_times(self, now: float) -> None:
         """Close the connection, or refuse its request, if it is too slow."""
-        if self.discarding:
-            return
         limits = self.limits()
         self._check_unsent(now)
         is_silent = now - self.active_at >= limits.idle_timeout
         header_age = now - self.request_since if self.in_header else 0
-        if self._is_receiving():
-            if is_silent or header_age >= limits.header_timeout:
-                self._refuse(time_refusal())
-        elif is_silent:
-            self._close_silent()
+        if _is_serving(self) or not self._is_receiving():
+            if is_silent:
+                self._close_silent()
+        elif is_silent or header_age >= limits.header_timeout:
+            self._refuse(time_refusal())
 
     def on_message_begin(self) -> None:
         """Begin with the header section of a request."""
         super().on_message_begin()
         self.begun = True
+        self.request_since = self.active_at
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count a header line, and keep it if it is no trailer."""
@@ -242,14 +275,18 @@
         self.unanswered -= 1
         self.served = True
         self.active_at = now
+        # The server reads no further while requests wait for their turn.
+        if self.request_since:
+            self.request_since = now
         self.sizes.popleft()
+        self._check_unsent(now)
         self.timeout_keep_alive = self.limits().idle_timeout
         super().on_response_complete()
         if self.transport.is_closing():
             return
         if not self.discarding:
-            self._check_unsent(now)
             self._parse()
+            self.flow.resume_reading()
         elif self.refused and not self.unanswered:
             refused, self.refused = self.refused, None
             self._answer_refusal(refused)
@@ -257,11 +294,13 @@
     def _parse(self) -> None:
         """Parse until the requests that wait are too many."""
         received, self.unparsed = memoryview(self.unparsed), b''
+        self.flow.is_full = False
         start = 0
         while start < len(received) and not self.discarding:
             if len(self.pipeline) >= _MAX_PIPELINED:
                 self.unparsed = bytes(received[start:])
                 self.flow.pause_reading()
+                self.flow.is_full = True
                 self._parse_piece(memoryview(b''))
                 return
             piece = received[start : start + _PIECE_BYTES]
@@ -298,6 +337,10 @@
             raise header_refusal(limits)
         if self.wire_bytes > longest_header + _WIRE_FACTOR * limits.body:
             raise body_refusal(limits)
+        self._check_room()
+
+    def _check_room(self) -> None:
+        """Count what is held; evict or raise if it is too much."""
         added = self._held() - self.counted
         if added > 0 and not has_room(self.budget, self.counted, added):
             self._make_room(added)
@@ -310,6 +353,8 @@
         return header + self.size + waiting
 
     def _count_held(self) -> None:
+        if self not in self.budget.connections:
+            return
         held = self._held()
         self.budget.held += held - self.counted
         self.counted = held
@@ -319,7 +364,7 @@
         holdings = [
             holding_of(one)
             for one in self.budget.connections
-            if not one.discarding
+            if one.unsent or not one.discarding
         ]
         victims = victims_for_bytes(
             self.budget, holdings, self.counted, added, self.loop.time()
@@ -331,10 +376,21 @@
             raise memory_refusal()
 
     def _release(self) -> None:
-        self.budget.held -= self.counted
-        self.counted = 0
+        """Release all but the request that the application still runs."""
+        kept = self.sizes[0] if self.running and self.sizes else 0
+        self.budget.held += kept - self.counted
+        self.counted = kept
         self.unparsed = b''
 
+    async def _run(self, app: Any, *arguments: Any) -> None:
+        """Run a request; release its bytes if its client has gone."""
+        try:
+            await app(*arguments)
+        finally:
+            self.running -= 1
+            if not self.running and self not in self.budget.connections:
+                self._release()
+
     def _refuse(self, refused: Refused) -> None:
         """Answer after the requests before, then close the connection."""
         self.budget.refused[refused.cause] += 1
@@ -343,7 +399,10 @@
             self._drop_incomplete()
         self.headers = []
         self.url = b''
-        self._release()
+        self.size = 0
+        self.structure_bytes = 0
+        self.unparsed = b''
+        self._count_held()
         if self.unanswered:
             self.refused = refused
         else:
@@ -368,6 +427,7 @@
     def _close_after_linger(self) -> None:
         """Send the end of the stream, and read until the peer closes."""
         self._unset_keepalive_if_required()
+        self.flow.is_full = False
         self.flow.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
@@ -380,13 +440,14 @@
 
     def _is_receiving(self) -> bool:
         """Return whether a request has begun; an empty line may precede it."""
-        return self.begun or self.structure_bytes > _EMPTY_LINES_BYTES
+        has_begun = self.begun or self.structure_bytes > _EMPTY_LINES_BYTES
+        return has_begun and not self.discarding
 
     def _close_silent(self) -> None:
         if self.unsent:
             self.budget.refused[CAUSE_TIMEOUT] += 1
             self.abort()
-        elif not self.unanswered:
+        elif not self.unanswered and not self.discarding:
             self.budget.refused[CAUSE_IDLE] += 1
             self.transport.close()
 
@@ -396,7 +457,10 @@
         self.unsent = self.transport.get_write_buffer_size()
         if self.unsent < before:
             self.active_at = now
-        self._count_held()
+        try:
+            self._check_room()
+        except Refused:
+            self.evict()
 
     def _check_declared_length(self) -> None:
         for name, value in self.headers:
@@ -413,21 +477,26 @@
                 cycle.waiting_for_100_continue = False
                 self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             return
-        super()._start_asgi_task(cycle, app)
+        self.running += 1
+        super()._start_asgi_task(cycle, partial(self._run, app))
 
 
 def holding_of(conn: Connection) -> Holding:
-    """Return what a connection holds, for decisions on evictions."""
+    """Return what a connection holds, for decisions on evictions.
+
+    A whole request is no reason to keep a client that does not read its
+    responses.
+    """
     return Holding(
         conn,
         conn.counted,
         conn.active_at,
         conn.served,
-        processing=_is_processing(conn),
+        processing=_is_serving(conn) and not conn.flow.write_paused,
     )
 
 
-def _is_processing(conn: Connection) -> bool:
+def _is_serving(conn: Connection) -> bool:
     """Return whether a whole request of a connection is being served."""
     unfinished = bool(conn.incomplete) or conn.pipeline_has_incomplete()
     return conn.unanswered > unfinished
