--- a/daisygw/cell/_capacity.py
+++ b/daisygw/cell/_capacity.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 
 from daisygw.cell._leader import CellLeader, WaitingStep
-from daisygw.cell._like_speed import of_like_speed
 from daisygw.cell._speeds import slowness_of
 from daisygw.cell._state import TargetState
 from daisygw.cell._trust import is_repeatable, task_limit
@@ -30,8 +29,6 @@
 # Targets that have just returned are limited if they are at most this share of
 # the available ones of their service.
 MAX_PROBATION_SHARE = 0.3
-# In a cell that is mostly free a gang waits this long (s) for fast targets.
-_MAX_WAIT_S = 2.0
 # A full target comes before an empty one that is faster by up to this share:
 # packing leaves room for wide tasks, and estimated speeds err by 5 percent.
 _FULLNESS_WEIGHT = 0.2
@@ -62,7 +59,6 @@
         self.reserved: set[str] = set()
         self.claims: dict[str, Size] = {}
         self.task_limits = _task_limits(lead, available)
-        self.mostly_free = is_mostly_free(lead)
         lead.load.capacity = _total(
             target.instance.capacity for target in available
         )
@@ -206,8 +202,7 @@
     """Return the targets that a step may use, unless the advisor denied them.
 
     Targets reserved for a gang, those that could not hold even one task, and
-    those not trusted with the step are left out, and for a gang those that are
-    slower than it needs.
+    those not trusted with the step are left out.
     """
     approval = lead.approvals.get(waiting.state.key)
     excluded = free_capacity.reserved
@@ -216,29 +211,11 @@
     if free_capacity.task_limits and not is_repeatable(waiting):
         excluded = excluded | free_capacity.task_limits.keys()
     max_tasks = _cached_max_tasks(free_capacity, waiting)
-    targets = [
+    return [
         target
         for key, target in free_capacity.targets.items()
         if max_tasks[key] > 0 and key not in excluded
     ]
-    if _needs_like_speed(lead, free_capacity, waiting):
-        return of_like_speed(lead, waiting, targets)
-    return targets
-
-
-def _needs_like_speed(
-    lead: CellLeader, free_capacity: FreeCapacity, waiting: WaitingStep
-) -> bool:
-    """Tell whether a step is a gang that waits for fast targets.
-
-    It does not wait for long where most of the cell is free: then nobody else
-    needs the capacity.
-    """
-    step = waiting.state.step
-    if not step.gang or step.same_rack or lead.now > waiting.worthless_at:
-        return False
-    waited = lead.now - waiting.since
-    return waited <= _MAX_WAIT_S or not free_capacity.mostly_free
 
 
 def still_suitable(
@@ -249,7 +226,7 @@
 ) -> list[TargetState]:
     """Return those of the approved targets that a gang should still use.
 
-    It may have asked about others before their speeds were known.
+    It may have asked about others before they were reserved or on probation.
     """
     suitable = set(suitable_targets(lead, free_capacity, waiting))
     return [target for target in targets if target in suitable]
--- a/daisygw/cell/_target_statistics.py
+++ b/daisygw/cell/_target_statistics.py
@@ -42,9 +42,7 @@
     rack of targets (the rack empty: of the whole kind), ``mean_slowness`` the
     moving average by which measurements are divided.  ``run_times`` holds, by
     step and task index, the time (s) that a task takes on a target of mean
-    speed, ``probations`` the targets that have returned, by name.  ``lasting``
-    holds the keys of targets with work that lasts, read at
-    ``lasting_read_at`` (s).
+    speed, ``probations`` the targets that have returned, by name.
     """
 
     def __init__(self) -> None:
@@ -55,5 +53,3 @@
         self.mean_slowness = 1.0
         self.run_times: dict[StepKey, dict[int, float]] = {}
         self.probations: dict[str, Probation] = {}
-        self.lasting: frozenset[str] = frozenset()
-        self.lasting_read_at = float('-inf')
