Review: jobs of many occurrences take the leader's whole time

Cause: a job keeps the state of all its occurrences from the start, and the leader looks at all of them ten times a second.

Workers of the lab answer no call of a life that has ended. No product code.

--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -371,6 +371,7 @@
         self.hooks: dict[str, Callable] = {}
         self.history: list[Run] = []
         self.sequence = 0
+        self.up = asyncio.Event()
         self.begin_life()
 
     def begin_life(self) -> None:
@@ -385,6 +386,7 @@
         self.position = 0
         self.acked: dict[tuple[str, int], float] = {}
         self.changed = asyncio.Event()
+        self.up.set()
 
     def clock(self) -> int:
         """Return the steady clock of this life (ms)."""
@@ -423,9 +425,13 @@
             order = await req.json()
             if req.headers.get('X-Expected-Instance', self.id) != self.id:
                 return web.json_response(self.body(), status=421)
+            life = self.born
             if path in self.hooks:
                 await self.hooks[path](order)
             status, body = await act(order)
+            if self.born != life:
+                # The life that took the call has crashed.
+                req.transport.abort()
             return web.json_response(body, status=status)
 
         return handle
@@ -536,6 +542,7 @@
         at = random.randrange(len(self.cell.controls))
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
+                await self.up.wait()
                 control = self.cell.controls[at % len(self.cell.controls)]
                 url = f'http://{control}/instances/{self.id}'
                 try:
