Review: a start carried out late by the next life runs a finished task again

Cause: a new life of a worker has seen no token, and the deadline of a start is on the clock of the life before, so a copy that was left unanswered is taken.

The lab's workers can crash. No product code.

--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -372,6 +372,8 @@
         self.history: list[Run] = []
         self.sequence = 0
         self.up = asyncio.Event()
+        # How long after its start a further life sends its first heartbeat.
+        self.first_beat_s = 0.5
         self.begin_life()
 
     def begin_life(self) -> None:
@@ -388,6 +390,15 @@
         self.changed = asyncio.Event()
         self.up.set()
 
+    def crash(self) -> None:
+        """End the life and all that runs; nothing is listed."""
+        self.up.clear()
+        for run in list(self.active.values()):
+            self.active.pop(run.task)
+            run.how = 'crashed'
+            run.ended_at = time.time()
+        self.cell.record('crash', self.id)
+
     def clock(self) -> int:
         """Return the steady clock of this life (ms)."""
         return int((time.monotonic() - self.began) * MS)
@@ -426,6 +437,10 @@
             if req.headers.get('X-Expected-Instance', self.id) != self.id:
                 return web.json_response(self.body(), status=421)
             life = self.born
+            if not self.up.is_set():
+                # Nothing answers while the worker is down.
+                await self.up.wait()
+                req.transport.abort()
             if path in self.hooks:
                 await self.hooks[path](order)
             status, body = await act(order)
@@ -542,7 +557,9 @@
         at = random.randrange(len(self.cell.controls))
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
-                await self.up.wait()
+                if not self.up.is_set():
+                    await self.up.wait()
+                    await asyncio.sleep(self.first_beat_s)
                 control = self.cell.controls[at % len(self.cell.controls)]
                 url = f'http://{control}/instances/{self.id}'
                 try:
