Review: a cancel that overtakes its job leaves no trace

Cause: a DELETE for a job that is not known yet is answered 410 and forgotten; a job that a frozen entry passes on later is accepted and runs.

It takes the place of the case of large configurations, which review/2 shows already. No product code.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,10 @@
-"""An operator changes a configuration of many routes some hundred times."""
+"""A cancel overtakes its job, which is on its way through a frozen machine."""
 
+import asyncio
 import os
+import signal
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,74 +13,60 @@
 import lab  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-# Limits of a core machine in the sheet of latas-vivas, grown.
-_MEMORY_MB = 424
-_DISK_MB = 192
-# The largest ``big_config`` that the site file of latas-vivas, grown, names.
-_ROUTES = 1400
-_CHANGES = 600 if TROUBLE else 3
+# How long the machine is frozen (s): ``node_freeze`` of the site.
+_FROZEN_S = 3.5
+# The client leaves after this time (s), and cancels its job.
+_LEAVES_S = 0.2
+# ``cancel_ms`` (s).
+_CANCEL_S = 3.0
+_JOBS = 5
 
 
-def _document(version: int) -> dict:
-    """Return a configuration with the first queue and many others."""
-    document = lab.configuration(version)
-    first = document['routes'][0]
-    advisor = {'decisionMs': 832.0, 'perWorkerMs': 7.4, 'validityMs': 1500}
-    for number in range(_ROUTES):
-        document['routes'].append({
-            **first,
-            'name': f'r-{number:07x}',
-            'pathPrefix': f'/p{number:07x}/',
-            'timeoutMs': 3000 + version % 7,
-            'placementAdvisor': advisor,
-        })
-    return document
-
-
-def _use(cell: lab.Cell) -> tuple[dict, dict]:
-    memory = {host: round(cell.memory_mb(host)) for host in cell.cores}
-    disk = {host: round(cell.disk_mb(host)) for host in cell.cores}
-    return memory, disk
-
-
-async def _accepts_job(clients: lab.Clients) -> bool:
-    step = {'count': 1, 'cpu': 100, 'memMb': 10, 'estimateMs': 300}
-    body = {'spec': '{}', 'steps': [step]}
-    return await clients.submit(lab.new_id(), body) == 200
+async def _hand_in_and_leave(
+    cell: lab.Cell, clients: lab.Clients, name: str, edge: str
+) -> None:
+    step = {'count': 2, 'cpu': 1000, 'memMb': 100, 'estimateMs': 500}
+    body = {'spec': '{"work_s": 0.5}', 'steps': [step]}
+    url = f'http://{edge}:{cell.callers}{lab.PREFIX}{name}'
+    headers = {'Host': lab.QUEUE_HOST, 'X-Deadline-Ms': '3000'}
+    status, _ = await clients.call('POST', url, body, _LEAVES_S, **headers)
+    cell.record('POST', name, edge, '->', status or 'the client left')
 
 
 async def play(
     cell: lab.Cell, clients: lab.Clients, workers: list[lab.Worker]
 ) -> list[str]:
     """Return the rules that were broken."""
-    acknowledged = 0
-    for version in range(2, 2 + _CHANGES):
-        acknowledged += await clients.configure(_document(version), 10)
-        memory, disk = _use(cell)
-        if version % 20 == 0:
-            cell.record('version', version, 'MB:', memory, 'disk MB:', disk)
-        if max(memory.values()) > _MEMORY_MB:
-            break
-    memory, disk = _use(cell)
-    cell.record(
-        'changes acknowledged:',
-        acknowledged,
-        'memory MB:',
-        memory,
-        'disk MB:',
-        disk,
-        'ended:',
-        cell.ended(),
+    await asyncio.sleep(2)
+    frozen, other = cell.edges
+    if TROUBLE:
+        cell.signal(frozen, signal.SIGSTOP)
+    began = time.monotonic()
+    names = [lab.new_id() for _ in range(_JOBS)]
+    await asyncio.gather(
+        *(_hand_in_and_leave(cell, clients, one, frozen) for one in names)
     )
-    cell.record('a job is accepted:', await _accepts_job(clients))
-    full = [host for host, used in disk.items() if used > _DISK_MB]
-    cell.record('more than the', _DISK_MB, 'MB of a disk:', full)
-    return [
-        f'Fault: {host} uses {used} MB of memory and has {_MEMORY_MB}'
-        for host, used in memory.items()
-        if used > _MEMORY_MB
-    ]
+    acked: dict[str, float] = {}
+    for name in names:
+        status, _ = await clients.ask('DELETE', name, edge=other)
+        if status in {200, 410}:
+            acked[name] = time.time()
+    if TROUBLE:
+        await asyncio.sleep(_FROZEN_S - (time.monotonic() - began))
+        cell.signal(frozen, signal.SIGCONT)
+    await asyncio.sleep(6)
+    broken = []
+    for worker in workers:
+        for run in worker.history:
+            ack = acked.get(run.task.partition('.')[0])
+            if ack and run.at > ack + _CANCEL_S:
+                late = run.at - ack
+                broken.append(
+                    f'UNASKED: {run.task} began {late:.1f} s after the'
+                    f' cancelling of its job was acknowledged'
+                )
+    return broken
 
 
 if __name__ == '__main__':
-    sys.exit(lab.run_case(FOLDER, play, memory_mb=_MEMORY_MB, disk_mb=_DISK_MB))
+    sys.exit(lab.run_case(FOLDER, play))
