A job counts as waiting until a target has confirmed the start of a task

Cause: RunsPlaced, which reserves capacity before any target is asked, marked the job as started.

Evidence: the leader's log has placed, ten unanswered copies of each start, start unconfirmed, and lease expired at 12.9 s; no line of a target.

Fix: the leader writes JobStarted at the first answer to a start, or the first list with the run; an end that proves a run counts too. The waits of targets that may have carried a start out are as before.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -38,6 +38,7 @@
     on_renewal_reply,
     start_deadline,
 )
+from daisygw.cell._snapshot import snapshot
 from daisygw.cell._starts import (
     OrderOutcome,
     StartResult,
@@ -50,7 +51,6 @@
     StepState,
     TargetState,
     apply,
-    snapshot,
 )
 from daisygw.cell._targets import on_target_report
 from daisygw.cell._timeouts import advance_clock
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -245,16 +245,17 @@
         self.load = CellLoad()
         self.rates = CustomerRates()
 
-    def record(self, record: Any) -> None:
+    def record(self, record: Any, *, allows_starts: bool = True) -> None:
         """Append a log record and apply it immediately.
 
-        Raises ``ContractError`` for a record that ``check_record`` refuses,
-        before it has any effect.
+        A placement pass follows if it ``allows_starts``.  Raises
+        ``ContractError`` for a record that ``check_record`` refuses, before it
+        has any effect.
         """
         self.check_record(record)
         apply(self.cell, record)
         self.records.append(record)
-        self.changed = True
+        self.changed = self.changed or allows_starts
 
     def send_message(self, entry: str, message: Any) -> None:
         """Queue an effect until the records before it are committed."""
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -11,6 +11,7 @@
     lease_for,
 )
 from daisygw.cell._restarts import on_other_instance, settle_dispute
+from daisygw.cell._starts import confirm_start
 from daisygw.cell._state import Run, TargetState
 from daisygw.cell._statistics import record_progress
 from daisygw.cell._targets import defer_work, finish
@@ -244,6 +245,7 @@
         outstanding.answered = lead.now
         lead.orders[run.step, run.index] = outstanding
     outstanding.listed = True
+    confirm_start(lead, run)
     outstanding.checkpoint = row.checkpoint or outstanding.checkpoint
 
 
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -18,7 +18,7 @@
     end_instance,
     finish,
 )
-from daisygw.contracts import RunEnd
+from daisygw.contracts import JobStarted, RunEnd
 from daisygw.machines import LeaseState
 
 # An unanswered start is sent again this long after the previous attempt: many
@@ -58,6 +58,16 @@
     reason: str = ''
 
 
+def confirm_start(lead: CellLeader, run: Run) -> None:
+    """Record the start of a job's first task, which its target has confirmed.
+
+    Until then callers are told that the job is queued.
+    """
+    job = lead.cell.jobs.get(run.step.job)
+    if job and not job.started:
+        lead.record(JobStarted(job.spec.id), allows_starts=False)
+
+
 def on_started(lead: CellLeader, result: StartResult) -> None:
     """Handle the result of a start order."""
     run = result.order.run
@@ -69,7 +79,7 @@
         lease_state.last_answer_at = lead.now
     if result.outcome is OrderOutcome.TAKEN:
         outstanding.answered = min(outstanding.answered, lead.now)
-    if result.outcome is OrderOutcome.TAKEN:
+        confirm_start(lead, run)
         return
     lead.log_event(
         'start not taken',
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -4,7 +4,7 @@
 who leads or on the time.
 """
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any
@@ -22,6 +22,7 @@
     JobCancelled,
     JobEnqueued,
     JobsPurged,
+    JobStarted,
     JobState,
     Queue,
     QueueRetained,
@@ -37,6 +38,8 @@
 )
 from daisygw.machines import InstanceListed, TargetInstance, instance_key
 
+# Ends of a run that its target need not have started.
+_MAYBE_UNSTARTED = frozenset({RunEnd.LOST, RunEnd.REFUSED})
 # Task index under which the failures of a whole gang are counted.
 GANG_INDEX = -1
 
@@ -80,7 +83,11 @@
 
 
 class CellJob:
-    """The state of one job and its steps."""
+    """The state of one job and its steps.
+
+    It has ``started`` once a target is known to have started a task of it; a
+    task that is only placed may be on a target that does not answer.
+    """
 
     def __init__(self, enqueued: JobEnqueued) -> None:
         """Begin without started steps."""
@@ -206,6 +213,12 @@
         job.cancelled = True
 
 
+def _start_job(cell: Cell, record: JobStarted) -> None:
+    job = cell.jobs.get(record.job)
+    if job:
+        job.started = True
+
+
 def _remove_jobs(cell: Cell, record: JobsPurged) -> None:
     for name in record.jobs:
         cell.jobs.pop(name, None)
@@ -241,11 +254,9 @@
 
 
 def _place_runs(cell: Cell, record: RunsPlaced) -> None:
-    job = cell.jobs.get(record.step.job)
     state = step_of(cell, record.step)
-    if job is None or state is None:
+    if state is None:
         return
-    job.started = True
     for index, number, key in record.rows:
         run = Run(record.step, index, number, key)
         earlier = state.runs.get(index)
@@ -293,6 +304,7 @@
         indexes = range(state.step.count) if state.step.gang else (run.index,)
         state.checkpoints.update(dict.fromkeys(indexes, record.checkpoint))
     job = cell.jobs[record.step.job]
+    job.started = job.started or record.how not in _MAYBE_UNSTARTED
     if state.step.lasting:
         return
     if record.how is RunEnd.DONE:
@@ -339,7 +351,7 @@
     state.checkpoints = dict(record.checkpoint)
     state.done = set(record.done)
     state.failed_run = record.failed_run
-    job.started = job.started or bool(record.numbers)
+    job.started = job.started or bool(record.done or record.failures)
     job.failed = record.failed
     if state.complete:
         job.open_steps -= 1
@@ -350,6 +362,7 @@
     QueueRetained: _keep_queue,
     JobEnqueued: _add_job,
     JobCancelled: _cancel_job,
+    JobStarted: _start_job,
     JobsPurged: _remove_jobs,
     InstanceListed: _add_instance,
     InstanceClosed: _drain_instance,
@@ -364,43 +377,3 @@
 def apply(cell: Cell, record: Any) -> None:
     """Apply one log record."""
     _APPLY[type(record)](cell, record)
-
-
-def snapshot(cell: Cell) -> Iterator[Any]:
-    """Yield records that rebuild the same state in an empty cell."""
-    if cell.cfg:
-        yield ConfigStored(cell.cfg)
-        configured = set(map(_key_of, cell.cfg.queues))
-        for key, queue in cell.queues.items():
-            if key not in configured:
-                yield QueueRetained(queue)
-    for target in cell.targets.values():
-        yield InstanceListed(target.instance)
-        if not target.open:
-            yield InstanceClosed(target.key)
-        yield EndsAcknowledged(target.key, target.position)
-    for job in cell.jobs.values():
-        yield job.enqueued
-        if job.cancelled:
-            yield JobCancelled(job.spec.id)
-        for state in filter(_has_started, job.steps.values()):
-            yield _step_snapshot(job, state)
-
-
-def _has_started(state: StepState) -> bool:
-    return bool(state.numbers or state.done)
-
-
-def _step_snapshot(job: CellJob, state: StepState) -> StepSnapshot:
-    return StepSnapshot(
-        state.key,
-        tuple(sorted(state.done)),
-        tuple(state.numbers.items()),
-        tuple(state.failures.items()),
-        tuple(state.checkpoints.items()),
-        tuple(
-            (run.index, run.number, run.instance) for run in state.runs.values()
-        ),
-        job.failed,
-        state.failed_run,
-    )
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -51,6 +51,13 @@
     job: str
 
 
+@dataclass(frozen=True, slots=True)
+class JobStarted:
+    """A target has confirmed the start of a job's first task."""
+
+    job: str
+
+
 @dataclass(frozen=True, slots=True)
 class JobsPurged:
     """Ended jobs were removed from the state after their retention time."""
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -101,6 +101,7 @@
     89: contracts.StepSnapshot,
     90: machines.InstanceListed,
     91: contracts.QueueRetained,
+    92: contracts.JobStarted,
 })
 
 
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -29,6 +29,7 @@
     ConfigRequest,
     ContractError,
     JobRequest,
+    JobState,
     JournalError,
     RequestLimits,
     ResultCode,
@@ -153,6 +154,7 @@
         ('config_version', 'Configuration', lambda: _config_version(node)),
         ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
         ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
+        ('jobs_queued', 'Jobs without a started task', lambda: _queued(node)),
         ('steps_waiting', 'Steps that wait', lambda: _waiting_steps(node)),
         (
             'longest_step_wait_seconds',
@@ -171,6 +173,11 @@
     return cfg.version if cfg else 0
 
 
+def _queued(node: SchedulerNode) -> int:
+    jobs = node.state.cell.jobs.values()
+    return sum(job.state is JobState.QUEUED for job in jobs)
+
+
 def _waiting_steps(node: SchedulerNode) -> int:
     return len(node.state.lead.waiting) if node.state.lead else 0
 
--- a/tests/cell_fault_runs.py
+++ b/tests/cell_fault_runs.py
@@ -8,6 +8,7 @@
     Size,
     Step,
 )
+from tests.cell_history import check_waiting_jobs
 from tests.cell_world import (
     World,
     add_worker,
@@ -66,6 +67,7 @@
             submit(world, random_job(world, number), prefix)
         _inject_fault(world, random)
         run_for(world, 0.2)
+        check_waiting_jobs(world)
     _heal(world)
     run_for(world, quiet_s)
     return world
--- a/tests/cell_history.py
+++ b/tests/cell_history.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from daisygw.contracts import (
+    JobState,
     StepKey,
 )
 from standins import worker_model as workers
@@ -29,6 +30,17 @@
     return found
 
 
+def check_waiting_jobs(world: World) -> None:
+    """Raise AssertionError if a job is shown as begun that no worker has."""
+    begun = {key.job for key, _ in spans(world)}
+    for name, job in world.cell.jobs.items():
+        assert job.over or name in begun or job.state is JobState.QUEUED, (
+            'shown as begun',
+            name,
+            job.state,
+        )
+
+
 def check_history(world: World) -> None:
     """Raise AssertionError where the history violates an invariant."""
     ended: dict[StepKey, float] = {}
--- a/tests/cell_records.py
+++ b/tests/cell_records.py
@@ -15,6 +15,7 @@
     JobEnqueued,
     JobSpec,
     JobsPurged,
+    JobStarted,
     Queue,
     RunEnd,
     RunFinished,
@@ -154,6 +155,15 @@
     return JobCancelled(open_jobs[number % len(open_jobs)])
 
 
+def _start_job(cell: Cell, number: int) -> JobStarted | None:
+    started = [
+        name
+        for name, job in cell.jobs.items()
+        if any(state.runs for state in job.steps.values())
+    ]
+    return JobStarted(started[number % len(started)]) if started else None
+
+
 def _purge(cell: Cell, number: int) -> JobsPurged | None:
     ended = tuple(
         name
@@ -246,6 +256,7 @@
     'config': _config,
     'job': _job,
     'cancel': _cancel,
+    'start': _start_job,
     'purge': _purge,
     'target': _target,
     'close': _close,
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -304,3 +304,29 @@
     When a gang waits for 4 targets that it may use, and has approvals for 2
     And calls to the advisor wait 1.4 s behind others, and 2 more such targets join
     Then the waiting job starts within 6 s
+
+  Scenario Outline: A job placed on a target that does not answer counts as waiting, <what>
+    Given a cell of one target that accepts leases of 10 s
+    When a job is placed on the target, <what>
+    Then the job is shown as queued, and its queue counts one job, for 8 s
+    And a cell rebuilt from its snapshot has the same state
+
+    Examples:
+      | what                                      |
+      | which has crashed                         |
+      | which is cut off                          |
+      | which leaves orders unanswered            |
+      | which has crashed, and the leader changes |
+
+  Scenario Outline: A job does not count as waiting any more once a target has started a task, <what>
+    Given a cell of one target that accepts leases of 10 s
+    When a job starts on the target, <what>
+    Then the job is shown as running, and its queue counts no job
+    And a cell rebuilt from its snapshot has the same state
+
+    Examples:
+      | what                                             |
+      | which answers                                    |
+      | which lists it without having answered the start |
+      | which then crashes                               |
+      | which then crashes, and the leader changes       |
