Orders of a target take only their share of its connections

Cause: 128 stops were open at a time whatever target they were for, over 12 connections to a target; the timeout of a call included the wait for one of these, and lease renewals waited behind the stops.

Evidence: 116 = 128 - 12 stops failed at the same moment, exactly one timeout after the cancels; the renewal failed at 1.9 s with 245 runs; 71 stops of 690 calls were done after 6 s.

Fix: a queue by target, the targets in turn; a share of what the target accepts (maxConns) for renewals, starts and stops; a stop that is open is not sent again, and its timeout follows stopTimeoutMs. Renewals and probes have connections of their own. A former leader closes its connections.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -1,6 +1,11 @@
 """A cell: its replicated state, and the scheduling decisions of its leader."""
 
 from daisygw.cell._advice import LONG_CALL_S, on_advice
+from daisygw.cell._call_limits import (
+    RENEWAL_CONNECTIONS,
+    OrderLimits,
+    order_limits,
+)
 from daisygw.cell._config_check import (
     ConfigPart,
     ConfigPlace,
@@ -58,6 +63,9 @@
 
 __all__ = (
     'LOCAL_PROCESS',
+    'RENEWAL_CONNECTIONS',
+    'OrderLimits',
+    'order_limits',
     'LONG_CALL_S',
     'Cell',
     'CellLeader',
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -137,6 +137,16 @@
         self.stop_due = float('inf')
         self.stop_confirmed_at = float('inf')
 
+    @property
+    def unconfirmed(self) -> bool:
+        """Whether no target is known to have started the run."""
+        return self.answered == float('inf')
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the run is to stop."""
+        return self.stop_due < float('inf')
+
 
 class WaitingStep:
     """A step with tasks to start; ``due`` is the latest start in time (s).
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -166,5 +166,8 @@
         # The target lists an end unless the run never started, which only a
         # reply to a later renewal proves.
         outstanding.stop_confirmed_at = lead.now
+        outstanding.stop_due = max(
+            outstanding.stop_due, lead.now + STOP_RETRY_S
+        )
         if outstanding.answered == float('inf'):
             lead.send_message(LOCAL_PROCESS, Probe(run.instance))
--- a/daisygw/contracts/_jobs.py
+++ b/daisygw/contracts/_jobs.py
@@ -128,7 +128,8 @@
     ``max_body`` is the longest request body (bytes), ``max_header`` the
     longest header section.  A limit of 0 is that of the process; for the
     times (s) see ``RequestLimits``.  Without ``customers`` (None) no caller
-    needs a key, and no job belongs to a customer.
+    needs a key, and no job belongs to a customer.  ``connections`` has pairs
+    of service and how many connections each of its targets accepts.
     """
 
     version: int
@@ -140,6 +141,7 @@
     max_header: int = 0
     header_timeout: float = 0
     idle_timeout: float = 0
+    connections: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from daisygw.cell import (
+    RENEWAL_CONNECTIONS,
     CellLeader,
     EndsCommitted,
     LeaseRenewal,
@@ -55,6 +56,8 @@
 # How often the set of targets, and the validity of the leader's own lease, are
 # checked.
 _POLL_INTERVAL_S = 0.1
+# Probes of a target that are open at the same time, beside its renewal.
+_MAX_OPEN_PROBES = RENEWAL_CONNECTIONS - 1
 # How long the next renewal waits for the commit of the ends just listed.
 _COMMIT_WAIT_S = 0.5
 
@@ -160,6 +163,9 @@
             for task in executor.renewal_tasks.values():
                 task.cancel()
             executor.renewal_tasks.clear()
+            if lead:
+                # The next leader needs the connections that targets accept.
+                await executor.node.calls.disconnect()
             lead = executor.node.state.lead
         if lead:
             _renew_all(executor, lead)
@@ -224,9 +230,31 @@
         executor.noted = asyncio.Event()
 
 
-async def _probe(executor: EffectExecutor, probe: Probe) -> None:
+def _probe(executor: EffectExecutor, probe: Probe) -> None:
+    """Probe a target, or do so later while many probes of it are open."""
+    key = probe.instance
+    if executor.open_probes[key] < _MAX_OPEN_PROBES:
+        executor.open_probes[key] += 1
+        start_background_task(executor, _send_probes(executor, key))
+    else:
+        executor.waiting_probes.add(key)
+
+
+async def _send_probes(executor: EffectExecutor, key: str) -> None:
+    try:
+        await _send_probe(executor, key)
+        while key in executor.waiting_probes:
+            executor.waiting_probes.discard(key)
+            await _send_probe(executor, key)
+    finally:
+        executor.open_probes[key] -= 1
+        if not executor.open_probes[key]:
+            executor.open_probes.pop(key)
+
+
+async def _send_probe(executor: EffectExecutor, key: str) -> None:
     lead = current_lead(executor)
-    target = lead.cell.targets.get(probe.instance) if lead else None
+    target = lead.cell.targets.get(key) if lead else None
     if target and _is_known(lead, target):
         renewal = replace(next_renewal(lead, target), wait=0)
         await _renew_once(executor, lead, target, renewal)
@@ -244,9 +272,7 @@
         executor.advisor_calls, answer
     ),
     LogEvent: _log_decision,
-    Probe: lambda executor, probe: start_background_task(
-        executor, _probe(executor, probe)
-    ),
+    Probe: _probe,
     EndsCommitted: _acknowledge_ends,
     StartOrder: queue_start,
     StopOrder: queue_stop,
--- a/daisygw/nodes/_executor.py
+++ b/daisygw/nodes/_executor.py
@@ -1,36 +1,34 @@
 """The state of a leader's effects in progress, and who may carry them out."""
 
 import asyncio
+from collections import Counter
 from functools import partial
 from typing import Any
 
-from daisygw.cell import CellLeader, Run, on_advice
+from daisygw.cell import CellLeader, OrderLimits, on_advice, order_limits
 from daisygw.contracts import AdviceResponse
 from daisygw.links import log
 from daisygw.links.processes import Link
 from daisygw.nodes import _clock
 from daisygw.nodes._advisor_calls import AdvisorCalls
+from daisygw.nodes._order_queue import OrderQueue
 from daisygw.nodes._scheduler import SchedulerNode
 from daisygw.zones import holds_leader_lease
 
-
-class OrderQueue:
-    """Orders of a kind by run that wait to be sent.
-
-    ``open`` tasks send them, each one order at a time.
-    """
-
-    def __init__(self) -> None:
-        """Begin empty."""
-        self.waiting: dict[Run, Any] = {}
-        self.open = 0
+# Orders that are open at the same time.  A turn of the loop that begins so many
+# calls takes less than a heartbeat.
+_MAX_OPEN_STARTS = 128
+_MAX_OPEN_STOPS = 384
+# Orders for targets that are gone are dropped instead of sent.
+_UNKNOWN_TARGET_LIMITS = OrderLimits(1, 1)
 
 
 class EffectExecutor:
     """State of the effects in progress on the leader.
 
     ``renewal_tasks`` has one task per target; ``noted`` wakes renewals that
-    wait for a commit.
+    wait for a commit.  ``open_probes`` counts the open probes by target
+    (key), and ``waiting_probes`` has the targets that are probed once more.
     """
 
     def __init__(self, node: SchedulerNode) -> None:
@@ -38,8 +36,14 @@
         self.node = node
         self.renewal_tasks: dict[str, asyncio.Task] = {}
         self.noted = asyncio.Event()
-        self.starts = OrderQueue()
-        self.stops = OrderQueue()
+        self.open_probes: Counter[str] = Counter()
+        self.waiting_probes: set[str] = set()
+        self.starts = OrderQueue(
+            _MAX_OPEN_STARTS, lambda key: _order_limits(self, key).starts
+        )
+        self.stops = OrderQueue(
+            _MAX_OPEN_STOPS, lambda key: _order_limits(self, key).stops
+        )
         self.advisor_calls = AdvisorCalls(
             partial(_advisor_callers, node),
             partial(_apply_advice, self),
@@ -47,6 +51,12 @@
         )
 
 
+def _order_limits(executor: EffectExecutor, key: str) -> OrderLimits:
+    lead = executor.node.state.lead
+    target = lead.cell.targets.get(key) if lead else None
+    return order_limits(lead, target) if target else _UNKNOWN_TARGET_LIMITS
+
+
 def current_lead(executor: EffectExecutor) -> CellLeader | None:
     """Return the leader's state, or None unless this leader's lease is valid.
 
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -18,19 +18,19 @@
 from daisygw.nodes import _clock
 from daisygw.nodes._executor import (
     EffectExecutor,
-    OrderQueue,
     current_lead,
     start_background_task,
     still_leads,
 )
-
-# Orders of a kind that are sent at the same time: one turn of the loop that
-# begins so many calls takes less than a heartbeat.
-_MAX_OPEN_ORDERS = 128
+from daisygw.nodes._order_queue import (
+    OrderQueue,
+    add_order,
+    taking_order,
+)
 
 
 def queue_start(executor: EffectExecutor, order: StartOrder) -> None:
-    """Send a start, or queue it while many others are unanswered.
+    """Send a start, or queue it while many others are open.
 
     The leader orders a start again that was not sent for a while.
     """
@@ -38,7 +38,7 @@
 
 
 def queue_stop(executor: EffectExecutor, order: StopOrder) -> None:
-    """Send a stop, or queue it while many others are unanswered.
+    """Send a stop, or queue it while many others are open.
 
     The leader orders a stop again until it is confirmed.
     """
@@ -51,9 +51,9 @@
     order: StartOrder | StopOrder,
     send: Callable[[EffectExecutor, Any], Awaitable[None]],
 ) -> None:
-    queue.waiting.setdefault(order.run, order)
-    if queue.open < _MAX_OPEN_ORDERS:
-        queue.open += 1
+    add_order(queue, order)
+    if queue.ready and queue.senders < queue.most_open:
+        queue.senders += 1
         start_background_task(executor, _send_orders(executor, queue, send))
 
 
@@ -62,13 +62,13 @@
     queue: OrderQueue,
     send: Callable[[EffectExecutor, Any], Awaitable[None]],
 ) -> None:
-    """Send queued orders, the oldest first, until none is left."""
+    """Send queued orders, the targets in turn, until none may be sent."""
     try:
-        while queue.waiting:
-            oldest = next(iter(queue.waiting))
-            await send(executor, queue.waiting.pop(oldest))
+        while queue.ready:
+            with taking_order(queue) as order:
+                await send(executor, order)
     finally:
-        queue.open -= 1
+        queue.senders -= 1
 
 
 async def _start(executor: EffectExecutor, order: StartOrder) -> None:
@@ -94,12 +94,19 @@
     if target is None:
         return
     fence = order_fence(lead, target.key)
+    sent = _clock.now()
     try:
         outcome = await executor.node.calls.stop(
             target.instance, order.run, fence
         )
     except LinkError as exc:
-        log('stop failed', id=order.run.step.job, reason=exc.reason)
+        log(
+            'stop failed',
+            id=order.run.step.job,
+            target=target.key,
+            took_s=round(_clock.now() - sent, 3),
+            reason=exc.reason,
+        )
         return
     if still_leads(executor, lead):
         on_stopped(lead, order.run, outcome)
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
+from operator import attrgetter
 from types import MappingProxyType
 from typing import Any
 
@@ -154,6 +155,16 @@
         ('config_version', 'Configuration', lambda: _config_version(node)),
         ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
         ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
+        (
+            'starts_unconfirmed',
+            'Runs that no target has confirmed',
+            lambda: _count_orders(node, attrgetter('unconfirmed')),
+        ),
+        (
+            'stops_unconfirmed',
+            'Runs that are to stop',
+            lambda: _count_orders(node, attrgetter('stopping')),
+        ),
         ('jobs_queued', 'Jobs without a started task', lambda: _queued(node)),
         ('steps_waiting', 'Steps that wait', lambda: _waiting_steps(node)),
         (
@@ -173,6 +184,11 @@
     return cfg.version if cfg else 0
 
 
+def _count_orders(node: SchedulerNode, check: Callable[[Any], bool]) -> int:
+    lead = node.state.lead
+    return sum(map(check, lead.orders.values())) if lead else 0
+
+
 def _queued(node: SchedulerNode) -> int:
     jobs = node.state.cell.jobs.values()
     return sum(job.state is JobState.QUEUED for job in jobs)
--- a/daisygw/nodes/_settings.py
+++ b/daisygw/nodes/_settings.py
@@ -39,7 +39,8 @@
     clock (ms) and the fencing token, and returns the outcome and its reason;
     ``stop`` takes an instance, the run and the token; ``renew`` an instance,
     the token and the lease renewal; ``advise`` a step, target names and a
-    timeout (s), and returns pairs of target name and ticket.
+    timeout (s), and returns pairs of target name and ticket.  ``disconnect``
+    closes all connections to targets; open calls fail.
     """
 
     start: Callable[
@@ -55,3 +56,4 @@
         [StepKey, tuple[str, ...], float],
         Awaitable[tuple[tuple[str, str], ...]],
     ]
+    disconnect: Callable[[], Awaitable[None]]
--- a/daisygw/platform/_codec.py
+++ b/daisygw/platform/_codec.py
@@ -183,6 +183,11 @@
         wire.limits.max_header_bytes,
         wire.limits.header_timeout_ms / MS_PER_S,
         wire.limits.idle_timeout_ms / MS_PER_S,
+        tuple(
+            (service.name, service.max_conns)
+            for service in wire.services
+            if service.max_conns > 0
+        ),
     )
     check_cell_config(cfg)
     return cfg
--- a/daisygw/platform/_run.py
+++ b/daisygw/platform/_run.py
@@ -79,7 +79,7 @@
     """Run an entry until SIGTERM or SIGINT, then shut down gracefully."""
     grace = cfg.node.grace
     async with (
-        open_calls(cfg.advisor) as calls,
+        open_calls(cfg.advisor, cfg.stop_time) as calls,
         running_entry(cfg.node, calls) as node,
         _handling_signals(node, path),
         serving_http(
@@ -107,7 +107,7 @@
     """Run a scheduler until SIGTERM or SIGINT, then transfer leadership."""
     sock = listen(cfg.control)
     async with (
-        open_calls(cfg.advisor) as calls,
+        open_calls(cfg.advisor, cfg.stop_time) as calls,
         running_scheduler(cfg.node, calls) as node,
         executing_effects(node),
         _handling_signals(node, path),
--- a/daisygw/platform/_settings.py
+++ b/daisygw/platform/_settings.py
@@ -32,7 +32,8 @@
     ``callers``, ``readiness``, ``control`` and ``metrics`` are addresses to
     listen on; the first three are empty if the process does not serve them.
     ``advisor`` is the address of the placement advisor, ``clients`` what
-    HTTP clients may make the process hold.
+    HTTP clients may make the process hold.  Workers stop a task within
+    ``stop_time`` (s).
     """
 
     node: NodeSettings
@@ -42,6 +43,7 @@
     advisor: str
     metrics: str
     clients: BudgetLimits
+    stop_time: float
 
 
 def _settings_error(key: str, reason: str) -> SettingsError:
@@ -165,4 +167,5 @@
         advisor=_address(raw, 'placementAdvisor'),
         metrics=f'{node.host}:{metrics_port}',
         clients=_clients(raw),
+        stop_time=_positive(raw, 'bounds.stopTimeoutMs', '400') / _MS_PER_S,
     )
--- a/daisygw/platform/_wire.py
+++ b/daisygw/platform/_wire.py
@@ -83,6 +83,7 @@
 
 class WireService(Wire):
     name: str
+    max_conns: int = 0
 
 
 class WireLimits(Wire):
--- a/standins/platform_cell.py
+++ b/standins/platform_cell.py
@@ -372,6 +372,11 @@
     return call(_workers_address(cell), 'GET', '/late')[1]
 
 
+def most_connections(cell: PlatformCell) -> dict[str, int]:
+    """Return the most connections that each worker had open at once."""
+    return call(_workers_address(cell), 'GET', '/connections')[1]
+
+
 def wait_until(check: Any, what: str, seconds: float = WAIT_TIMEOUT_S) -> Any:
     """Wait until ``check`` returns a true value, and return that.
 
@@ -426,10 +431,13 @@
     return [cfg for status, cfg in answers if status == HTTP_OK]
 
 
-def _start_workers(cell: PlatformCell, controls: str, workers: int) -> None:
+def _start_workers(
+    cell: PlatformCell, controls: str, workers: int, stop_s: float
+) -> None:
     """Start the workers, a relay in front of each, and the link relays."""
     ports = cell.ports
     args = [ports.workers, controls, workers, ports.relays, cell.max_lease_s]
+    args.append(stop_s)
     relays = [
         f'{host}:{ports.relays}={host}:{ports.workers}=w{number}'
         for number, host in enumerate(worker_hosts(workers), 1)
@@ -525,13 +533,15 @@
     *,
     relayed: bool = False,
     max_lease_s: float = DEFAULT_MAX_LEASE_S,
+    stop_s: float = 0,
     settings: tuple[str, ...] = (),
 ) -> Generator[PlatformCell, None, None]:
     """Run a cell with workers; kill all its processes at the end.
 
     ``relayed`` puts a relay into every link between its own processes.
-    Workers accept no lease longer than ``max_lease_s``.  ``settings`` are
-    further lines of the hosts' settings files.
+    Workers accept no lease longer than ``max_lease_s``, and take ``stop_s``
+    (s) to stop a task.  ``settings`` are further lines of the hosts' settings
+    files.
     """
     ports = Ports(*free_ports(_PORT_COUNT, SCHEDULERS[0]))
     cell = PlatformCell(ports, folder, max_lease_s, settings=settings)
@@ -540,7 +550,7 @@
         ports = free_ports(len(hosts), SCHEDULERS[0])
         cell.link_ports.update(zip(hosts, ports, strict=True))
     controls = ','.join(f'{one}:{cell.ports.control}' for one in SCHEDULERS)
-    _start_workers(cell, controls, workers)
+    _start_workers(cell, controls, workers, stop_s)
     try:
         for host in (*SCHEDULERS, *ENTRIES):
             start(cell, host, first=True)
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -1,10 +1,11 @@
 """Simulated workers and placement advisor with the platform's protocol.
 
 ``python -m standins.platform_workers PORT CONTROL[,CONTROL...] COUNT SEEN
-MAX_LEASE_S`` runs ``COUNT`` workers and the advisor on loopback addresses,
-until it is killed.  ``CONTROL`` is the control address of a scheduler.
-``SEEN`` is the port that workers announce as their own, such as that of a
-relay.  ``MAX_LEASE_S`` is the longest lease that they accept.
+MAX_LEASE_S STOP_S`` runs ``COUNT`` workers and the advisor on loopback
+addresses, until it is killed.  ``CONTROL`` is the control address of a
+scheduler.  ``SEEN`` is the port that workers announce as their own, such as
+that of a relay.  ``MAX_LEASE_S`` is the longest lease that they accept,
+``STOP_S`` how long they take to stop a task; a stop is answered then.
 ``GET /history`` at the advisor's address returns what ran, with times (s).
 ``GET /stalls`` there returns begin and end (s, monotonic) of the times when
 this process itself stood still, and with it all workers.
@@ -14,7 +15,8 @@
 is there ``lateS`` after the crash (null: never).  ``POST /cut`` with a list of
 names cuts these workers off and lets all others join again: their calls and
 replies are held, and they send no heartbeats.  ``GET /late`` returns worker,
-path and status of each call that was carried out late.
+path and status of each call that was carried out late.  ``GET /connections``
+returns the most connections that each worker had open at the same time.
 
 The advisor approves all workers at once for most jobs.  For jobs whose id
 begins with ``SLOW_JOB_PREFIX`` it takes long and approves only some workers.
@@ -73,13 +75,20 @@
     """
 
     def __init__(
-        self, number: int, announced_port: int, max_lease_s: float
+        self,
+        number: int,
+        announced_port: int,
+        max_lease_s: float,
+        stop_s: float,
     ) -> None:
         """Start a worker now; it announces ``announced_port`` as its port."""
         self.number = number
         self.name = worker_name(number)
         self.address = f'{HOST.format(number)}:{announced_port}'
         self.max_lease_s = max_lease_s
+        self.stop_s = stop_s
+        self.server: web.Server | None = None
+        self.most_connections = 0
         self.model: model.WorkerModel | None = None
         self.lives: list[model.WorkerModel] = []
         self.born_ms = 0
@@ -166,6 +175,9 @@
 
     async def answer(req: web.Request) -> web.Response:
         order = await req.json()
+        worker.most_connections = max(
+            worker.most_connections, len(worker.server.connections)
+        )
         await worker.connected.wait()
         life = worker.model
         if life:
@@ -217,8 +229,12 @@
 
 
 async def _stop(worker: Worker, order: dict) -> web.Response:
+    life = worker.model
+    await asyncio.sleep(worker.stop_s)
+    if worker.model is not life:
+        return web.Response()
     status = model.stop(
-        worker.model,
+        life,
         _now(),
         (order['task'],),
         order['runNumber'],
@@ -329,13 +345,22 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
-async def _serve(routes: dict, host: str, port: int) -> None:
+async def _show_connections(
+    workers: list[Worker], req: web.Request
+) -> web.Response:
+    return web.json_response({
+        worker.name: worker.most_connections for worker in workers
+    })
+
+
+async def _serve(routes: dict, host: str, port: int) -> web.Server:
     app = web.Application()
     for (method, path), handler in routes.items():
         app.router.add_route(method, path, handler)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, host, port, reuse_address=True).start()
+    return runner.server
 
 
 async def _show_stalls(
@@ -361,12 +386,16 @@
             ('POST', '/run-stop'): _answer_calls(_stop, worker),
             ('POST', '/hold'): _answer_calls(_hold, worker),
         }
-        await _serve(routes, HOST.format(worker.number), port)
+        host = HOST.format(worker.number)
+        worker.server = await _serve(routes, host, port)
     stalls: list[tuple[float, float]] = []
     advisor = {
         ('GET', '/stalls'): _bind_handler(_show_stalls, stalls),
         ('POST', '/advise'): _bind_handler(_advise, started_workers),
         ('GET', '/history'): _bind_handler(_history, started_workers),
+        ('GET', '/connections'): _bind_handler(
+            _show_connections, started_workers
+        ),
         ('GET', '/late'): _bind_handler(_show_late_calls, started_workers),
         ('POST', '/crash'): _bind_handler(_crash, started_workers),
         ('POST', '/cut'): _bind_handler(_cut, started_workers),
@@ -379,9 +408,9 @@
 
 
 def _main(args: list[str]) -> None:
-    port, controls, workers, announced_port, max_lease_s = args
+    port, controls, workers, announced_port, max_lease_s, stop_s = args
     started_workers = [
-        Worker(number, int(announced_port), float(max_lease_s))
+        Worker(number, int(announced_port), float(max_lease_s), float(stop_s))
         for number in range(1, int(workers) + 1)
     ]
     asyncio.run(run(int(port), controls.split(','), started_workers))
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -50,6 +50,20 @@
         yield cell
 
 
+@fixture
+def slow_stops(context: Any) -> Iterator[Any]:
+    """Run a cell as the platform does, of 3 workers, for a scenario.
+
+    Its workers take nearly as long for a stop as the platform allows.
+    """
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_cell(Path(folder), 3, max_lease_s=10, stop_s=0.35) as cell,
+    ):
+        context.cell = cell
+        yield cell
+
+
 @fixture
 def limited_cell(context: Any) -> Iterator[Any]:
     """Run a cell as the platform does, whose hosts are small."""
@@ -77,6 +91,8 @@
         use_fixture(platform_cell, context)
     elif tag == 'fixture.restarting_workers':
         use_fixture(restarting_workers, context)
+    elif tag == 'fixture.slow_stops':
+        use_fixture(slow_stops, context)
     elif tag == 'fixture.limited_cell':
         use_fixture(limited_cell, context)
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -116,3 +116,11 @@
     When a third of the workers crash, are back 0.6 seconds later and take a late renewal
     And they are cut off for longer than a lease while tasks run there
     Then no task ran twice at the same time, or again after its end was acknowledged
+
+  @fixture.slow_stops
+  Scenario: Tasks of jobs that are cancelled together stop in time, and no other task lapses
+    Given a long-running job of 16 tasks, and 30 jobs of 10 small tasks each, on 3 workers that take 0.35 seconds for a stop
+    When the 30 jobs are cancelled at the same moment
+    Then none of their tasks runs 3.4 seconds after its cancel was acknowledged
+    And all tasks of the long-running job still run
+    And no worker had more than 64 connections
