A cancel of an unknown job holds if the job arrives later

Cause: the cancel of a job that is not known left no trace.

Evidence: the other entry logs cancel with 604, the leader accepted and placed 3.5 s later; no cancel is in the leader's log.

--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -7,6 +7,11 @@
     may_use_queue,
     owner_of_new_job,
 )
+from daisygw.cell._early_cancels import (
+    is_cancelled_early,
+    note_early_cancel,
+    purge_early_cancels,
+)
 from daisygw.cell._fairness import (
     count_in_rate,
     is_over_rate,
@@ -37,6 +42,8 @@
 
 # How long the state of an ended job can be queried; the platform requires 120.
 ENDED_JOB_RETENTION_S = 300.0
+# Retry delay given to a caller whose cancel could not be noted.
+_CANCEL_RETRY_S = 5
 
 
 def on_job_request(lead: CellLeader, request: JobRequest, entry: str) -> None:
@@ -62,7 +69,7 @@
     elif request.verb is JobVerb.SUBMIT:
         _submit(lead, request, entry, queue, customer)
     else:
-        _handle_known_job(lead, request, entry, name, customer)
+        _handle_known_job(lead, request, entry, queue, customer)
 
 
 def _refuse(
@@ -116,6 +123,11 @@
         return
     if existing is None:
         owner = owner_of_new_job(queue, customer)
+        if is_cancelled_early(lead, request.job.id, owner):
+            reason = 'cancelled before it arrived'
+            code = ResultCode.CANCELLED
+            _refuse(lead, request, entry, code, 0, reason, owner)
+            return
         surplus = is_over_rate(lead, owner)
         refusal = (
             limit_refusal(lead, request.job, owner)
@@ -158,10 +170,18 @@
     lead: CellLeader,
     request: JobRequest,
     entry: str,
-    name: str,
+    queue: Queue,
     customer: str,
 ) -> None:
+    name = request.path[len(queue.prefix) :]
     job = lead.cell.jobs.get(name)
+    if job is None and request.verb is JobVerb.CANCEL:
+        owner = owner_of_new_job(queue, customer)
+        if not note_early_cancel(lead, name, owner):
+            reason = 'too many cancels of unknown jobs'
+            code = ResultCode.OVERLOADED
+            _refuse(lead, request, entry, code, _CANCEL_RETRY_S, reason, owner)
+            return
     if job is None or not may_use_job(lead.cell.cfg, job.enqueued, customer):
         _refuse(lead, request, entry, ResultCode.UNKNOWN_JOB)
         return
@@ -206,7 +226,8 @@
 
 
 def purge_old_jobs(lead: CellLeader) -> None:
-    """Delete jobs that ended long ago and have no runs."""
+    """Delete jobs that ended long ago and have no runs, and old cancels."""
+    purge_early_cancels(lead)
     expired = []
     while lead.ended and lead.now - lead.ended[0][0] > ENDED_JOB_RETENTION_S:
         _, name = lead.ended.popleft()
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -207,7 +207,8 @@
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
     they take (s).  ``rates`` has the customers' rates.
-    ``ended`` lists ended jobs and since when they are kept, ``repeating``
+    ``ended`` lists ended jobs and since when they are kept, ``early_cancels``
+    cancels of unknown jobs (since when, customer, job).  ``repeating``
     names the unfinished repeating jobs, and ``changed`` requests a placement
     pass.  ``check_record`` raises ``ContractError`` for a record that the log
     cannot hold.
@@ -246,6 +247,7 @@
         self.statistics = TargetStatistics()
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
+        self.early_cancels: deque[tuple[float, str, str]] = deque()
         self.seq_numbers = itertools.count(term << _SEQ_BITS)
         self.generations = itertools.count(1)
         self.repeating: set[str] = set()
@@ -451,6 +453,11 @@
     for key in keys_in_dispute(instances):
         lead.lease_states[key].disputed_at = lead.now
     _count_known_jobs(lead)
+    lead.early_cancels.extend(
+        (lead.now, customer, name)
+        for customer, names in lead.cell.early_cancels.items()
+        for name in names
+    )
     for job in lead.cell.jobs.values():
         if job.over:
             lead.ended.append((lead.now, job.spec.id))
--- a/daisygw/cell/_snapshot.py
+++ b/daisygw/cell/_snapshot.py
@@ -5,6 +5,7 @@
 
 from daisygw.cell._state import Cell, CellJob, StepState
 from daisygw.contracts import (
+    CancelNoted,
     ConfigStored,
     EndsAcknowledged,
     InstanceClosed,
@@ -31,6 +32,9 @@
         yield EndsAcknowledged(target.key, target.position)
     for job in cell.jobs.values():
         yield from _job_records(job)
+    for customer, names in cell.early_cancels.items():
+        for name in names:
+            yield CancelNoted(name, customer)
 
 
 def _job_records(job: CellJob) -> Iterator[Any]:
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -13,6 +13,8 @@
 from daisygw.cell._usage import add_usage, remove_usage, task_size
 from daisygw.contracts import (
     ZERO_SIZE,
+    CancelNoted,
+    CancelsPurged,
     CellConfig,
     ConfigStored,
     Customer,
@@ -152,7 +154,9 @@
     ``customers`` holds the configured customers by name.  ``customer_usage``
     is by customer the size of all tasks from the record that places them to
     that of their end ('': of jobs that belong to none), and ``lasting_usage``
-    that of long-running tasks among them.
+    that of long-running tasks among them.  ``early_cancels`` has by customer
+    the ids of jobs that were cancelled before they were known, the oldest
+    first.
     """
 
     def __init__(self) -> None:
@@ -165,6 +169,7 @@
         self.customers: dict[str, Customer] = {}
         self.customer_usage: dict[str, Size] = {}
         self.lasting_usage: dict[str, Size] = {}
+        self.early_cancels: dict[str, dict[str, None]] = {}
 
 
 def step_of(cell: Cell, key: StepKey) -> StepState | None:
@@ -219,6 +224,18 @@
         job.started = True
 
 
+def _note_cancel(cell: Cell, record: CancelNoted) -> None:
+    cell.early_cancels.setdefault(record.customer, {})[record.job] = None
+
+
+def _purge_cancels(cell: Cell, record: CancelsPurged) -> None:
+    for customer, job in record.rows:
+        names = cell.early_cancels.get(customer, {})
+        names.pop(job, None)
+        if not names:
+            cell.early_cancels.pop(customer, None)
+
+
 def _remove_jobs(cell: Cell, record: JobsPurged) -> None:
     for name in record.jobs:
         cell.jobs.pop(name, None)
@@ -362,6 +379,8 @@
     QueueRetained: _keep_queue,
     JobEnqueued: _add_job,
     JobCancelled: _cancel_job,
+    CancelNoted: _note_cancel,
+    CancelsPurged: _purge_cancels,
     JobStarted: _start_job,
     JobsPurged: _remove_jobs,
     InstanceListed: _add_instance,
--- a/daisygw/contracts/__init__.py
+++ b/daisygw/contracts/__init__.py
@@ -9,6 +9,8 @@
     SchedulerList,
 )
 from daisygw.contracts._cell_records import (
+    CancelNoted,
+    CancelsPurged,
     ConfigStored,
     EndsAcknowledged,
     InstanceClosed,
@@ -189,6 +191,8 @@
     'JobCancelled',
     'JobsPurged',
     'JobStarted',
+    'CancelNoted',
+    'CancelsPurged',
     'JournalError',
     'Kind',
     'LANES',
--- a/daisygw/contracts/_cell_records.py
+++ b/daisygw/contracts/_cell_records.py
@@ -51,6 +51,21 @@
     job: str
 
 
+@dataclass(frozen=True, slots=True)
+class CancelNoted:
+    """A job that is not known was cancelled; it would be of ``customer``."""
+
+    job: str
+    customer: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelsPurged:
+    """Noted cancels were removed; ``rows`` are pairs of customer and job."""
+
+    rows: tuple[tuple[str, str], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobStarted:
     """A target has confirmed the start of a job's first task."""
--- a/daisygw/links/_codec.py
+++ b/daisygw/links/_codec.py
@@ -102,6 +102,8 @@
     90: machines.InstanceListed,
     91: contracts.QueueRetained,
     92: contracts.JobStarted,
+    93: contracts.CancelNoted,
+    94: contracts.CancelsPurged,
 })
 
 
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -66,6 +66,7 @@
     ResultCode.NEVER_FITS: 429,
     ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.NO_WORKERS: 503,
+    ResultCode.CANCELLED: 503,
     ResultCode.NO_LEADER: 503,
     ResultCode.NOT_CONFIGURED: 503,
     ResultCode.CONFIG_INVALID: 400,
--- a/tests/cell_fault_runs.py
+++ b/tests/cell_fault_runs.py
@@ -23,6 +23,8 @@
 )
 
 _WORKERS = 6
+# Share of the turns in which one of the next jobs is cancelled beforehand.
+_OVERTAKING_SHARE = 0.05
 
 
 def random_job(world: World, number: int) -> JobSpec:
@@ -57,10 +59,13 @@
     """
     world = World(seed, **more)
     random = world.random
+    cancel_random = Random(f'cancel {seed}')
     run_for(world, 1)
     until = world.now + seconds
     number = 0
     while world.now < until:
+        if cancel_random.random() < _OVERTAKING_SHARE:
+            cancel(world, f'{number + cancel_random.randint(1, 3):016x}')
         if random.random() < 0.5:
             number += 1
             prefix = random.choice(('/a/', '/b/'))
--- a/tests/cell_history.py
+++ b/tests/cell_history.py
@@ -152,6 +152,7 @@
 
 def _check_cancelled(world: World, found: Any) -> None:
     for (key, _), rows in found.items():
+        assert key.job not in world.callers.overtaken, ('cancelled first', key)
         at = world.callers.cancelled.get(key.job)
         if at is not None:
             # A delayed order arrives up to 12 s after it was sent.
--- a/tests/cell_records.py
+++ b/tests/cell_records.py
@@ -5,6 +5,8 @@
 
 from daisygw.cell import Cell, apply, snapshot
 from daisygw.contracts import (
+    CancelNoted,
+    CancelsPurged,
     CellConfig,
     ConfigStored,
     Customer,
@@ -155,6 +157,19 @@
     return JobCancelled(open_jobs[number % len(open_jobs)])
 
 
+def _note_cancel(cell: Cell, number: int) -> CancelNoted:
+    return CancelNoted(f'{number % 4:016x}', _OWNERS[number % len(_OWNERS)])
+
+
+def _purge_cancels(cell: Cell, number: int) -> CancelsPurged | None:
+    rows = [
+        (customer, name)
+        for customer, names in cell.early_cancels.items()
+        for name in names
+    ]
+    return CancelsPurged(tuple(rows[: 1 + number % 2])) if rows else None
+
+
 def _start_job(cell: Cell, number: int) -> JobStarted | None:
     started = [
         name
@@ -257,6 +272,8 @@
     'job': _job,
     'cancel': _cancel,
     'start': _start_job,
+    'note cancel': _note_cancel,
+    'purge cancels': _purge_cancels,
     'purge': _purge,
     'target': _target,
     'close': _close,
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -132,12 +132,14 @@
 class CallerRequests:
     """The customer of each job, and when it was cancelled first (s), by id.
 
+    The ``overtaken`` jobs were cancelled before they were submitted.
     ``watch_record`` sees each record before the follower applies it.
     """
 
     def __init__(self) -> None:
         """Begin without jobs, watching nothing."""
         self.cancelled: dict[str, float] = {}
+        self.overtaken: set[str] = set()
         self.owners: dict[str, str] = {}
         self.watch_record: Callable[[Any], None] = _ignore_record
 
@@ -304,6 +306,8 @@
     key = world.callers.owners.get(name, '').encode()
     request(world, JobVerb.CANCEL, f'/a/{name}', key=key)
     world.callers.cancelled.setdefault(name, world.now)
+    if name not in world.jobs:
+        world.callers.overtaken.add(name)
 
 
 def request(
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -330,3 +330,39 @@
       | which lists it without having answered the start |
       | which then crashes                               |
       | which then crashes, and the leader changes       |
+
+  Scenario Outline: A cancel that overtakes its job holds when the job arrives, <when>
+    Given a cell of one target
+    When a job is cancelled before it is known, and arrives <when>
+    Then the cancel was answered with UNKNOWN_JOB, and the job is refused with CANCELLED
+    And the job has run nowhere
+    And a cell rebuilt from its snapshot has the same state
+
+    Examples:
+      | when                                   |
+      | at once                                |
+      | 4 s later                              |
+      | twice                                  |
+      | after a change of the leader           |
+      | after two changes of the leader        |
+      | in a configuration without its queue's advisor |
+
+  Scenario: A cancel of an unknown job holds for 120 s
+    Given a cell of one target
+    When a job is cancelled before it is known, and arrives 121 s later
+    Then the job is accepted, and no cancel is kept
+
+  Scenario: A cancel of an unknown job holds for its customer only
+    Given a cell of one target whose customers are acme and beta
+    When beta cancels a job that is not known, and acme submits it
+    Then the job is accepted
+
+  Scenario: A cancel that cannot be noted is refused
+    Given a cell of one target
+    When 20000 unknown jobs are cancelled, and another one
+    Then the last cancel is refused with OVERLOADED, to be sent again
+
+  Scenario: A job that was accepted and cancelled stays cancelled when it arrives again
+    Given a cell of one target
+    When a job is cancelled while it runs, and arrives again
+    Then the job is accepted as before, and shown as cancelled
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -117,6 +117,10 @@
     And they are cut off for longer than a lease while tasks run there
     Then no task ran twice at the same time, or again after its end was acknowledged
 
+  Scenario: A cancel that overtakes its job on the way through a paused entry holds
+    When 5 jobs are sent to an entry that is paused for 3.5 seconds, and cancelled at another one
+    Then the cancels were answered 410, and none of the jobs has run or is known
+
   @fixture.slow_stops
   Scenario: Tasks of jobs that are cancelled together stop in time, and no other task lapses
     Given a long-running job of 16 tasks, and 30 jobs of 10 small tasks each, on 3 workers that take 0.35 seconds for a stop
--- a/tests/steps/cancel_steps.py
+++ b/tests/steps/cancel_steps.py
@@ -1,7 +1,11 @@
 """Steps about jobs of a real cell that are cancelled."""
 
+import http.client
+import json
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 
 from behave import given, then, when
 
@@ -11,6 +15,10 @@
 _WORK_S = 90
 _KEPT = f'{0xC0:016x}'
 _START_TIMEOUT_S = 30
+# Run time of the tasks of cancelled jobs, and when their callers leave (s).
+_SHORT_WORK_S = 0.5
+_LEAVES_S = 0.2
+_HTTP_GONE = 410
 
 
 def _small_job(tasks, *, lasting):
@@ -110,3 +118,75 @@
     """Read the counts of the workers."""
     counts = cells.most_connections(context.cell)
     assert max(counts.values()) <= most, counts
+
+
+def _send_and_leave(cell, entry, name):
+    """Submit a job over a connection that is closed soon afterwards."""
+    conn = http.client.HTTPConnection(
+        entry, cell.ports.callers, timeout=_LEAVES_S
+    )
+    body = json.dumps(cells.job(2, work_s=_SHORT_WORK_S))
+    headers = {'Host': cells.QUEUE_HOST, **cells.key_headers(cell)}
+    with suppress(TimeoutError):
+        conn.request('POST', f'{cells.PREFIX}{name}', body, headers)
+        conn.getresponse()
+    conn.close()
+
+
+@when(
+    '{count:d} jobs are sent to an entry that is paused for {paused_s:g} '
+    'seconds, and cancelled at another one'
+)
+def overtake(context, count, paused_s):
+    """Let the entry read the jobs when it runs again."""
+    cell = context.cell
+    paused, other = ENTRIES[:2]
+    context.names = [f'{0xC200 + number:016x}' for number in range(count)]
+    process = cell.running[paused]
+    process.send_signal(signal.SIGSTOP)
+    resume_at = time.monotonic() + paused_s
+    try:
+        for name in context.names:
+            _send_and_leave(cell, paused, name)
+        context.answers = [
+            cells.call_entry(cell, other, 'DELETE', name)[0]
+            for name in context.names
+        ]
+        time.sleep(max(resume_at - time.monotonic(), 0))
+    finally:
+        process.send_signal(signal.SIGCONT)
+    _wait_for_refusals(cell, paused, context.names)
+
+
+def _wait_for_refusals(cell, entry, names):
+    def refused():
+        refusals = {
+            line['id'].rpartition('/')[2]
+            for line in cells.log_lines(cell, entry)
+            if line['event'] == 'not served' and line['verb'] == 'submit'
+        }
+        return refusals.issuperset(names)
+
+    wait_until(refused, 'the entry to have passed all jobs on')
+
+
+@then(
+    'the cancels were answered {status:d}, and none of the jobs has run or is '
+    'known'
+)
+def check_overtaken(context, status):
+    """Look at the workers and at the states of the jobs."""
+    cell = context.cell
+    assert set(context.answers) == {status}, context.answers
+    time.sleep(2 * _SHORT_WORK_S)
+    rows = [
+        row
+        for row in cells.run_history(cell)
+        if row[1].partition('.')[0] in context.names
+    ]
+    assert not rows, rows
+    shown = [
+        cells.call_entry(cell, ENTRIES[1], 'GET', name)[0]
+        for name in context.names
+    ]
+    assert set(shown) == {_HTTP_GONE}, shown
--- a/tests/steps/snapshot_steps.py
+++ b/tests/steps/snapshot_steps.py
@@ -42,6 +42,7 @@
 _KINDS = (
     *('job', 'target', 'place', 'place', 'end', 'end', 'end') * 2,
     *('config', 'cancel', 'purge', 'close', 'gone', 'position', 'move'),
+    *('start', 'note cancel', 'purge cancels'),
 )
 _EVENTS = st.tuples(st.sampled_from(_KINDS), st.integers(0, 1000))
 _FIRST_EVENTS = (('config', 3), ('target', 0), ('target', 1), ('job', 1))
