The soak cancels jobs, and its workers take time for a stop

Now some jobs are cancelled before they are sent, others in batches; a stop takes 0.35 s, which the platform allows; new checks: no run of a job that was cancelled before it was known, none that begins or goes on after a cancel, no job shown as begun before a worker has begun it, at most 64 connections to a worker. A job that was cancelled need not be completed, and may be shown as cancelled; all other checks are as before.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -11,16 +11,19 @@
 other faults but on slow links: entries are told to stop, settings and
 configuration change.  Callers submit jobs of one or two steps all the time
 over connections that they keep open, also for a while after the last fault was
-undone.  The placement advisor of some jobs, all gangs, is slow.  In some runs
-all schedulers are killed at once in the end, right after they acknowledged
-something, and lose what they did not sync, or one of them its data folder.
+undone.  They cancel some of them, before or after these have arrived, and
+workers take a while for a stop.  The placement advisor of some jobs, all gangs,
+is slow.  In some runs all schedulers are killed at once in the end, right after
+they acknowledged something, and lose what they did not sync, or one of them its
+data folder.
 With ``--customers`` all callers send the key of a customer.  With
 ``--hostile-clients`` crowds of clients that respect no limits send to ports for
 callers and to control ports, beside the other faults; then no process may end
 by itself, or exceed the memory and descriptors of its host.
 
 No request may be cut off without a response while its entry is not disturbed.
-Every accepted job must be completed, and shown in between.  While there are no
+Every accepted job that is not cancelled must be completed, and shown in
+between; no task of a cancelled one may begin or run on.  While there are no
 faults, no job may stand still beside free capacity.  The configuration in
 force must be at least the newest that was acknowledged.  No caller's key may
 be refused.  No task may have run
@@ -43,14 +46,18 @@
 from bench.soak_checks import (
     Fault,
     accepted_jobs,
+    cancelled_jobs,
     cut_requests,
+    jobs_begun_early,
     jobs_of,
     lost_jobs,
     overcommitted_workers,
+    overtaken_runs,
     refused_keys,
     repeated_runs,
     repeats,
     stalled_jobs,
+    uncancelled_runs,
 )
 from bench.soak_clients import (
     HOST_SETTINGS,
@@ -91,6 +98,10 @@
     'advisor call crashed',
     'background task failed',
 })
+# How long workers take for a stop; the platform allows 0.4 s.
+_STOP_S = 0.35
+# Connections that a worker accepts.
+_WORKER_CONNECTIONS = 64
 # Interval between faults.
 FAULT_INTERVAL_S = 0.3
 # Duration of planned work, which is without other faults.
@@ -228,6 +239,13 @@
             yield f'not as it was sent: {cfg}'
 
 
+def _crowded_workers(cell: PlatformCell) -> Iterator[str]:
+    """Yield workers that had more connections than they accept."""
+    for name, most in cells.most_connections(cell).items():
+        if most > _WORKER_CONNECTIONS:
+            yield f'{most} connections: {name}'
+
+
 def _logged_faults(cell: PlatformCell) -> Iterator[str]:
     """Yield the lines that tell of a fault of the program."""
     for host in (*SCHEDULERS, *ENTRIES):
@@ -252,7 +270,11 @@
     with (
         tempfile.TemporaryDirectory() as folder,
         cells.running_cell(
-            Path(folder), WORKERS, relayed=True, settings=settings
+            Path(folder),
+            WORKERS,
+            relayed=True,
+            stop_s=_STOP_S,
+            settings=settings,
         ) as cell,
     ):
         soak = SoakRun(cell, seed, with_customers=with_customers)
@@ -269,7 +291,11 @@
             raise
         calls = _stop_callers(cell)
         jobs = {**jobs_of(calls), **soak.jobs}
-        broken = _wait_for_completion(cell, accepted_jobs(jobs))
+        cancels = cancelled_jobs(calls)
+        lasting = {
+            name: job for name, job in jobs.items() if name not in cancels
+        }
+        broken = _wait_for_completion(cell, accepted_jobs(lasting))
         ended_at = time.monotonic()
         stalls = [
             Fault('', *span, planned=False)
@@ -287,7 +313,13 @@
             *cut_requests(calls, [*soak.undone, *stalls]),
             *lost_jobs(calls, jobs),
             *refused_keys(calls),
-            *stalled_jobs(rows, jobs, workers, [all_faults, *stalls], ended_at),
+            *jobs_begun_early(rows, calls),
+            *overtaken_runs(rows, calls),
+            *uncancelled_runs(rows, calls, all_faults.ended_at),
+            *_crowded_workers(cell),
+            *stalled_jobs(
+                rows, lasting, workers, [all_faults, *stalls], ended_at
+            ),
             *repeated_runs(rows),
             *overcommitted_workers(rows, jobs),
         ]
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -11,7 +11,7 @@
 from typing import TypeAlias
 
 from standins.platform_workers import CAPACITY, approved_workers
-from standins.soak_callers import Call
+from standins.soak_callers import CANCEL_ACKS, Call
 
 # CPU of a worker, thousandths.
 _WORKER_CPU = CAPACITY[0]
@@ -33,6 +33,12 @@
 _BUSY_SHARE = 0.5
 # Free capacity is this multiple of what a step needs.
 _ROOM_FACTOR = 2
+# No task of a job starts this long after its cancel was acknowledged, s, and
+# while there are faults this long: an order may be held up for some seconds.
+_CANCEL_S = 3.0
+_FAULTY_CANCEL_S = 12.0
+# Its tasks have ended this much later, s.
+_STOP_S = 0.4
 _HTTP_OK = 200
 _HTTP_UNAUTHORIZED = 401
 _HTTP_GONE = 410
@@ -99,19 +105,85 @@
     return [name for name, job in jobs.items() if job.accepted_at < _NEVER]
 
 
-def lost_jobs(calls: Iterable[Call], jobs: Mapping[str, Job]) -> Iterator[str]:
+def cancelled_jobs(calls: Iterable[Call]) -> dict[str, float]:
+    """Return when callers first sent a cancel (s), by job."""
+    sent_at: dict[str, float] = {}
+    for call in calls:
+        if call.method == 'DELETE':
+            sent_at[call.job] = min(call.sent_at, sent_at.get(call.job, _NEVER))
+    return sent_at
+
+
+def _first_acks(
+    calls: Iterable[Call], statuses: frozenset[int]
+) -> dict[str, float]:
+    """Return when a cancel was answered first with one of these (s), by job."""
+    acks: dict[str, float] = {}
+    for call in calls:
+        if call.method == 'DELETE' and call.status in statuses:
+            acks[call.job] = min(call.ended_at, acks.get(call.job, _NEVER))
+    return acks
+
+
+def overtaken_runs(rows, calls: Iterable[Call]) -> Iterator[str]:
+    """Yield runs of jobs that were cancelled before they were known."""
+    acks = _first_acks(calls, frozenset({_HTTP_GONE}))
+    for row in rows:
+        ack = acks.get(_job_of(row[1]), _NEVER)
+        if row[4] > ack:
+            yield f'began {row[4] - ack} s after its early cancel: {row}'
+
+
+def uncancelled_runs(
+    rows, calls: Iterable[Call], calm_since: float
+) -> Iterator[str]:
+    """Yield runs of jobs that began, or went on, after a cancel.
+
+    There are no faults from ``calm_since`` (s) on.
+    """
+    acks = _first_acks(calls, CANCEL_ACKS)
+    calm_from = calm_since + _CONTACT_S
+    for row in rows:
+        ack = acks.get(_job_of(row[1]), _NEVER)
+        last_start = max(ack, calm_from) + _CANCEL_S
+        if row[4] > min(ack + _FAULTY_CANCEL_S, last_start):
+            yield f'began {row[4] - ack} s after its cancel: {row}'
+        elif (row[5] or _NEVER) > last_start + _STOP_S:
+            yield f'still at work {last_start - ack} s after its cancel: {row}'
+
+
+def lost_jobs(calls: list[Call], jobs: Mapping[str, Job]) -> Iterator[str]:
     """Yield accepted jobs that were shown as unknown, failed or cancelled.
 
-    No task fails and no job is cancelled in a soak run.
+    No task fails in a soak run, and some jobs are cancelled.
     """
+    cancels = cancelled_jobs(calls)
+    shown = [
+        call
+        for call in calls
+        if call.method == 'GET'
+        and call.job in jobs
+        and call.ended_at <= cancels.get(call.job, _NEVER)
+    ]
+    for call in shown:
+        job = jobs[call.job]
+        visible = call.sent_at >= job.accepted_at + _VISIBLE_S
+        if call.status == _HTTP_GONE and visible:
+            yield f'unknown: {job} {call}'
+        if call.state in {'failed', 'cancelled'}:
+            yield f'{call.state} without cause: {job} {call}'
+
+
+def jobs_begun_early(rows, calls: Iterable[Call]) -> Iterator[str]:
+    """Yield calls that showed a job as begun before a worker had begun it."""
+    began_at: dict[str, float] = {}
+    for row in rows:
+        job = _job_of(row[1])
+        began_at[job] = min(row[4], began_at.get(job, _NEVER))
     for call in calls:
-        job = jobs.get(call.job)
-        if call.method == 'GET' and job:
-            visible = call.sent_at >= job.accepted_at + _VISIBLE_S
-            if call.status == _HTTP_GONE and visible:
-                yield f'unknown: {job} {call}'
-            if call.state in {'failed', 'cancelled'}:
-                yield f'{call.state} without cause: {job} {call}'
+        began = began_at.get(call.job, _NEVER)
+        if call.state == 'in_progress' and call.ended_at < began:
+            yield f'shown as begun: {call}'
 
 
 def refused_keys(calls: Iterable[Call]) -> Iterator[str]:
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -3,8 +3,9 @@
 ``python -m standins.soak_callers FILE SEED ENTRY[,ENTRY...] AUTHORIZATION``
 uses several connections to each entry (host:port) at random until it receives
 SIGTERM, and sends the header AUTHORIZATION unless it is empty.  A
-submission without a clear answer is repeated.  Each request that was sent in
-full adds a JSON line to FILE, see ``Call``.
+submission or cancel without a clear answer is repeated.  Some jobs are
+cancelled before they are sent, others later, several at a time.  Each request
+that was sent in full adds a JSON line to FILE, see ``Call``.
 """
 
 import asyncio
@@ -35,6 +36,10 @@
 # Share of requests that submit a job, and of jobs whose advice is slow.
 _SUBMIT_SHARE = 0.1
 _SLOW_SHARE = 0.25
+# Shares of the jobs that are cancelled: before they are sent, or in a batch.
+_OVERTAKEN_SHARE = 0.05
+_CANCELLED_SHARE = 0.1
+_CANCELLED_BATCH = 5
 # Share of quick steps that are gangs.
 _GANG_SHARE = 0.2
 # Most tasks of a step, and the tasks of one whose advice is slow.
@@ -47,6 +52,8 @@
 _HTTP_OK = 200
 # Statuses after which the outcome of a submission is unknown.
 _UNCLEAR = frozenset({0, 502, 504})
+# Statuses that acknowledge a cancel.
+CANCEL_ACKS = frozenset({200, 410})
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +86,11 @@
 
 
 class _Callers:
-    """State of all callers: jobs accepted so far, submissions to repeat."""
+    """State of all callers: jobs accepted so far, and what is to be sent.
+
+    ``to_repeat`` has submissions, ``to_cancel`` cancels that are due, and
+    ``later_cancels`` those that wait until they make a batch.
+    """
 
     def __init__(self, out: Any, seed: int, authorization: str) -> None:
         self.out = out
@@ -89,6 +100,9 @@
         self.numbers = count(1)
         self.accepted: list[str] = []
         self.to_repeat: deque[_Request] = deque()
+        self.cancel_random = Random(f'cancels {seed}')
+        self.to_cancel: deque[_Request] = deque()
+        self.later_cancels: list[_Request] = []
         self.stopped = asyncio.Event()
 
 
@@ -130,15 +144,33 @@
         'work_s': round(callers.random.uniform(0.2, 1.5), 3),
     }
     prefix, first = (SLOW_PREFIX, SLOW_JOB_PREFIX) if slow else (PREFIX, '0')
-    return _Request(
+    path = f'{prefix}{first}{job_id}'
+    submission = _Request(
         'POST',
-        f'{prefix}{first}{job_id}',
+        path,
         json.dumps({'spec': json.dumps(spec), 'steps': steps}).encode('utf-8'),
         tuple((step['count'], step['cpu'], step['gang']) for step in steps),
     )
+    draw = callers.cancel_random.random()
+    if draw < _OVERTAKEN_SHARE:
+        # The cancel arrives as if it had overtaken the job.
+        callers.to_repeat.append(submission)
+        return _Request('DELETE', path)
+    if draw < _OVERTAKEN_SHARE + _CANCELLED_SHARE:
+        _cancel_later(callers, path)
+    return submission
+
+
+def _cancel_later(callers: _Callers, path: str) -> None:
+    callers.later_cancels.append(_Request('DELETE', path))
+    if len(callers.later_cancels) >= _CANCELLED_BATCH:
+        callers.to_cancel.extend(callers.later_cancels)
+        callers.later_cancels.clear()
 
 
 def _next_request(callers: _Callers) -> _Request:
+    if callers.to_cancel:
+        return callers.to_cancel.popleft()
     if callers.to_repeat:
         return callers.to_repeat.popleft()
     if callers.random.random() < _SUBMIT_SHARE:
@@ -222,6 +254,8 @@
         callers.accepted.append(req.path)
     elif req.method == 'POST' and status in _UNCLEAR:
         callers.to_repeat.append(req)
+    elif req.method == 'DELETE' and status not in CANCEL_ACKS:
+        callers.to_cancel.append(req)
 
 
 async def _use_connection(
