An error while connections close does not end the renewals

The loop that starts lease renewals awaited the closing itself, so that an error there would have ended it; now a background task closes them, whose error is logged.

--- a/daisygw/nodes/_effects.py
+++ b/daisygw/nodes/_effects.py
@@ -165,7 +165,8 @@
             executor.renewal_tasks.clear()
             if lead:
                 # The next leader needs the connections that targets accept.
-                await executor.node.calls.disconnect()
+                disconnecting = executor.node.calls.disconnect()
+                start_background_task(executor, disconnecting)
             lead = executor.node.state.lead
         if lead:
             _renew_all(executor, lead)
