--- a/daisygw/cell/_restarts.py
+++ b/daisygw/cell/_restarts.py
@@ -8,6 +8,7 @@
 
 from daisygw.cell._fences import next_generation
 from daisygw.cell._leader import CellLeader, OutstandingOrder
+from daisygw.cell._starts import confirm_start
 from daisygw.cell._state import Run, TargetState
 from daisygw.cell._targets import (
     dispute,
@@ -88,7 +89,9 @@
         end = ended.get(key)
         if end:
             finish(lead, run, RunEnd(end.how), end.checkpoint, 'listed')
-        elif key not in active and not reply.more_ended:
+        elif key in active:
+            confirm_start(lead, run)
+        elif not reply.more_ended:
             finish(lead, run, RunEnd.LOST, why='another instance answered')
     if not target.runs:
         end_instance(lead, target, 'another instance answered')
