Noted cancels of all customers together are bounded

Each customer could have 20,000, some 3 MiB; with hundreds of customers that is more than a host has. Now 100,000 are shared equally, and each customer has 1,000 at least. A cancel takes 158 bytes (traced over 20,000 of them).

--- a/daisygw/cell/_early_cancels.py
+++ b/daisygw/cell/_early_cancels.py
@@ -10,8 +10,11 @@
 # How long a job is refused after its cancel: longer than a request may be on
 # its way.
 EARLY_CANCEL_RETENTION_S = 120.0
-# Bounds the memory that a customer's cancels take.
-MAX_EARLY_CANCELS = 20_000
+# Bounds of the cancels that are kept, which take some 160 bytes each: of all
+# customers in equal shares, and what each of many customers may have all the
+# same.
+_MAX_EARLY_CANCELS = 100_000
+_MIN_CUSTOMER_SHARE = 1_000
 # Longer names are no ids of jobs.
 _MAX_ID_LENGTH = 64
 
@@ -24,7 +27,7 @@
     noted = lead.cell.early_cancels.get(owner, {})
     if job in noted or len(job) > _MAX_ID_LENGTH:
         return True
-    if len(noted) >= MAX_EARLY_CANCELS:
+    if len(noted) >= _customer_share(lead):
         return False
     lead.record(CancelNoted(job, owner), allows_starts=False)
     lead.early_cancels.append((lead.now, owner, job))
@@ -32,6 +35,11 @@
     return True
 
 
+def _customer_share(lead: CellLeader) -> int:
+    customers = max(len(lead.cell.customers), 1)
+    return max(_MAX_EARLY_CANCELS // customers, _MIN_CUSTOMER_SHARE)
+
+
 def is_cancelled_early(lead: CellLeader, job: str, owner: str) -> bool:
     """Tell whether a job was cancelled before it arrived."""
     return job in lead.cell.early_cancels.get(owner, {})
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -358,9 +358,10 @@
     Then the job is accepted
 
   Scenario: A cancel that cannot be noted is refused
-    Given a cell of one target
-    When 20000 unknown jobs are cancelled, and another one
+    Given a cell of one target that has 100 customers
+    When a customer cancels 1000 unknown jobs, and another one
     Then the last cancel is refused with OVERLOADED, to be sent again
+    And a cancel of another customer is noted
 
   Scenario: A job that was accepted and cancelled stays cancelled when it arrives again
     Given a cell of one target
--- a/tests/steps/early_cancel_steps.py
+++ b/tests/steps/early_cancel_steps.py
@@ -39,16 +39,26 @@
         run_for(world, 0.5)
 
 
-@given('a cell of one target whose customers are acme and beta')
-def two_customers(context):
-    """Configure two customers, and queues that are not public."""
+def _cell_with_customers(context, names):
     context.world = cell_world.World(1, targets=0)
-    customers = tuple(map(cell_world.customer, ('acme', 'beta')))
+    customers = tuple(map(cell_world.customer, names))
     cell_world.configure(context.world, 2, customers=customers)
     cell_world.add_worker(context.world, 'w1')
     run_for(context.world, 1)
 
 
+@given('a cell of one target whose customers are acme and beta')
+def two_customers(context):
+    """Configure two customers, and queues that are not public."""
+    _cell_with_customers(context, ('acme', 'beta'))
+
+
+@given('a cell of one target that has {count:d} customers')
+def many_customers(context, count):
+    """Configure numbered customers."""
+    _cell_with_customers(context, map(str, range(count)))
+
+
 @when('a job is cancelled before it is known, and arrives {what}')
 def overtake(context, what):
     """Cancel the job first."""
@@ -99,12 +109,20 @@
     _submit(context, owner='acme')
 
 
-@when('{count:d} unknown jobs are cancelled, and another one')
+@when('a customer cancels {count:d} unknown jobs, and another one')
 def cancel_many(context, count):
     """Cancel all in one turn."""
     for number in range(count):
-        request(context.world, JobVerb.CANCEL, f'/a/{number + 2:016x}')
-    _cancel(context)
+        path = f'/a/{number + 2:016x}'
+        request(context.world, JobVerb.CANCEL, path, key=b'0')
+    _cancel(context, key=b'0')
+
+
+@then('a cancel of another customer is noted')
+def check_other_customer(context):
+    """Expect an acknowledgement."""
+    _cancel(context, key=b'1')
+    assert context.cancelled.code == ResultCode.UNKNOWN_JOB, context.cancelled
 
 
 @then('the last cancel is refused with OVERLOADED, to be sent again')
