--- a/daisygw/cell/_early_cancels.py
+++ b/daisygw/cell/_early_cancels.py
@@ -10,9 +10,8 @@
 # How long a job is refused after its cancel: longer than a request may be on
 # its way.
 EARLY_CANCEL_RETENTION_S = 120.0
-# Bounds of the cancels that are kept, which take some 160 bytes each: of all
-# customers in equal shares, and what each of many customers may have all the
-# same.
+# How many cancels are kept, some 160 bytes each: of all customers together, in
+# equal shares, and the least share of a customer.
 _MAX_EARLY_CANCELS = 100_000
 _MIN_CUSTOMER_SHARE = 1_000
 # Longer names are no ids of jobs.
