A confirmed start is recorded beside other records

Found by reading: each job had a log turn of its own, and so a sync, a few ms after its placement, as its first start was confirmed. Now the leader notes it, answers callers by the note, and records it with the next other record, or alone after 0.5 s.

The random runs compare what callers are shown, with the note, as before.

--- a/daisygw/cell/_early_cancels.py
+++ b/daisygw/cell/_early_cancels.py
@@ -29,7 +29,7 @@
     if len(noted) >= _customer_share(lead):
         return False
     lead.record(CancelNoted(job, owner), allows_starts=False)
-    lead.early_cancels.append((lead.now, owner, job))
+    lead.notes.early_cancels.append((lead.now, owner, job))
     lead.log_event('cancelled early', id=job, customer=owner)
     return True
 
@@ -48,8 +48,8 @@
     """Forget the cancels that were noted long ago."""
     expired = []
     until = lead.now - EARLY_CANCEL_RETENTION_S
-    while lead.early_cancels and lead.early_cancels[0][0] < until:
-        _, owner, job = lead.early_cancels.popleft()
+    while lead.notes.early_cancels and lead.notes.early_cancels[0][0] < until:
+        _, owner, job = lead.notes.early_cancels.popleft()
         expired.append((owner, job))
     if expired:
         lead.record(CancelsPurged(tuple(expired)), allows_starts=False)
--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -100,13 +100,20 @@
 
 def _count_queued(lead: CellLeader, queue: Queue) -> int:
     return sum(
-        job.state is JobState.QUEUED
+        _state_of(lead, job) is JobState.QUEUED
         and job.enqueued.host == queue.host
         and job.enqueued.prefix == queue.prefix
         for job in lead.cell.jobs.values()
     )
 
 
+def _state_of(lead: CellLeader, job: CellJob) -> JobState:
+    """Return a job's state with the starts that are not in the log yet."""
+    if job.state is JobState.QUEUED and job.spec.id in lead.notes.started:
+        return JobState.RUNNING
+    return job.state
+
+
 def _submit(
     lead: CellLeader,
     request: JobRequest,
@@ -187,7 +194,8 @@
         return
     if request.verb is JobVerb.CANCEL:
         _cancel(lead, job)
-    answer = CellResponse(request.seq, ResultCode.ANSWERED, state=job.state)
+    state = _state_of(lead, job)
+    answer = CellResponse(request.seq, ResultCode.ANSWERED, state=state)
     lead.answer(entry, answer)
 
 
--- a/daisygw/cell/_leader.py
+++ b/daisygw/cell/_leader.py
@@ -15,6 +15,7 @@
 
 from daisygw.cell._approval import Approval, PendingAdvice
 from daisygw.cell._cost import Stake
+from daisygw.cell._job_notes import JobNotes
 from daisygw.cell._load import CellLoad
 from daisygw.cell._rates import CustomerRates, take_token
 from daisygw.cell._state import (
@@ -31,6 +32,7 @@
 from daisygw.contracts import (
     AdviceRequest,
     CellResponse,
+    JobStarted,
     JobState,
     Queue,
     StepKey,
@@ -207,8 +209,7 @@
     ``long_callers`` is how many processes make long ones, and
     ``advice_delays`` has by queue how much longer than the advisor's own time
     they take (s).  ``rates`` has the customers' rates.
-    ``ended`` lists ended jobs and since when they are kept, ``early_cancels``
-    cancels of unknown jobs (since when, customer, job).  ``repeating``
+    ``ended`` lists ended jobs and since when they are kept, ``repeating``
     names the unfinished repeating jobs, and ``changed`` requests a placement
     pass.  ``check_record`` raises ``ContractError`` for a record that the log
     cannot hold.
@@ -247,10 +248,10 @@
         self.statistics = TargetStatistics()
         self.failed_jobs: dict[str, set[str]] = {}
         self.ended: deque[tuple[float, str]] = deque()
-        self.early_cancels: deque[tuple[float, str, str]] = deque()
         self.seq_numbers = itertools.count(term << _SEQ_BITS)
         self.generations = itertools.count(1)
         self.repeating: set[str] = set()
+        self.notes = JobNotes()
         self.changed = True
         self.scan_due = now
         self.approval_rates: dict[str, float] = {}
@@ -269,6 +270,15 @@
         self.records.append(record)
         self.changed = self.changed or allows_starts
 
+    def record_starts(self) -> None:
+        """Record the confirmed starts, the first one of each job."""
+        for name in self.notes.started:
+            job = self.cell.jobs.get(name)
+            if job and not job.started:
+                self.record(JobStarted(name), allows_starts=False)
+        self.notes.started.clear()
+        self.notes.starts_due = float('inf')
+
     def send_message(self, entry: str, message: Any) -> None:
         """Queue an effect until the records before it are committed."""
         self.outbox.append(OutgoingMessage(entry, message))
@@ -318,6 +328,8 @@
 
 def collect_output(lead: CellLeader) -> tuple[list[Any], list[OutgoingMessage]]:
     """Return and clear the records and effects since the last call."""
+    if lead.records:
+        lead.record_starts()
     records, lead.records = lead.records, []
     outgoing, lead.outbox = lead.outbox, []
     return records, outgoing
@@ -453,7 +465,7 @@
     for key in keys_in_dispute(instances):
         lead.lease_states[key].disputed_at = lead.now
     _count_known_jobs(lead)
-    lead.early_cancels.extend(
+    lead.notes.early_cancels.extend(
         (lead.now, customer, name)
         for customer, names in lead.cell.early_cancels.items()
         for name in names
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -18,12 +18,15 @@
     end_instance,
     finish,
 )
-from daisygw.contracts import JobStarted, RunEnd
+from daisygw.contracts import RunEnd
 from daisygw.machines import LeaseState
 
 # An unanswered start is sent again this long after the previous attempt: many
 # times what a healthy target needs to answer.
 START_RETRY_S = 0.2
+# A confirmed start is in the log after this time, also without other records: a
+# record of its own costs a sync.
+_RECORD_DELAY_S = 0.5
 # An unconfirmed stop is sent again at this interval.
 STOP_RETRY_S = 0.5
 
@@ -59,13 +62,16 @@
 
 
 def confirm_start(lead: CellLeader, run: Run) -> None:
-    """Record the start of a job's first task, which its target has confirmed.
+    """Note the start of a task, which its target has confirmed.
 
-    Until then callers are told that the job is queued.
+    Until the first one callers are told that the job is queued.  It is
+    recorded with the next other record, or alone after a delay.
     """
     job = lead.cell.jobs.get(run.step.job)
-    if job and not job.started:
-        lead.record(JobStarted(job.spec.id), allows_starts=False)
+    notes = lead.notes
+    if job and not job.started and job.spec.id not in notes.started:
+        notes.started.add(job.spec.id)
+        notes.starts_due = min(notes.starts_due, lead.now + _RECORD_DELAY_S)
 
 
 def on_started(lead: CellLeader, result: StartResult) -> None:
--- a/daisygw/cell/_timeouts.py
+++ b/daisygw/cell/_timeouts.py
@@ -35,6 +35,8 @@
         lead.changed = True
         enqueue_due(lead)
         report_long_waits(lead)
+    if now >= lead.notes.starts_due:
+        lead.record_starts()
     for outstanding in list(lead.orders.values()):
         if now >= outstanding.stop_due:
             outstanding.stop_due = now + STOP_RETRY_S
