A target that answers no order takes only its share of the open orders

Callers would see: stops and starts of other targets late, while some targets renew their leases and leave orders unanswered; each held up to 52 of the 384 open stops until the timeout.

Cause: the bound on all open orders had no share for each target, and a target counted as unresponsive by its renewals only.

Fix: each target has an equal share of the open orders; one that left its last order unanswered gets one at a time. Senders are added while orders may be sent.

--- a/daisygw/cell/_call_limits.py
+++ b/daisygw/cell/_call_limits.py
@@ -15,7 +15,7 @@
 # long as the task needs to end.
 _START_CONNECTIONS = 8
 # A target that does not respond holds each order until its timeout.
-_UNRESPONSIVE_ORDERS = 2
+_UNRESPONSIVE_ORDERS = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/nodes/_orders.py
+++ b/daisygw/nodes/_orders.py
@@ -25,6 +25,7 @@
 from daisygw.nodes._order_queue import (
     OrderQueue,
     add_order,
+    note_answer,
     taking_order,
 )
 
@@ -52,6 +53,15 @@
     send: Callable[[EffectExecutor, Any], Awaitable[None]],
 ) -> None:
     add_order(queue, order)
+    _add_sender(executor, queue, send)
+
+
+def _add_sender(
+    executor: EffectExecutor,
+    queue: OrderQueue,
+    send: Callable[[EffectExecutor, Any], Awaitable[None]],
+) -> None:
+    """Send one more order at a time, if one may be sent now."""
     if queue.ready and queue.senders < queue.most_open:
         queue.senders += 1
         start_background_task(executor, _send_orders(executor, queue, send))
@@ -66,6 +76,7 @@
     try:
         while queue.ready:
             with taking_order(queue) as order:
+                _add_sender(executor, queue, send)
                 await send(executor, order)
     finally:
         queue.senders -= 1
@@ -84,6 +95,8 @@
         )
     except LinkError as exc:
         outcome, reason = OrderOutcome.NO_ANSWER, exc.reason
+    answered = outcome is not OrderOutcome.NO_ANSWER
+    note_answer(executor.starts, order.run.instance, answered=answered)
     if still_leads(executor, lead):
         on_started(lead, StartResult(order, outcome, sent, reason))
 
@@ -100,6 +113,7 @@
             target.instance, order.run, fence
         )
     except LinkError as exc:
+        note_answer(executor.stops, target.key, answered=False)
         log(
             'stop failed',
             id=order.run.step.job,
@@ -108,5 +122,6 @@
             reason=exc.reason,
         )
         return
+    note_answer(executor.stops, target.key, answered=True)
     if still_leads(executor, lead):
         on_stopped(lead, order.run, outcome)
