A submission that waited past its deadline before it was read starts nothing

Callers would see: a job runs seconds after they have given it up, if the entry that they had sent it to was paused meanwhile; without a cancel nothing kept it from running.

Cause: an entry counted the deadline of a request from when it read it.

Evidence: the new scenario of platform.feature on the code before: five jobs with a deadline of 1 s, sent to an entry that is paused for 3.5 s, are accepted when it runs again; the entry never refuses them.

Fix: an HTTP server watches the pauses of its process, and gives each request the time since when its first bytes may have waited, in the kernel or behind others on the connection. An entry refuses an overdue submission with 304 (503); other requests wait for the leader for what is left of their deadline.

--- a/daisygw/links/_http_connection.py
+++ b/daisygw/links/_http_connection.py
@@ -34,7 +34,10 @@
     write_refusal,
 )
 from daisygw.links._logs import log
+from daisygw.links._pauses import PauseWatch, waiting_since
 
+# Key of the scope of a request, see ``Connection``.
+WAITING_SINCE = 'daisygw.waiting_since'
 # Received bytes are parsed in pieces of this size, so that limits are checked
 # before much more has been stored.
 _PIECE_BYTES = 4096
@@ -87,6 +90,9 @@
     a response that announces the close ends the connection, so only the last
     of the requests received may have it (RFC 9112, 9.6).
 
+    The scope of a request has as ``WAITING_SINCE`` the loop time (s) since when
+    its first bytes may have waited in the kernel, or here behind others.
+
     ``reusable`` tells whether the client allows further requests after the
     newest one, and ``unanswered`` counts the requests received without a
     complete response.
@@ -97,6 +103,7 @@
         is_draining: Callable[[], bool],
         limits: Callable[[], RequestLimits],
         budget: HttpBudget,
+        pauses: PauseWatch,
         **server: Any,
     ) -> None:
         """Create the state of a new connection of a server."""
@@ -104,6 +111,8 @@
         self.is_draining = is_draining
         self.limits = limits
         self.budget = budget
+        self.pauses = pauses
+        self.received_at = 0.0
         self.reusable = True
         self.unanswered = 0
         self.peer_closed = False
@@ -177,6 +186,7 @@
             self._discard(len(data))
             return
         self.active_at = self.loop.time()
+        self.received_at = waiting_since(self.pauses, self.active_at)
         if not self.request_since:
             self.request_since = self.active_at
         self._unset_keepalive_if_required()
@@ -213,6 +223,7 @@
         super().on_message_begin()
         self.begun = True
         self.request_since = self.active_at
+        self.scope[WAITING_SINCE] = self.received_at
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count a header line, and keep it if it is no trailer."""
--- a/daisygw/links/_serving.py
+++ b/daisygw/links/_serving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncGenerator, Callable, Generator, Iterable
+from collections.abc import AsyncGenerator, Callable, Generator, Sequence
 from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
@@ -14,6 +14,7 @@
 from daisygw.links._http_budget import HttpBudget, log_refusals
 from daisygw.links._http_connection import Connection
 from daisygw.links._logs import log
+from daisygw.links._pauses import PauseWatch, watching_pauses
 
 # Connections that can wait to be accepted: more than callers open at once.
 _LISTEN_BACKLOG = 2048
@@ -195,7 +196,10 @@
 
 
 def _make_server(
-    service: HttpService, grace: float, is_draining: Callable[[], bool]
+    service: HttpService,
+    grace: float,
+    is_draining: Callable[[], bool],
+    pauses: PauseWatch,
 ) -> _Server:
     def closes_connections() -> bool:
         return server.should_exit or is_draining()
@@ -204,7 +208,11 @@
         service.app,
         loop='asyncio',
         http=partial(
-            Connection, closes_connections, service.limits, service.budget
+            Connection,
+            closes_connections,
+            service.limits,
+            service.budget,
+            pauses,
         ),
         ws='none',
         lifespan='off',
@@ -220,7 +228,7 @@
 
 @asynccontextmanager
 async def serving_http(
-    services: Iterable[HttpService],
+    services: Sequence[HttpService],
     grace: float,
     is_draining: Callable[[], bool] = _never,
 ) -> AsyncGenerator[None, None]:
@@ -230,16 +238,18 @@
     At the end all servers stop at the same time, and wait up to ``grace``
     seconds for requests in progress.
     """
-    servers: list[_Server] = []
-    tasks: list[asyncio.Task] = []
-    for service in services:
-        server = _make_server(service, grace, is_draining)
-        servers.append(server)
-        serving = server.serve(sockets=[service.sock])
-        tasks.append(asyncio.ensure_future(serving))
-    try:
-        yield
-    finally:
-        for server in servers:
-            server.stop()
-        await asyncio.gather(*tasks)
+    with watching_pauses() as pauses:
+        servers = [
+            _make_server(service, grace, is_draining, pauses)
+            for service in services
+        ]
+        tasks = [
+            asyncio.ensure_future(server.serve(sockets=[service.sock]))
+            for server, service in zip(servers, services, strict=True)
+        ]
+        try:
+            yield
+        finally:
+            for server in servers:
+                server.stop()
+            await asyncio.gather(*tasks)
--- a/daisygw/links/processes.py
+++ b/daisygw/links/processes.py
@@ -18,6 +18,7 @@
     budget_limits,
     descriptor_limit,
 )
+from daisygw.links._http_connection import WAITING_SINCE
 from daisygw.links._journal import (
     Journal,
     close,
@@ -49,6 +50,7 @@
     'budget_limits',
     'descriptor_limit',
     'DEFAULT_MEMORY_MIB',
+    'WAITING_SINCE',
     'default_request_limits',
     'tighter_limits',
     'Group',
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -1,5 +1,6 @@
 """HTTP endpoints for callers, the load balancer, workers and operators."""
 
+import asyncio
 import time
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
@@ -20,6 +21,7 @@
     is_bad_input,
 )
 from daisygw.links import log, log_error
+from daisygw.links.processes import WAITING_SINCE
 from daisygw.machines import TargetReport, agrees, instance_key
 from daisygw.nodes import (
     EntryNode,
@@ -36,6 +38,10 @@
 _DEFAULT_CALLER_TIMEOUT_S = 3.0
 # Part of a caller's deadline to use; the rest is for returning the response.
 _DEADLINE_FRACTION = 0.9
+# What an overdue request other than a submission waits for the leader.
+_MIN_PATIENCE_S = 0.1
+# Retry delay given to the caller of an overdue submission.
+_OVERDUE_RETRY_S = 1
 # Digits of a deadline in ms: up to some hours.
 _MAX_DEADLINE_DIGITS = 8
 # Workers and operators wait one second for a response.
@@ -67,6 +73,7 @@
     ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.NO_WORKERS: 503,
     ResultCode.CANCELLED: 503,
+    ResultCode.DEADLINE_PASSED: 503,
     ResultCode.NO_LEADER: 503,
     ResultCode.NOT_CONFIGURED: 503,
     ResultCode.CONFIG_INVALID: 400,
@@ -134,8 +141,21 @@
     return app
 
 
+def _remaining_time(req: falcon.asgi.Request) -> float:
+    """Return how long a caller still waits (s); at most 0 if it has left.
+
+    A request may have waited before it was read, while the process stood still
+    or served those before it on the connection.
+    """
+    waiting_since = req.scope.get(WAITING_SINCE)
+    if waiting_since is None:
+        return _caller_timeout(req)
+    waited = asyncio.get_running_loop().time() - waiting_since
+    return _caller_timeout(req) - waited
+
+
 def _caller_timeout(req: falcon.asgi.Request) -> float:
-    """Return how long to wait for the leader (s); ignore an odd deadline."""
+    """Return how long a caller waits (s); ignore an odd deadline."""
     deadline_ms = req.get_header('X-Deadline-Ms') or ''
     is_number = deadline_ms.isascii() and deadline_ms.isdecimal()
     if not is_number or len(deadline_ms) > _MAX_DEADLINE_DIGITS:
@@ -170,11 +190,17 @@
     if verb is JobVerb.SUBMIT:
         job, fault = await _read_job(req)
     started_at = time.monotonic()
-    answer = await call_leader(
-        node.peers,
-        _forwarding(req, verb, job),
-        _caller_timeout(req),
-    )
+    remaining = _remaining_time(req)
+    if verb is JobVerb.SUBMIT and remaining <= 0:
+        answer = CellResponse(
+            0, ResultCode.DEADLINE_PASSED, retry_after=_OVERDUE_RETRY_S
+        )
+    else:
+        answer = await call_leader(
+            node.peers,
+            _forwarding(req, verb, job),
+            max(remaining, _MIN_PATIENCE_S),
+        )
     if fault and answer.code != ResultCode.UNKNOWN_KEY:
         raise fault
     _write_answer(resp, verb, answer)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -121,6 +121,15 @@
     When 5 jobs are sent to an entry that is paused for 3.5 seconds, and cancelled at another one
     Then the cancels were answered 410, and none of the jobs has run or is known
 
+  Scenario: A job that waited past its deadline in a paused entry does not run
+    When 5 jobs with a deadline of 1 second are sent to an entry that is paused for 3.5 seconds
+    Then the entry has refused them with 304, and none of the jobs has run or is known
+    And the entry accepts a job that is sent now
+
+  Scenario: A cancel that overtakes its job holds when all schedulers are killed
+    When 5 unknown jobs are cancelled, and all schedulers are killed and restarted
+    Then the jobs are answered 503 when they arrive, and none of them has run or is known
+
   @fixture.slow_stops
   Scenario: Tasks of jobs that are cancelled together stop in time, and no other task lapses
     Given a long-running job of 16 tasks, and 30 jobs of 10 small tasks each, on 3 workers that take 0.35 seconds for a stop
--- a/tests/http_server.py
+++ b/tests/http_server.py
@@ -7,6 +7,7 @@
 
 from daisygw.contracts import RequestLimits
 from daisygw.links.processes import (
+    WAITING_SINCE,
     BudgetLimits,
     HttpBudget,
     HttpService,
@@ -29,14 +30,20 @@
 
 
 @asynccontextmanager
-async def serving(limits=REQUEST_LIMITS, budget=None):
-    """Serve in this process; yields the address, requests and the budget."""
+async def serving(limits=REQUEST_LIMITS, budget=None, waited=None):
+    """Serve in this process; yields the address, requests and the budget.
+
+    ``waited`` gets the path of each request and how long it waited (s).
+    """
     ran = []
     app = falcon.asgi.App()
 
     async def serve(req, resp):
         body = await req.stream.readall()
         ran.append((req.path, body))
+        if waited is not None:
+            now = asyncio.get_running_loop().time()
+            waited[req.path] = now - req.scope[WAITING_SINCE]
         if req.path == '/slow':
             await asyncio.sleep(SLOW_S)
         if req.path == '/brief':
--- a/tests/steps/cancel_steps.py
+++ b/tests/steps/cancel_steps.py
@@ -5,12 +5,12 @@
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 
 from behave import given, then, when
 
 from standins import platform_cell as cells
-from standins.platform_cell import ENTRIES, wait_until
+from standins.platform_cell import ENTRIES, SCHEDULERS, wait_until
 
 _WORK_S = 90
 _KEPT = f'{0xC0:016x}'
@@ -19,6 +19,10 @@
 _SHORT_WORK_S = 0.5
 _LEAVES_S = 0.2
 _HTTP_GONE = 410
+# Deadline of jobs that reach the leader after a pause (s), and the code with
+# which it refuses those that were cancelled.
+_LONG_DEADLINE_S = 30
+_CANCELLED = 305
 
 
 def _small_job(tasks, *, lasting):
@@ -120,54 +124,139 @@
     assert max(counts.values()) <= most, counts
 
 
-def _send_and_leave(cell, entry, name):
+def _send_and_leave(cell, entry, name, deadline_s):
     """Submit a job over a connection that is closed soon afterwards."""
     conn = http.client.HTTPConnection(
         entry, cell.ports.callers, timeout=_LEAVES_S
     )
     body = json.dumps(cells.job(2, work_s=_SHORT_WORK_S))
-    headers = {'Host': cells.QUEUE_HOST, **cells.key_headers(cell)}
+    headers = {
+        'Host': cells.QUEUE_HOST,
+        'X-Deadline-Ms': str(deadline_s * cells.MS_PER_S),
+        **cells.key_headers(cell),
+    }
     with suppress(TimeoutError):
         conn.request('POST', f'{cells.PREFIX}{name}', body, headers)
         conn.getresponse()
     conn.close()
 
 
+@contextmanager
+def _paused(cell, entry, seconds):
+    """Pause an entry's process for some time, at least for the context."""
+    process = cell.running[entry]
+    process.send_signal(signal.SIGSTOP)
+    resume_at = time.monotonic() + seconds
+    try:
+        yield
+    finally:
+        time.sleep(max(resume_at - time.monotonic(), 0))
+        process.send_signal(signal.SIGCONT)
+
+
+def _names(first, count):
+    return [f'{first + number:016x}' for number in range(count)]
+
+
+def _cancel_all(context):
+    context.answers = [
+        cells.call_entry(context.cell, ENTRIES[1], 'DELETE', name)[0]
+        for name in context.names
+    ]
+
+
 @when(
     '{count:d} jobs are sent to an entry that is paused for {paused_s:g} '
     'seconds, and cancelled at another one'
 )
 def overtake(context, count, paused_s):
-    """Let the entry read the jobs when it runs again."""
-    cell = context.cell
-    paused, other = ENTRIES[:2]
-    context.names = [f'{0xC200 + number:016x}' for number in range(count)]
-    process = cell.running[paused]
-    process.send_signal(signal.SIGSTOP)
-    resume_at = time.monotonic() + paused_s
-    try:
+    """Let the entry pass the jobs on when it runs again."""
+    context.names = _names(0xC200, count)
+    with _paused(context.cell, ENTRIES[0], paused_s):
         for name in context.names:
-            _send_and_leave(cell, paused, name)
-        context.answers = [
-            cells.call_entry(cell, other, 'DELETE', name)[0]
-            for name in context.names
-        ]
-        time.sleep(max(resume_at - time.monotonic(), 0))
-    finally:
-        process.send_signal(signal.SIGCONT)
-    _wait_for_refusals(cell, paused, context.names)
+            _send_and_leave(context.cell, ENTRIES[0], name, _LONG_DEADLINE_S)
+        _cancel_all(context)
+    _wait_for_refusals(context, _CANCELLED)
+
+
+@when(
+    '{count:d} jobs with a deadline of {deadline_s:d} second are sent to an '
+    'entry that is paused for {paused_s:g} seconds'
+)
+def send_overdue(context, count, deadline_s, paused_s):
+    """Let the callers leave, and cancel nothing."""
+    context.names = _names(0xC300, count)
+    with _paused(context.cell, ENTRIES[0], paused_s):
+        for name in context.names:
+            _send_and_leave(context.cell, ENTRIES[0], name, deadline_s)
+
 
+@then(
+    'the entry has refused them with {code:d}, and none of the jobs has run or '
+    'is known'
+)
+def check_overdue(context, code):
+    """Read the log of the entry, the workers and the states of the jobs."""
+    _wait_for_refusals(context, code)
+    _check_unknown(context)
 
-def _wait_for_refusals(cell, entry, names):
+
+@then('the entry accepts a job that is sent now')
+def check_accepts(context):
+    """Submit at the entry that was paused."""
+    answer = cells.call_entry(
+        context.cell, ENTRIES[0], 'POST', f'{0xC3FF:016x}', cells.job()
+    )
+    assert answer[0] == cells.HTTP_OK, answer
+
+
+@when(
+    '{count:d} unknown jobs are cancelled, and all schedulers are killed and '
+    'restarted'
+)
+def cancel_before_kill(context, count):
+    """Kill the schedulers just after the last answer."""
+    cell = context.cell
+    context.names = _names(0xC400, count)
+    _cancel_all(context)
+    cells.kill_schedulers(cell)
+    for host in SCHEDULERS:
+        cells.start(cell, host)
+    assert set(context.answers) == {_HTTP_GONE}, context.answers
+    wait_until(
+        lambda: (
+            cells.call_entry(cell, ENTRIES[0], 'GET', '')[0] == cells.HTTP_OK
+        ),
+        'a leader',
+    )
+
+
+@then(
+    'the jobs are answered {status:d} when they arrive, and none of them has '
+    'run or is known'
+)
+def check_refused(context, status):
+    """Submit all of them."""
+    document = cells.job(2, work_s=_SHORT_WORK_S)
+    answers = [
+        cells.call_entry(context.cell, ENTRIES[0], 'POST', name, document)
+        for name in context.names
+    ]
+    assert {answer[0] for answer in answers} == {status}, answers
+    _check_unknown(context)
+
+
+def _wait_for_refusals(context, code):
     def refused():
         refusals = {
             line['id'].rpartition('/')[2]
-            for line in cells.log_lines(cell, entry)
-            if line['event'] == 'not served' and line['verb'] == 'submit'
+            for line in cells.log_lines(context.cell, ENTRIES[0])
+            if line['event'] == 'not served'
+            and (line['verb'], line['code']) == ('submit', code)
         }
-        return refusals.issuperset(names)
+        return refusals.issuperset(context.names)
 
-    wait_until(refused, 'the entry to have passed all jobs on')
+    wait_until(refused, 'the entry to have refused all jobs')
 
 
 @then(
@@ -176,8 +265,12 @@
 )
 def check_overtaken(context, status):
     """Look at the workers and at the states of the jobs."""
-    cell = context.cell
     assert set(context.answers) == {status}, context.answers
+    _check_unknown(context)
+
+
+def _check_unknown(context):
+    cell = context.cell
     time.sleep(2 * _SHORT_WORK_S)
     rows = [
         row
