--- a/tests/steps/order_steps.py
+++ b/tests/steps/order_steps.py
@@ -1,110 +1,23 @@
 """Steps about the orders that a leader sends, on a virtual clock."""
 
 import asyncio
-from collections import Counter
 from dataclasses import replace
-from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
 
-from daisygw.cell import OrderOutcome, Probe, Run, StartOrder, StopOrder
+from daisygw.cell import Probe, Run, StartOrder, StopOrder
 from daisygw.cell import _renewals as renewals
-from daisygw.contracts import LinkError, ResultCode, StepKey
-from daisygw.machines import RenewalReply
+from daisygw.contracts import StepKey
 from daisygw.nodes import _clock, executing_effects
+from standins.order_targets import OrderTargets, scheduler_node
 from tests.cell_world import SERVICE, World, run_for
 from tests.utils import run_virtually
 
-_STOP_TIMEOUT_S = 1.0
-_START_TIMEOUT_S = 0.2
 _OBSERVED_S = 12.0
 _JOB = f'{1:016x}'
 
 
-class _Targets:
-    """What simulated targets were sent: times (s) by run, and open calls."""
-
-    def __init__(self, lead, stop_s):
-        self.lead = lead
-        self.stop_s = stop_s
-        self.silent = set()
-        self.sent = Counter()
-        self.sent_at = {}
-        self.confirmed_at = {}
-        self.probes = []
-        self.open = Counter()
-        self.most_open = Counter()
-
-    def count(self, kind, key, change):
-        """Count an open call of a kind at a target."""
-        self.open[kind, key] += change
-        most = max(self.most_open[kind, key], self.open[kind, key])
-        self.most_open[kind, key] = most
-
-    async def stop(self, instance, run, fence):
-        """Confirm a stop after a while, unless the target is silent."""
-        loop = asyncio.get_running_loop()
-        self.sent[run] += 1
-        self.count('orders', run.instance, 1)
-        try:
-            if run.instance in self.silent:
-                await asyncio.sleep(_STOP_TIMEOUT_S)
-                raise LinkError(ResultCode.OUTCOME_UNKNOWN, 'timeout')
-            await asyncio.sleep(self.stop_s)
-        finally:
-            self.count('orders', run.instance, -1)
-        self.confirmed_at[run] = loop.time()
-        return OrderOutcome.TAKEN
-
-    async def start(self, instance, order, deadline, fence):
-        """Take a start after a while."""
-        loop = asyncio.get_running_loop()
-        self.sent_at[order.run] = loop.time()
-        self.count('orders', order.run.instance, 1)
-        silent = order.run.instance in self.silent
-        await asyncio.sleep(_START_TIMEOUT_S if silent else self.stop_s)
-        self.count('orders', order.run.instance, -1)
-        if silent:
-            raise LinkError(ResultCode.OUTCOME_UNKNOWN, 'timeout')
-        self.confirmed_at[order.run] = loop.time()
-        return OrderOutcome.TAKEN, ''
-
-    async def renew(self, instance, fence, renewal):
-        """Answer at the end of the wait."""
-        key = f'{instance.name}@{instance.born}'
-        if not renewal.wait:
-            self.probes.append(asyncio.get_running_loop().time())
-        self.count('renewals', key, 1)
-        await asyncio.sleep(renewal.wait + 0.01)
-        self.count('renewals', key, -1)
-        clock = self.lead.lease_states[key].clock
-        return RenewalReply(instance.born, clock, (), ())
-
-
-async def _disconnect():
-    """Close nothing."""
-
-
-def _node(targets):
-    return SimpleNamespace(
-        calls=SimpleNamespace(
-            stop=targets.stop,
-            start=targets.start,
-            renew=targets.renew,
-            disconnect=_disconnect,
-        ),
-        cfg=SimpleNamespace(host='10.0.0.1'),
-        state=SimpleNamespace(lead=targets.lead),
-        group=SimpleNamespace(replica=None),
-        sessions={},
-        wake=asyncio.Event(),
-        background_tasks=set(),
-        execute_effect=None,
-        meters=None,
-    )
-
-
 def _runs(lead, count, first=0):
     """Return runs of one step, ``count`` on each target."""
     step = StepKey(_JOB, 0, 0)
@@ -121,7 +34,7 @@
     """Let all targets have answered the leader."""
     world = World(1, targets=count)
     run_for(world, 1)
-    context.targets = _Targets(world.lead, stop_s)
+    context.targets = OrderTargets(world.lead, stop_s)
     context.lead = world.lead
 
 
@@ -136,7 +49,7 @@
     """Execute effects at once, then wait; keep when they began (s)."""
 
     async def run():
-        node = _node(context.targets)
+        node = scheduler_node(context.targets)
         async with executing_effects(node):
             context.began_at = asyncio.get_running_loop().time()
             for effect in effects:
