Metrics of starts and waits go by the targets' answers

On-call saw: a start wait of some ms, and no waiting step, while jobs stood on a target that had crashed: the histogram observed the placement, and the gauges left out what was placed.

Fix: the log event 'job started', at the first confirmation, is what the histogram observes; steps with runs that no target has confirmed to the present leader count as waiting, since the job was accepted where none has started.

Test: cell.feature, a job placed on a target that does not answer: it counts as a waiting step for 8 s, with its wait, and logs no start; failed before.

--- a/daisygw/cell/__init__.py
+++ b/daisygw/cell/__init__.py
@@ -19,6 +19,12 @@
     check_change,
     compare_configs,
 )
+from daisygw.cell._confirmations import (
+    longest_wait,
+    state_of_job,
+    steps_without_start,
+    unconfirmed_runs,
+)
 from daisygw.cell._fences import order_fence
 from daisygw.cell._jobs import on_config_request, on_job_request, purge_old_jobs
 from daisygw.cell._leader import (
@@ -59,10 +65,12 @@
 )
 from daisygw.cell._targets import on_target_report
 from daisygw.cell._timeouts import advance_clock
-from daisygw.cell._waits import longest_wait
 
 __all__ = (
     'LOCAL_PROCESS',
+    'state_of_job',
+    'steps_without_start',
+    'unconfirmed_runs',
     'RENEWAL_CONNECTIONS',
     'OrderLimits',
     'order_limits',
--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -1,6 +1,7 @@
 """Requests about jobs (submit, cancel, show) and about configurations."""
 
 from daisygw.cell._admission import refusal_for
+from daisygw.cell._confirmations import state_of_job
 from daisygw.cell._customers import (
     customer_of,
     may_use_job,
@@ -100,20 +101,13 @@
 
 def _count_queued(lead: CellLeader, queue: Queue) -> int:
     return sum(
-        _state_of(lead, job) is JobState.QUEUED
+        state_of_job(lead, job) is JobState.QUEUED
         and job.enqueued.host == queue.host
         and job.enqueued.prefix == queue.prefix
         for job in lead.cell.jobs.values()
     )
 
 
-def _state_of(lead: CellLeader, job: CellJob) -> JobState:
-    """Return a job's state with the starts that are not in the log yet."""
-    if job.state is JobState.QUEUED and job.spec.id in lead.notes.started:
-        return JobState.RUNNING
-    return job.state
-
-
 def _submit(
     lead: CellLeader,
     request: JobRequest,
@@ -194,7 +188,7 @@
         return
     if request.verb is JobVerb.CANCEL:
         _cancel(lead, job)
-    state = _state_of(lead, job)
+    state = state_of_job(lead, job)
     answer = CellResponse(request.seq, ResultCode.ANSWERED, state=state)
     lead.answer(entry, answer)
 
--- a/daisygw/cell/_renewals.py
+++ b/daisygw/cell/_renewals.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from daisygw.cell._confirmations import confirm_start
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     CellLeader,
@@ -11,7 +12,6 @@
     lease_for,
 )
 from daisygw.cell._restarts import on_other_instance, settle_dispute
-from daisygw.cell._starts import confirm_start
 from daisygw.cell._state import Run, TargetState
 from daisygw.cell._statistics import record_progress
 from daisygw.cell._targets import defer_work, finish
--- a/daisygw/cell/_restarts.py
+++ b/daisygw/cell/_restarts.py
@@ -6,9 +6,9 @@
 on it starts no others; an instance that follows it may.
 """
 
+from daisygw.cell._confirmations import confirm_start
 from daisygw.cell._fences import next_generation
 from daisygw.cell._leader import CellLeader, OutstandingOrder
-from daisygw.cell._starts import confirm_start
 from daisygw.cell._state import Run, TargetState
 from daisygw.cell._targets import (
     dispute,
--- a/daisygw/cell/_starts.py
+++ b/daisygw/cell/_starts.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass
 
+from daisygw.cell._confirmations import confirm_start
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
     CellLeader,
@@ -24,9 +25,6 @@
 # An unanswered start is sent again this long after the previous attempt: many
 # times what a healthy target needs to answer.
 START_RETRY_S = 0.2
-# A confirmed start is in the log after this time, also without other records: a
-# record of its own costs a sync.
-_RECORD_DELAY_S = 0.5
 # An unconfirmed stop is sent again at this interval.
 STOP_RETRY_S = 0.5
 
@@ -61,19 +59,6 @@
     reason: str = ''
 
 
-def confirm_start(lead: CellLeader, run: Run) -> None:
-    """Note the start of a task, which its target has confirmed.
-
-    Until the first one callers are told that the job is queued.  It is
-    recorded with the next other record, or alone after a delay.
-    """
-    job = lead.cell.jobs.get(run.step.job)
-    notes = lead.notes
-    if job and not job.started and job.spec.id not in notes.started:
-        notes.started.add(job.spec.id)
-        notes.starts_due = min(notes.starts_due, lead.now + _RECORD_DELAY_S)
-
-
 def on_started(lead: CellLeader, result: StartResult) -> None:
     """Handle the result of a start order."""
     run = result.order.run
--- a/daisygw/cell/_state.py
+++ b/daisygw/cell/_state.py
@@ -41,7 +41,7 @@
 from daisygw.machines import InstanceListed, TargetInstance, instance_key
 
 # Ends of a run that its target need not have started.
-_MAYBE_UNSTARTED = frozenset({RunEnd.LOST, RunEnd.REFUSED})
+MAYBE_UNSTARTED = frozenset({RunEnd.LOST, RunEnd.REFUSED})
 # Task index under which the failures of a whole gang are counted.
 GANG_INDEX = -1
 
@@ -321,7 +321,7 @@
         indexes = range(state.step.count) if state.step.gang else (run.index,)
         state.checkpoints.update(dict.fromkeys(indexes, record.checkpoint))
     job = cell.jobs[record.step.job]
-    job.started = job.started or record.how not in _MAYBE_UNSTARTED
+    job.started = job.started or record.how not in MAYBE_UNSTARTED
     if state.step.lasting:
         return
     if record.how is RunEnd.DONE:
--- a/daisygw/cell/_targets.py
+++ b/daisygw/cell/_targets.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 
+from daisygw.cell._confirmations import confirm_start
 from daisygw.cell._fences import next_generation
 from daisygw.cell._leader import (
     LOCAL_PROCESS,
@@ -15,7 +16,14 @@
     enqueue_job,
     request_gang_stop,
 )
-from daisygw.cell._state import CellJob, Run, StepState, TargetState, step_of
+from daisygw.cell._state import (
+    MAYBE_UNSTARTED,
+    CellJob,
+    Run,
+    StepState,
+    TargetState,
+    step_of,
+)
 from daisygw.cell._statistics import record_result
 from daisygw.cell._trust import record_return, restart_probation
 from daisygw.contracts import (
@@ -222,6 +230,8 @@
         _share_checkpoint(lead, state, checkpoint)
     elif outstanding:
         checkpoint = checkpoint or outstanding.checkpoint
+    if how not in MAYBE_UNSTARTED:
+        confirm_start(lead, run)
     lead.record(RunFinished(run.step, run.index, run.number, how, checkpoint))
     lead.log_event(
         'run over',
--- a/daisygw/cell/_waits.py
+++ b/daisygw/cell/_waits.py
@@ -20,14 +20,6 @@
 NO_CAPACITY = 'no capacity'
 
 
-def longest_wait(lead: CellLeader) -> float:
-    """Return how long the waiting step that waits longest has waited (s)."""
-    return max(
-        (lead.now - waiting.since for waiting in lead.waiting.values()),
-        default=0,
-    )
-
-
 def report_long_waits(lead: CellLeader) -> None:
     """Log the steps, and the unanswered starts, that have waited long."""
     for outstanding in lead.orders.values():
--- a/daisygw/nodes/_customer_meters.py
+++ b/daisygw/nodes/_customer_meters.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator, Mapping
 from functools import partial
 
-from daisygw.cell import Cell
-from daisygw.contracts import ZERO_SIZE, Size
+from daisygw.cell import Cell, CellLeader, steps_without_start
+from daisygw.contracts import ZERO_SIZE, Size, StepKey
 from daisygw.nodes._meters import Meters, add_labelled_gauge
 from daisygw.nodes._state_machine import CellState
 
@@ -66,11 +66,17 @@
     )
 
 
+def _is_held(lead: CellLeader, key: StepKey) -> bool:
+    waiting = lead.waiting.get(key)
+    return waiting is not None and waiting.held
+
+
 def _steps(state: CellState, *, held_only: bool) -> Mapping[tuple, float]:
-    waiting = state.lead.waiting.values() if state.lead else ()
+    lead = state.lead
+    steps = steps_without_start(lead) if lead else ()
     counts = Counter(
-        step.job.enqueued.customer
-        for step in waiting
-        if step.held or not held_only
+        state.cell.jobs[key.job].enqueued.customer
+        for key in steps
+        if not held_only or _is_held(lead, key)
     )
     return {(name,): counts[name] for name in state.cell.customers}
--- a/daisygw/nodes/_meters.py
+++ b/daisygw/nodes/_meters.py
@@ -22,7 +22,7 @@
 # Events with a duration: the log field observed (s), the metric's name and
 # its help text.
 _TIMED_EVENTS = MappingProxyType({
-    'placed': ('age_s', 'start_wait', 'From acceptance to a start'),
+    'job started': ('age_s', 'start_wait', 'From acceptance to a start'),
     'job over': ('age_s', 'job_time', 'From acceptance to the end'),
     'advice': ('took_s', 'advice_time', 'Calls to the placement advisor'),
 })
--- a/daisygw/nodes/_scheduler.py
+++ b/daisygw/nodes/_scheduler.py
@@ -9,14 +9,12 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
-from operator import attrgetter
 from types import MappingProxyType
 from typing import Any
 
 from daisygw.cell import (
     LOCAL_PROCESS,
     advance_clock,
-    longest_wait,
     on_config_request,
     on_job_request,
     on_target_report,
@@ -30,7 +28,6 @@
     ConfigRequest,
     ContractError,
     JobRequest,
-    JobState,
     JournalError,
     RequestLimits,
     ResultCode,
@@ -67,6 +64,7 @@
 from daisygw.nodes._replica_store import open_replica
 from daisygw.nodes._settings import NodeSettings, TargetCalls
 from daisygw.nodes._state_machine import CellState, cell_state_machine
+from daisygw.nodes._work_gauges import add_work_gauges
 from daisygw.zones import (
     Hello,
     Members,
@@ -141,6 +139,7 @@
         self.group = Group(replica, journal, machine)
         self.transport = Transport(partial(_send, self), partial(_emit, self))
         _add_state_gauges(self)
+        add_work_gauges(self.meters, self.state)
         add_customer_gauges(self.meters, self.state)
 
 
@@ -155,23 +154,6 @@
         ('config_version', 'Configuration', lambda: _config_version(node)),
         ('targets', 'Targets known', lambda: len(node.state.cell.targets)),
         ('jobs', 'Jobs known', lambda: len(node.state.cell.jobs)),
-        (
-            'starts_unconfirmed',
-            'Runs that no target has confirmed',
-            lambda: _count_orders(node, attrgetter('unconfirmed')),
-        ),
-        (
-            'stops_unconfirmed',
-            'Runs that are to stop',
-            lambda: _count_orders(node, attrgetter('stopping')),
-        ),
-        ('jobs_queued', 'Jobs without a started task', lambda: _queued(node)),
-        ('steps_waiting', 'Steps that wait', lambda: _waiting_steps(node)),
-        (
-            'longest_step_wait_seconds',
-            'Longest wait of a step for a start',
-            lambda: _longest_wait(node),
-        ),
         ('sync_seconds', 'Mean time of a sync', lambda: _sync_time(node)),
         ('sessions', 'Links to this process', lambda: len(node.sessions)),
     )
@@ -184,24 +166,6 @@
     return cfg.version if cfg else 0
 
 
-def _count_orders(node: SchedulerNode, check: Callable[[Any], bool]) -> int:
-    lead = node.state.lead
-    return sum(map(check, lead.orders.values())) if lead else 0
-
-
-def _queued(node: SchedulerNode) -> int:
-    jobs = node.state.cell.jobs.values()
-    return sum(job.state is JobState.QUEUED for job in jobs)
-
-
-def _waiting_steps(node: SchedulerNode) -> int:
-    return len(node.state.lead.waiting) if node.state.lead else 0
-
-
-def _longest_wait(node: SchedulerNode) -> float:
-    return longest_wait(node.state.lead) if node.state.lead else 0
-
-
 def _sync_time(node: SchedulerNode) -> float:
     journal = node.group.journal
     return journal.sync_time if journal else 0
--- a/tests/steps/job_count_steps.py
+++ b/tests/steps/job_count_steps.py
@@ -2,12 +2,15 @@
 
 from behave import then, when
 
+from daisygw.cell import longest_wait, steps_without_start
 from daisygw.contracts import JobState, JobVerb
 from tests import cell_world
 from tests.cell_jobs import small_job
 from tests.cell_world import request, run_for, submit
 
 _TARGET = 'w1'
+# Time from the placement to the change of the leader, at most (s).
+_RESTART_S = 0.5
 
 
 def _lose_target(world, what):
@@ -44,6 +47,10 @@
     return state.state, count.pending
 
 
+def _start_lines(world):
+    return [line for line in world.log if line.event == 'job started']
+
+
 @when('a job is placed on the target, {what}')
 def place_unanswered(context, what):
     """Place a job of one task just as the target stops to answer."""
@@ -64,7 +71,10 @@
     until = world.now + seconds
     while world.now < until:
         assert _shown(world) == (JobState.QUEUED, 1), _shown(world)
+        assert len(steps_without_start(world.lead)) == 1
         run_for(world, 0.5)
+    assert longest_wait(world.lead) >= seconds - _RESTART_S
+    assert not _start_lines(world)
 
 
 @when('a job starts on the target, {what}')
@@ -86,5 +96,6 @@
 
 @then('the job is shown as running, and its queue counts no job')
 def check_running(context):
-    """Ask once."""
+    """Ask once; the start was logged once."""
     assert _shown(context.world) == (JobState.RUNNING, 0)
+    assert len(_start_lines(context.world)) == 1
