The leader, not the entry, refuses overdue submissions

An entry that refuses an overdue copy by itself says "not run" of a job whose earlier copy may have been accepted at another entry, and decides in the folder that only translates. Found by reading; no run has shown it.

Test: cell.feature, a job whose deadline has passed is refused, unless it was accepted before.

--- a/daisygw/cell/_jobs.py
+++ b/daisygw/cell/_jobs.py
@@ -1,6 +1,6 @@
 """Requests about jobs (submit, cancel, show) and about configurations."""
 
-from daisygw.cell._admission import refusal_for
+from daisygw.cell._admission import Refusal, refusal_for
 from daisygw.cell._confirmations import state_of_job
 from daisygw.cell._customers import (
     customer_of,
@@ -45,6 +45,8 @@
 ENDED_JOB_RETENTION_S = 300.0
 # Retry delay given to a caller whose cancel could not be noted.
 _CANCEL_RETRY_S = 5
+# Retry delay given to the caller of an overdue job, if it still listens.
+_OVERDUE_RETRY_S = 1
 
 
 def on_job_request(lead: CellLeader, request: JobRequest, entry: str) -> None:
@@ -124,14 +126,10 @@
         return
     if existing is None:
         owner = owner_of_new_job(queue, customer)
-        if is_cancelled_early(lead, request.job.id, owner):
-            reason = 'cancelled before it arrived'
-            code = ResultCode.CANCELLED
-            _refuse(lead, request, entry, code, 0, reason, owner)
-            return
         surplus = is_over_rate(lead, owner)
         refusal = (
-            limit_refusal(lead, request.job, owner)
+            _given_up_refusal(lead, request, owner)
+            or limit_refusal(lead, request.job, owner)
             or refusal_for(lead, request.job, queue)
             or (surplus and surplus_refusal(lead, owner))
         )
@@ -142,6 +140,18 @@
     lead.answer(entry, CellResponse(request.seq, ResultCode.ACCEPTED))
 
 
+def _given_up_refusal(
+    lead: CellLeader, request: JobRequest, owner: str
+) -> Refusal | None:
+    """Refuse a job that its caller has given up before it arrived."""
+    if is_cancelled_early(lead, request.job.id, owner):
+        return (ResultCode.CANCELLED, 0, 'cancelled before it arrived')
+    if request.overdue:
+        reason = 'its deadline passed before it was read'
+        return (ResultCode.DEADLINE_PASSED, _OVERDUE_RETRY_S, reason)
+    return None
+
+
 def _accept(
     lead: CellLeader,
     request: JobRequest,
--- a/daisygw/contracts/_cell_messages.py
+++ b/daisygw/contracts/_cell_messages.py
@@ -20,7 +20,8 @@
     """Forwards a caller's request about a job or a queue to the leader.
 
     ``key`` is the SHA-256 digest of the caller's key, empty without one.  A
-    submission whose job is invalid has no ``job``; it is refused.
+    submission whose job is invalid has no ``job``; it is refused.  The caller
+    of an ``overdue`` request has stopped waiting.
     """
 
     seq: int
@@ -29,6 +30,7 @@
     path: str
     job: JobSpec | None = None
     key: bytes = b''
+    overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/daisygw/platform/_http.py
+++ b/daisygw/platform/_http.py
@@ -38,10 +38,8 @@
 _DEFAULT_CALLER_TIMEOUT_S = 3.0
 # Part of a caller's deadline to use; the rest is for returning the response.
 _DEADLINE_FRACTION = 0.9
-# What an overdue request other than a submission waits for the leader.
-_MIN_PATIENCE_S = 0.1
-# Retry delay given to the caller of an overdue submission.
-_OVERDUE_RETRY_S = 1
+# How long an overdue request waits for the leader.
+_MIN_PATIENCE_S = 0.5
 # Digits of a deadline in ms: up to some hours.
 _MAX_DEADLINE_DIGITS = 8
 # Workers and operators wait one second for a response.
@@ -191,16 +189,11 @@
         job, fault = await _read_job(req)
     started_at = time.monotonic()
     remaining = _remaining_time(req)
-    if verb is JobVerb.SUBMIT and remaining <= 0:
-        answer = CellResponse(
-            0, ResultCode.DEADLINE_PASSED, retry_after=_OVERDUE_RETRY_S
-        )
-    else:
-        answer = await call_leader(
-            node.peers,
-            _forwarding(req, verb, job),
-            max(remaining, _MIN_PATIENCE_S),
-        )
+    answer = await call_leader(
+        node.peers,
+        _forwarding(req, verb, job, overdue=remaining <= 0),
+        max(remaining, _MIN_PATIENCE_S),
+    )
     if fault and answer.code != ResultCode.UNKNOWN_KEY:
         raise fault
     _write_answer(resp, verb, answer)
@@ -218,12 +211,16 @@
 
 
 def _forwarding(
-    req: falcon.asgi.Request, verb: JobVerb, job: JobSpec | None
+    req: falcon.asgi.Request,
+    verb: JobVerb,
+    job: JobSpec | None,
+    *,
+    overdue: bool,
 ) -> Callable[[int], JobRequest]:
     """Return what makes the request to the leader from a correlation id."""
     host = (req.get_header('Host') or '').partition(':')[0]
     key = _codec.decode_key(req.get_header('Authorization') or '')
-    return lambda seq: JobRequest(seq, verb, host, req.path, job, key)
+    return lambda seq: JobRequest(seq, verb, host, req.path, job, key, overdue)
 
 
 async def _read_job(
--- a/tests/features/cell.feature
+++ b/tests/features/cell.feature
@@ -367,3 +367,8 @@
     Given a cell of one target
     When a job is cancelled while it runs, and arrives again
     Then the job is accepted as before, and shown as cancelled
+
+  Scenario: A job whose deadline has passed is refused, unless it was accepted before
+    Given a cell of one target
+    When a job arrives overdue, then in time, and then overdue again
+    Then the answers are DEADLINE_PASSED, ACCEPTED and ACCEPTED, and it has run once
--- a/tests/steps/early_cancel_steps.py
+++ b/tests/steps/early_cancel_steps.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from daisygw.contracts import JobState, JobVerb, ResultCode
+from daisygw.cell import on_job_request
+from daisygw.contracts import JobRequest, JobState, JobVerb, ResultCode
 from tests import cell_world
 from tests.cell_history import spans
 from tests.cell_jobs import small_job
@@ -148,3 +149,31 @@
     check_accepted(context)
     number = request(context.world, JobVerb.SHOW, f'/a/{_NAME}')
     assert _answer(context, number).state == JobState.CANCELLED
+
+
+@when('a job arrives overdue, then in time, and then overdue again')
+def submit_overdue(context):
+    """Keep the code of each answer."""
+    world, job = context.world, small_job(1)
+    world.jobs[job.id] = job
+    context.codes = []
+    for overdue in (True, False, True):
+        message = JobRequest(
+            next(world.sequence),
+            JobVerb.SUBMIT,
+            cell_world.REQUEST_HOST,
+            f'/a/{job.id}',
+            job,
+            overdue=overdue,
+        )
+        on_job_request(world.lead, message, 'e')
+        context.codes.append(_answer(context, message.seq).code)
+
+
+@then('the answers are {first}, {second} and {third}, and it has run once')
+def check_overdue(context, first, second, third):
+    """Wait for the job to end."""
+    expected = [ResultCode[name] for name in (first, second, third)]
+    assert context.codes == expected, context.codes
+    run_for(context.world, 4)
+    assert [len(rows) for rows in spans(context.world).values()] == [1]
